--- /dev/null
+++ b/Source/Base/digest.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace persimmonshelf {
+
+using sha256_digest = std::array<std::uint8_t, 32>;
+
+sha256_digest
+sha256(std::string_view text);
+sha256_digest
+hmac_sha256(std::string_view key, std::string_view text);
+
+// Compares in time that does not depend on the contents.
+bool
+equal_constant_time(const sha256_digest& left, const sha256_digest& right);
+
+std::string
+to_hex(const sha256_digest& digest);
+
+// 64 random bits from the system's cryptographic generator. Used for incarnations and transactions,
+// which a caller must not be able to guess.
+std::uint64_t
+random_bits();
+
+}
--- /dev/null
+++ b/Source/Net/http_server.cxx
@@ -0,0 +1,390 @@
+#include "Net/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+namespace {
+
+class session;
+
+constexpr std::chrono::seconds sweep_interval{ 5 };
+constexpr std::uint32_t header_limit_bytes = 16 << 10;
+
+}
+
+// Shared by the listener and its sessions, so that a late responder finds a valid object.
+struct http_server::state : std::enable_shared_from_this<http_server::state>
+{
+  state(asio::io_context& context, http_server_options options_in)
+    : acceptor(context)
+    , sweep_timer(context)
+    , options(std::move(options_in))
+  {
+  }
+
+  void accept();
+  void sweep();
+  void close_all();
+
+  tcp::acceptor acceptor;
+  asio::steady_timer sweep_timer;
+  http_server_options options;
+  request_handler on_request;
+  close_handler on_close;
+  std::unordered_map<connection_number, std::shared_ptr<session>> sessions;
+  connection_number next_number = 1;
+  bool draining = false;
+  bool stopped = false;
+};
+
+namespace {
+
+// What a connection needs only while a request is read or answered.
+struct exchange
+{
+  beast::flat_buffer buffer;
+  std::optional<http::request_parser<http::string_body>> parser;
+  http::response<http::string_body> response;
+};
+
+class session : public std::enable_shared_from_this<session>
+{
+public:
+  using server_state = std::weak_ptr<void>;
+  using finish = std::function<void(connection_number)>;
+
+  session(tcp::socket socket, connection_number number)
+    : socket_(std::move(socket))
+    , number_(number)
+    , last_activity_(std::chrono::steady_clock::now())
+  {
+  }
+
+  struct hooks
+  {
+    std::function<void(connection_number, http_request, http_server::responder)> request;
+    std::function<void(connection_number)> closed;
+    std::function<bool()> draining;
+    std::size_t body_limit_bytes = 0;
+  };
+
+  void start(std::shared_ptr<hooks> shared_hooks)
+  {
+    hooks_ = std::move(shared_hooks);
+    wait_for_request();
+  }
+
+  void close()
+  {
+    if (closed_) {
+      return;
+    }
+    closed_ = true;
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    hooks_->closed(number_);
+  }
+
+  bool idle() const { return !exchange_; }
+  std::chrono::steady_clock::time_point last_activity() const { return last_activity_; }
+  bool awaiting_response() const { return awaiting_response_; }
+
+private:
+  void wait_for_request()
+  {
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code failure) {
+      if (failure) {
+        self->close();
+        return;
+      }
+      self->read_request();
+    });
+  }
+
+  void read_request()
+  {
+    if (!exchange_) {
+      exchange_ = std::make_unique<exchange>();
+    }
+    last_activity_ = std::chrono::steady_clock::now();
+    auto& parser = exchange_->parser.emplace();
+    parser.body_limit(hooks_->body_limit_bytes);
+    parser.header_limit(header_limit_bytes);
+    http::async_read(socket_,
+                     exchange_->buffer,
+                     parser,
+                     [self = shared_from_this()](error_code failure, std::size_t) {
+                       self->request_read(failure);
+                     });
+  }
+
+  void request_read(error_code failure)
+  {
+    if (failure == http::error::body_limit) {
+      respond({ 413,
+                R"({"outcome":"not_run","code":107,"message":"body over the limit"})",
+                "application/json",
+                true });
+      return;
+    }
+    if (failure) {
+      close();
+      return;
+    }
+    auto message = exchange_->parser->release();
+    exchange_->parser.reset();
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.authorization = std::string(message[http::field::authorization]);
+    request.traceparent = std::string(message["traceparent"]);
+    request.keep_alive = message.keep_alive();
+    request.body = std::move(message.body());
+    keep_alive_ = request.keep_alive;
+    awaiting_response_ = true;
+    watch_for_close();
+    hooks_->request(
+      number_, std::move(request), [self = shared_from_this()](http_response response) {
+        if (!self->closed_ && std::exchange(self->awaiting_response_, false)) {
+          self->respond(std::move(response));
+        }
+      });
+  }
+
+  // Notices a caller that goes away while its request runs.
+  void watch_for_close()
+  {
+    socket_.async_wait(tcp::socket::wait_error, [self = shared_from_this()](error_code failure) {
+      if (!failure && self->awaiting_response_) {
+        self->close();
+      }
+    });
+  }
+
+  void respond(http_response response)
+  {
+    auto& message = exchange_->response;
+    message = {};
+    message.result(response.status);
+    message.version(11);
+    message.set(http::field::content_type, response.content_type);
+    message.body() = std::move(response.body);
+    message.keep_alive(keep_alive_ && !response.close && !hooks_->draining());
+    message.prepare_payload();
+    http::async_write(
+      socket_, message, [self = shared_from_this()](error_code failure, std::size_t) {
+        self->response_written(failure);
+      });
+  }
+
+  void response_written(error_code failure)
+  {
+    last_activity_ = std::chrono::steady_clock::now();
+    if (failure || !exchange_->response.keep_alive()) {
+      close();
+      return;
+    }
+    if (exchange_->buffer.size() > 0) {
+      read_request();
+      return;
+    }
+    exchange_.reset();
+    wait_for_request();
+  }
+
+  tcp::socket socket_;
+  connection_number number_;
+  std::shared_ptr<hooks> hooks_;
+  std::unique_ptr<exchange> exchange_;
+  std::chrono::steady_clock::time_point last_activity_;
+  bool closed_ = false;
+  bool awaiting_response_ = false;
+  bool keep_alive_ = true;
+};
+
+}
+
+void
+http_server::state::accept()
+{
+  // One set of hooks for each accepted connection would cost memory; they are shared.
+  auto shared_hooks = std::make_shared<session::hooks>();
+  std::weak_ptr<state> weak = shared_from_this();
+  shared_hooks->body_limit_bytes = options.body_limit_bytes;
+  shared_hooks->draining = [weak] {
+    const auto self = weak.lock();
+    return !self || self->draining;
+  };
+  shared_hooks->request =
+    [weak](connection_number number, http_request request, responder respond) {
+      if (const auto self = weak.lock()) {
+        self->on_request(number, std::move(request), std::move(respond));
+      }
+    };
+  shared_hooks->closed = [weak](connection_number number) {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
+    }
+    self->sessions.erase(number);
+    if (self->on_close && !self->stopped) {
+      self->on_close(number);
+    }
+  };
+  const auto loop = std::make_shared<std::function<void()>>();
+  *loop = [this, weak, shared_hooks, weak_loop = std::weak_ptr<std::function<void()>>(loop)] {
+    acceptor.async_accept(
+      [weak, shared_hooks, next = weak_loop.lock()](error_code failure, tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || failure == asio::error::operation_aborted || !self->acceptor.is_open()) {
+          return;
+        }
+        if (!failure && self->sessions.size() < self->options.connection_limit) {
+          error_code ignored;
+          socket.set_option(tcp::no_delay(true), ignored);
+          socket.set_option(asio::socket_base::keep_alive(true), ignored);
+          const auto number = self->next_number++;
+          const auto accepted = std::make_shared<session>(std::move(socket), number);
+          self->sessions.emplace(number, accepted);
+          accepted->start(shared_hooks);
+        }
+        (*next)();
+      });
+  };
+  (*loop)();
+}
+
+void
+http_server::state::sweep()
+{
+  sweep_timer.expires_after(sweep_interval);
+  sweep_timer.async_wait([weak = weak_from_this()](error_code failure) {
+    const auto self = weak.lock();
+    if (failure || !self || self->stopped) {
+      return;
+    }
+    const auto limit = std::chrono::steady_clock::now() - self->options.idle_timeout;
+    std::vector<std::shared_ptr<session>> overdue;
+    for (const auto& [number, open] : self->sessions) {
+      if (!open->awaiting_response() && open->last_activity() < limit) {
+        overdue.push_back(open);
+      }
+    }
+    for (const auto& open : overdue) {
+      open->close();
+    }
+    self->sweep();
+  });
+}
+
+void
+http_server::state::close_all()
+{
+  auto open = std::move(sessions);
+  sessions.clear();
+  for (const auto& [number, connection] : open) {
+    connection->close();
+  }
+}
+
+http_server::http_server(std::shared_ptr<state> shared)
+  : state_(std::move(shared))
+{
+}
+
+http_server::~http_server()
+{
+  stop();
+}
+
+result<std::unique_ptr<http_server>>
+http_server::create(asio::io_context& context,
+                    const http_server_options& options,
+                    request_handler on_request,
+                    close_handler on_close)
+{
+  const auto place = options.address + ":" + std::to_string(options.port);
+  error_code failure;
+  const auto address = asio::ip::make_address(options.address, failure);
+  if (failure) {
+    return fail(result_code::address_unavailable, place + ": not an IP number");
+  }
+  auto shared = std::make_shared<state>(context, options);
+  shared->on_request = std::move(on_request);
+  shared->on_close = std::move(on_close);
+  const tcp::endpoint endpoint(address, options.port);
+  shared->acceptor.open(endpoint.protocol(), failure);
+  if (!failure) {
+    shared->acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+  }
+  if (!failure) {
+    shared->acceptor.bind(endpoint, failure);
+  }
+  if (!failure) {
+    shared->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return fail(result_code::address_unavailable, place + ": " + failure.message());
+  }
+  shared->accept();
+  shared->sweep();
+  return std::unique_ptr<http_server>(new http_server(std::move(shared)));
+}
+
+std::uint16_t
+http_server::port() const
+{
+  error_code ignored;
+  return state_->acceptor.local_endpoint(ignored).port();
+}
+
+std::size_t
+http_server::connection_count() const
+{
+  return state_->sessions.size();
+}
+
+void
+http_server::drain()
+{
+  state_->draining = true;
+  error_code ignored;
+  state_->acceptor.close(ignored);
+  std::vector<std::shared_ptr<session>> idle;
+  for (const auto& [number, open] : state_->sessions) {
+    if (open->idle()) {
+      idle.push_back(open);
+    }
+  }
+  for (const auto& open : idle) {
+    open->close();
+  }
+}
+
+void
+http_server::stop()
+{
+  state_->stopped = true;
+  error_code ignored;
+  state_->acceptor.close(ignored);
+  state_->sweep_timer.cancel();
+  state_->close_all();
+}
+
+}
