--- /dev/null
+++ b/Source/Adapters/backend_client.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Engine/backend_link.h"
+#include "Net/http_connection.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace persimmonshelf {
+
+// Connections to backend servers on the backend thread, under numbers that the engine chooses. It
+// decides nothing: it reports what happened on each connection.
+class backend_client
+{
+public:
+  // `report` runs on the context's thread.
+  backend_client(boost::asio::io_context& context, std::function<void(backend_event)> report);
+
+  void execute(const backend_command& command);
+
+private:
+  void open(const backend_command& command);
+  void send(const backend_command& command);
+
+  boost::asio::io_context& context_;
+  std::function<void(backend_event)> report_;
+  std::unordered_map<link_number, std::shared_ptr<http_connection>> connections_;
+};
+
+}
--- a/Source/Base/error.h
+++ b/Source/Base/error.h
@@ -3,6 +3,7 @@
 #include "Base/result_code.h"
 
 #include <boost/outcome/outcome.hpp>
+#include <boost/outcome/try.hpp>
 
 #include <string>
 #include <utility>
--- a/Source/Base/table.h
+++ b/Source/Base/table.h
@@ -20,15 +20,15 @@
 // Result of a conditional write that the table answered.
 struct table_write
 {
-  // True if the row was written; `row` then carries its new revision. Otherwise `row` is the current
-  // row, whose revision differed from the expected one.
+  // True if the row was written; `row` then carries its new revision. Otherwise `row` is the
+  // current row, whose revision differed from the expected one.
   bool written = false;
   table_row row;
 };
 
 // Access to the platform's table service for logic modules. Calls return at once and report later
-// on the engine's thread, or never earlier than the call returns. A failure is platform_unavailable:
-// the call may or may not have taken effect.
+// on the engine's thread, or never earlier than the call returns. A failure is
+// platform_unavailable: the call may or may not have taken effect.
 struct table_hooks
 {
   std::function<void(std::string key, std::function<void(result<table_row>)>)> get;
--- /dev/null
+++ b/Source/Entry/request_table.cxx
@@ -0,0 +1,300 @@
+#include "Entry/request_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Pause before the members are tried again from the first, while none serves the request.
+constexpr duration round_pause = std::chrono::milliseconds(50);
+
+constexpr char attempt_separator = '#';
+
+request_id
+attempt_id(const request_id& request, unsigned number)
+{
+  return request_id(request.get() + attempt_separator + std::to_string(number));
+}
+
+// Codes after which the same request may succeed at another member or a little later.
+bool
+may_succeed_elsewhere(result_code code)
+{
+  switch (code) {
+    case result_code::no_primary:
+    case result_code::no_fresh_member:
+    case result_code::home_unreachable:
+    case result_code::wrong_home:
+    case result_code::draining:
+    case result_code::backend_busy:
+    case result_code::backend_wrong_term:
+    case result_code::backend_not_primary:
+    case result_code::backend_connect_failed:
+    case result_code::backend_leaving:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}
+
+request_id
+request_of_attempt(const request_id& attempt_id)
+{
+  return request_id(attempt_id.get().substr(0, attempt_id.get().rfind(attempt_separator)));
+}
+
+request_table::request_table(router& routes, retry_budget& budget, hooks callbacks)
+  : routes_(routes)
+  , budget_(budget)
+  , hooks_(std::move(callbacks))
+{
+}
+
+void
+request_table::start(const request_id& request, request_plan plan, instant now)
+{
+  budget_.record_request(now);
+  auto& state = requests_[request];
+  state.plan = std::move(plan);
+  send_next(request, state, now);
+}
+
+void
+request_table::send_next(const request_id& request, entry& state, instant now)
+{
+  state.retry_at.reset();
+  state.in_flight.reset();
+  attempt next;
+  next.id = attempt_id(request, ++state.attempts);
+  next.database = state.plan.database;
+  if (state.plan.owner) {
+    next.owner = state.plan.owner;
+    next.member = state.plan.pinned_member.value_or(member_id{});
+  } else {
+    const bool at_primary = state.plan.write || state.plan.primary_only;
+    const auto order = at_primary ? routes_.write_order(state.plan.database)
+                                  : routes_.read_order(state.plan.database, now);
+    if (order.empty()) {
+      finish(request,
+             result_code::unknown_database,
+             run_outcome::not_run,
+             "database " + state.plan.database.get() + " has no members");
+      return;
+    }
+    const auto& chosen = order[state.next_member % order.size()];
+    next.member = chosen.member;
+    next.zone = chosen.zone;
+  }
+  state.in_flight = next;
+  hooks_.send(request, next);
+}
+
+std::map<request_id, request_table::entry>::iterator
+request_table::find_attempt(const request_id& id)
+{
+  const auto found = requests_.find(request_of_attempt(id));
+  if (found == requests_.end() || !found->second.in_flight || found->second.in_flight->id != id) {
+    return requests_.end();
+  }
+  return found;
+}
+
+void
+request_table::learn(const entry& state, const attempt_answer& answer, instant now)
+{
+  if (answer.primary) {
+    routes_.learn_primary(state.plan.database, *answer.primary, answer.primary_term);
+  }
+  if (answer.code == result_code::no_fresh_member) {
+    routes_.learn_stale(state.plan.database, state.in_flight->member, now);
+  }
+}
+
+void
+request_table::answered(const attempt_answer& answer, instant now)
+{
+  const auto found = find_attempt(answer.id);
+  if (found == requests_.end()) {
+    // The answer of an attempt that was given up; its request was answered or tried again.
+    return;
+  }
+  const auto request = found->first;
+  auto& state = found->second;
+  const auto primary_before = routes_.primary(state.plan.database);
+  learn(state, answer, now);
+  if (answer.outcome == run_outcome::done) {
+    finish(request, answer.code, answer.outcome, answer.message, &answer);
+    return;
+  }
+  if (answer.outcome == run_outcome::unknown) {
+    attempt_unknown(request, state, answer.code, answer.message, &answer, now);
+    return;
+  }
+  if (routes_.primary(state.plan.database) != primary_before) {
+    // The order of members changed: the new primary comes first.
+    state.next_member = 0;
+    state.in_flight.reset();
+    state.last_code = answer.code;
+    state.last_message = answer.message;
+    if (!state.plan.owner && may_succeed_elsewhere(answer.code) && now < state.plan.deadline) {
+      send_next(request, state, now);
+      return;
+    }
+  }
+  attempt_not_run(request, state, answer.code, answer.message, &answer, now);
+}
+
+void
+request_table::refused(const request_id& id, instant now)
+{
+  const auto found = find_attempt(id);
+  if (found == requests_.end()) {
+    return;
+  }
+  const auto request = found->first;
+  auto& state = found->second;
+  attempt_not_run(request,
+                  state,
+                  result_code::home_unreachable,
+                  "home of member " + state.in_flight->member.get() + " cannot be reached",
+                  nullptr,
+                  now);
+}
+
+void
+request_table::home_lost(const std::vector<request_id>& attempt_ids, instant now)
+{
+  for (const auto& id : attempt_ids) {
+    const auto found = find_attempt(id);
+    if (found == requests_.end()) {
+      continue;
+    }
+    const auto request = found->first;
+    auto& state = found->second;
+    attempt_unknown(request,
+                    state,
+                    result_code::home_lost,
+                    "home of member " + state.in_flight->member.get() + " ended",
+                    nullptr,
+                    now);
+  }
+}
+
+void
+request_table::attempt_not_run(const request_id& request,
+                               entry& state,
+                               result_code code,
+                               const std::string& message,
+                               const attempt_answer* answer,
+                               instant now)
+{
+  state.last_code = code;
+  state.last_message = message;
+  state.in_flight.reset();
+  if (state.plan.owner) {
+    if (code == result_code::home_unreachable) {
+      // The owner cannot be reached: it ended, or it rolls back after the idle limit.
+      finish(request, result_code::transaction_lost, run_outcome::not_run, message, answer);
+      return;
+    }
+    finish(request, code, run_outcome::not_run, message, answer);
+    return;
+  }
+  if (!may_succeed_elsewhere(code)) {
+    finish(request, code, run_outcome::not_run, message, answer);
+    return;
+  }
+  ++state.next_member;
+  const auto members = routes_.write_order(state.plan.database).size();
+  if (members != 0 && state.next_member % members != 0) {
+    send_next(request, state, now);
+    return;
+  }
+  delay_round(state, now);
+}
+
+void
+request_table::delay_round(entry& state, instant now)
+{
+  state.next_member = 0;
+  state.retry_at = now + round_pause;
+}
+
+void
+request_table::attempt_unknown(const request_id& request,
+                               entry& state,
+                               result_code code,
+                               const std::string& message,
+                               const attempt_answer* answer,
+                               instant now)
+{
+  state.last_code = code;
+  state.last_message = message;
+  state.unknown_code = code;
+  const bool may_repeat = state.plan.idempotent && !state.plan.owner && now < state.plan.deadline;
+  if (!may_repeat || !budget_.take(now)) {
+    finish(request, code, run_outcome::unknown, message, answer);
+    return;
+  }
+  state.in_flight.reset();
+  ++state.next_member;
+  send_next(request, state, now);
+}
+
+void
+request_table::tick(instant now)
+{
+  std::vector<request_id> overdue;
+  std::vector<request_id> delayed;
+  for (const auto& [request, state] : requests_) {
+    if (now >= state.plan.deadline) {
+      overdue.push_back(request);
+    } else if (state.retry_at && now >= *state.retry_at) {
+      delayed.push_back(request);
+    }
+  }
+  for (const auto& request : overdue) {
+    const auto& state = requests_.at(request);
+    if (state.in_flight) {
+      finish(request,
+             result_code::answer_overdue,
+             run_outcome::unknown,
+             "no answer from the home of member " + state.in_flight->member.get() +
+               " before the deadline");
+    } else {
+      finish(request, state.last_code, run_outcome::not_run, state.last_message);
+    }
+  }
+  for (const auto& request : delayed) {
+    const auto found = requests_.find(request);
+    if (found != requests_.end()) {
+      send_next(request, found->second, now);
+    }
+  }
+}
+
+void
+request_table::finish(const request_id& request,
+                      result_code code,
+                      run_outcome outcome,
+                      const std::string& message,
+                      const attempt_answer* answer)
+{
+  // Erased first: the hook may start other requests or destroy what `message` refers to.
+  const std::string text = message;
+  const request_id id = request;
+  const auto found = requests_.find(id);
+  const auto unknown_code = found->second.unknown_code;
+  requests_.erase(found);
+  if (outcome == run_outcome::not_run && unknown_code) {
+    code = *unknown_code;
+    outcome = run_outcome::unknown;
+  }
+  hooks_.finish(id, code, outcome, text, answer);
+}
+
+}
--- a/Source/Net/http_connection.cxx
+++ b/Source/Net/http_connection.cxx
@@ -182,12 +182,18 @@
 {
   state_->timer.cancel();
   const auto done = std::exchange(state_->on_response, {});
-  if (failure != nullptr || response.close) {
-    close();
-  } else {
+  if (failure == nullptr && !response.close) {
     watch_idle();
+    done(failure, std::move(response));
+    return;
   }
+  // The result is reported before the closing, so that a whole last answer is not taken for a loss.
+  const auto closed = std::exchange(state_->closed, {});
+  close();
   done(failure, std::move(response));
+  if (closed) {
+    closed();
+  }
 }
 
 void
--- a/Source/Net/http_server.cxx
+++ b/Source/Net/http_server.cxx
@@ -46,8 +46,8 @@
   http_server_options options;
   request_handler on_request;
   close_handler on_close;
-  std::unordered_map<connection_number, std::shared_ptr<session>> sessions;
-  connection_number next_number = 1;
+  std::unordered_map<accepted_number, std::shared_ptr<session>> sessions;
+  accepted_number next_number = 1;
   bool draining = false;
   bool stopped = false;
 };
@@ -66,9 +66,9 @@
 {
 public:
   using server_state = std::weak_ptr<void>;
-  using finish = std::function<void(connection_number)>;
+  using finish = std::function<void(accepted_number)>;
 
-  session(tcp::socket socket, connection_number number)
+  session(tcp::socket socket, accepted_number number)
     : socket_(std::move(socket))
     , number_(number)
     , last_activity_(std::chrono::steady_clock::now())
@@ -77,8 +77,8 @@
 
   struct hooks
   {
-    std::function<void(connection_number, http_request, http_server::responder)> request;
-    std::function<void(connection_number)> closed;
+    std::function<void(accepted_number, http_request, http_server::responder)> request;
+    std::function<void(accepted_number)> closed;
     std::function<bool()> draining;
     std::size_t body_limit_bytes = 0;
   };
@@ -209,7 +209,7 @@
   }
 
   tcp::socket socket_;
-  connection_number number_;
+  accepted_number number_;
   std::shared_ptr<hooks> hooks_;
   std::unique_ptr<exchange> exchange_;
   std::chrono::steady_clock::time_point last_activity_;
@@ -232,12 +232,12 @@
     return !self || self->draining;
   };
   shared_hooks->request =
-    [weak](connection_number number, http_request request, responder respond) {
+    [weak](accepted_number number, http_request request, responder respond) {
       if (const auto self = weak.lock()) {
         self->on_request(number, std::move(request), std::move(respond));
       }
     };
-  shared_hooks->closed = [weak](connection_number number) {
+  shared_hooks->closed = [weak](accepted_number number) {
     const auto self = weak.lock();
     if (!self) {
       return;
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -36,8 +36,8 @@
   // Sends the response of one request; may be called once, later, on the io_context's thread. A
   // call after the connection closed does nothing.
   using responder = std::function<void(http_response)>;
-  using request_handler = std::function<void(connection_number, http_request, responder)>;
-  using close_handler = std::function<void(connection_number)>;
+  using request_handler = std::function<void(accepted_number, http_request, responder)>;
+  using close_handler = std::function<void(accepted_number)>;
 
   // Fails with address_unavailable and the address if it cannot be bound.
   static result<std::unique_ptr<http_server>> create(boost::asio::io_context& context,
--- a/Source/Net/http_types.h
+++ b/Source/Net/http_types.h
@@ -26,6 +26,6 @@
 };
 
 // Identifies one accepted connection for the life of the server.
-using connection_number = std::uint64_t;
+using accepted_number = std::uint64_t;
 
 }
