--- /dev/null
+++ b/Source/Control/config_difference.cxx
@@ -0,0 +1,107 @@
+#include "Control/configuration.h"
+
+#include <map>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Fields of one named thing, in a fixed order.
+using field_list = std::vector<std::pair<std::string, std::string>>;
+
+std::string
+milliseconds(duration value)
+{
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+template<typename ids>
+std::string
+joined(const ids& list)
+{
+  std::string text = "[";
+  for (const auto& id : list) {
+    text += (text.size() > 1 ? ", " : "") + id.get();
+  }
+  return text + "]";
+}
+
+// The configuration as named things with their fields, so that one comparison serves all kinds.
+std::map<std::string, field_list>
+flatten(const configuration& config)
+{
+  std::map<std::string, field_list> things;
+  for (const auto& workspace : config.workspaces()) {
+    things["workspace " + workspace.id.get()] = { { "rate", std::to_string(workspace.rate) },
+                                                  { "burst", std::to_string(workspace.burst) } };
+  }
+  for (const auto& database : config.databases()) {
+    things["database " + database.id.get()] = {
+      { "slots", std::to_string(database.slots) },
+      { "connections", std::to_string(database.connections) },
+      { "default_max_age_ms", milliseconds(database.default_max_age) },
+    };
+    for (const auto& member : database.members) {
+      things["database " + database.id.get() + " member " + member.id.get()] = {
+        { "zone", member.zone.get() }, { "address", member.address }
+      };
+    }
+  }
+  for (const auto& route : config.routes()) {
+    things["route " + route.id.get()] = { { "databases", joined(route.databases) },
+                                          { "workspaces", joined(route.workspaces) },
+                                          { "open", route.open ? "true" : "false" } };
+  }
+  const auto& settings = config.settings();
+  things["settings"] = { { "default_deadline_ms", milliseconds(settings.default_deadline) },
+                         { "max_deadline_ms", milliseconds(settings.max_deadline) },
+                         { "queue_per_workspace", std::to_string(settings.queue_per_workspace) },
+                         { "idle_transaction_ms", milliseconds(settings.idle_transaction) } };
+  return things;
+}
+
+std::string
+summary(const field_list& fields)
+{
+  std::string text;
+  for (const auto& [name, value] : fields) {
+    text += (text.empty() ? "" : ", ") + name + " " + value;
+  }
+  return text;
+}
+
+}
+
+std::vector<std::string>
+describe_difference(const configuration& before, const configuration& after)
+{
+  const auto old_things = flatten(before);
+  const auto new_things = flatten(after);
+  std::map<std::string, std::vector<std::string>> lines;
+  for (const auto& [name, fields] : old_things) {
+    const auto found = new_things.find(name);
+    if (found == new_things.end()) {
+      lines[name].push_back(name + ": removed");
+      continue;
+    }
+    for (std::size_t i = 0; i < fields.size(); ++i) {
+      const auto& [field, value] = fields[i];
+      const auto& changed = found->second[i].second;
+      if (value != changed) {
+        lines[name].push_back(name + ": " + field + " " + value + " -> " + changed);
+      }
+    }
+  }
+  for (const auto& [name, fields] : new_things) {
+    if (old_things.count(name) == 0) {
+      lines[name].push_back(name + ": added (" + summary(fields) + ")");
+    }
+  }
+  std::vector<std::string> all;
+  for (auto& [name, changes] : lines) {
+    all.insert(all.end(), changes.begin(), changes.end());
+  }
+  return all;
+}
+
+}
--- /dev/null
+++ b/Source/Control/config_text.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Base/json_fields.h"
+#include "Control/configuration.h"
+#include "Control/json_locator.h"
+
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace persimmonshelf {
+
+// Reads and checks the operators' JSON text. It goes on after a fault, so that one run lists the
+// faults of the whole text.
+class config_text
+{
+public:
+  // Same contract as configuration::parse.
+  static result<configuration> read(std::string_view text);
+
+private:
+  using item_reader = std::function<void(json_fields&, const std::string& place)>;
+
+  explicit config_text(std::string_view text);
+
+  // Keep one fault or one advice, with the line of `place`.
+  void fault(const std::string& place, const std::string& reason);
+  void advise(const std::string& place, const std::string& reason);
+  // Value of a getter; keeps its error and returns a default value if it failed.
+  template<typename value>
+  value take(result<value> got);
+  void keep(const error& failed);
+
+  std::string read_name(json_fields& fields, std::string_view field);
+  // Runs `read` for each object of an array field.
+  void each(json_fields& fields, std::string_view field, bool required, const item_reader& read);
+  std::vector<std::pair<std::string, std::string>> read_names(json_fields& fields,
+                                                              std::string_view field);
+  void read_workspace(json_fields& fields, const std::string& place);
+  void read_database(json_fields& fields, const std::string& place);
+  void read_member(json_fields& fields, const std::string& place, database_config& database);
+  void read_route(json_fields& fields, const std::string& place);
+  void read_settings(json_fields& fields);
+  void read_all(const boost::json::value& root);
+  // Refuses a second use of a name or address of a kind.
+  void unique(const std::string& kind, const std::string& place, const std::string& name);
+
+  json_locator locator_;
+  configuration config_;
+  std::multimap<std::size_t, std::string> faults_;
+  std::multimap<std::size_t, std::string> advice_;
+  std::map<std::string, std::set<std::string>> used_;
+};
+
+}
--- /dev/null
+++ b/Source/Control/configuration.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "Base/error.h"
+#include "Base/ids.h"
+#include "Base/instant.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmonshelf {
+
+struct member_config
+{
+  member_id id;
+  zone_id zone;
+  // IP address and port, as "192.0.2.1:5000" or "[2001:db8::1]:5000".
+  std::string address;
+};
+
+struct database_config
+{
+  database_id id;
+  // Statements and open transactions that one member executes at a time.
+  std::int64_t slots = 0;
+  // Connection limit of the whole database, all members together.
+  std::int64_t connections = 0;
+  duration default_max_age{ 0 };
+  std::vector<member_config> members;
+
+  // Part of the connection limit that one member gets; at least 1.
+  std::int64_t connections_per_member() const;
+};
+
+struct route_config
+{
+  route_id id;
+  std::vector<database_id> databases;
+  std::vector<workspace_id> workspaces;
+  // True if requests need no key; `workspaces` is then empty.
+  bool open = false;
+
+  bool uses(const database_id& database) const;
+  bool allows(const workspace_id& workspace) const;
+};
+
+struct workspace_config
+{
+  workspace_id id;
+  // Requests a second, and requests that may come at once, over the whole fleet.
+  std::int64_t rate = 0;
+  std::int64_t burst = 0;
+};
+
+// Tunables that hold for the whole fleet.
+struct fleet_settings
+{
+  duration default_deadline = std::chrono::milliseconds(5000);
+  duration max_deadline = std::chrono::milliseconds(60000);
+  std::int64_t queue_per_workspace = 100;
+  duration idle_transaction = std::chrono::milliseconds(10000);
+};
+
+// The operators' configuration after all checks. Immutable; lookups take constant time.
+class configuration
+{
+public:
+  struct member_place
+  {
+    const database_config* database;
+    const member_config* member;
+  };
+
+  // An empty configuration with default settings.
+  configuration() = default;
+
+  // Parses and checks the operators' text. The error (config_invalid) has one line for each fault,
+  // such as "line 12: databases[1].slots: expected an integer from 1 to 1000", at most 20 and then
+  // a line with the number of further ones.
+  static result<configuration> parse(std::string_view text);
+
+  // The lookups return null for an unknown name. Pointers stay valid as long as the object.
+  const route_config* find_route(const route_id& id) const;
+  const database_config* find_database(const database_id& id) const;
+  const workspace_config* find_workspace(const workspace_id& id) const;
+  // The member and its database, both null for an unknown name. Member names are unique over all
+  // databases.
+  member_place find_member(const member_id& id) const;
+
+  const std::vector<route_config>& routes() const { return routes_; }
+  const std::vector<database_config>& databases() const { return databases_; }
+  const std::vector<workspace_config>& workspaces() const { return workspaces_; }
+  const fleet_settings& settings() const { return settings_; }
+
+  // Zones that have a member of some database, sorted.
+  const std::vector<zone_id>& zones() const { return zones_; }
+
+  // Advice that does not keep the text from being accepted, with lines, in the text's order.
+  const std::vector<std::string>& warnings() const { return warnings_; }
+
+private:
+  friend class config_text;
+  // Fills the lookups after the lists are complete.
+  void index();
+
+  std::vector<route_config> routes_;
+  std::vector<database_config> databases_;
+  std::vector<workspace_config> workspaces_;
+  fleet_settings settings_;
+  std::vector<zone_id> zones_;
+  std::vector<std::string> warnings_;
+  // Positions in the lists, so that a copied configuration does not point into its source.
+  std::unordered_map<route_id, std::size_t> route_index_;
+  std::unordered_map<database_id, std::size_t> database_index_;
+  std::unordered_map<workspace_id, std::size_t> workspace_index_;
+  std::unordered_map<member_id, std::pair<std::size_t, std::size_t>> member_index_;
+};
+
+// What changed between two configurations, a line for each change, such as
+// "workspace a: rate 10 -> 20". Empty if both have the same meaning.
+std::vector<std::string>
+describe_difference(const configuration& before, const configuration& after);
+
+}
--- /dev/null
+++ b/Source/Control/membership.cxx
@@ -0,0 +1,404 @@
+#include "Control/membership.h"
+
+#include "Control/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+constexpr std::size_t own_zone_targets = 3;
+constexpr duration push_interval = std::chrono::milliseconds(50);
+// Older clocks bound too little: at 530 instances a pair of zones exchanges heartbeats within this
+// time, and the allowance for clock drift grows with it.
+constexpr duration echo_limit = std::chrono::minutes(10);
+// Clocks of two machines drift apart by less than 1000 ppm.
+constexpr int drift_divisor = 1000;
+constexpr duration drop_unlisted_after = std::chrono::seconds(30);
+// Long enough for the announcement to reach every instance by gossip.
+constexpr duration forget_leaving_after = std::chrono::seconds(60);
+// Age of an entry that no instance has heard of.
+constexpr duration never_heard = std::chrono::hours(1);
+
+std::optional<instant>
+later(std::optional<instant> left, std::optional<instant> right)
+{
+  return std::max(left, right);
+}
+
+}
+
+membership::membership(identity self, random_hook random)
+  : self_(std::move(self))
+  , random_(std::move(random))
+{
+  auto& own = add_record({ .instance = self_.instance,
+                           .incarnation = self_.incarnation,
+                           .zone = self_.zone,
+                           .address = self_.address });
+  own.entry.sequence = std::max<std::uint64_t>(self_.start_sequence, 1);
+}
+
+instance_record&
+membership::add_record(const instance_entry& entry)
+{
+  auto& record = records_[entry.instance];
+  record.entry = entry;
+  record.name_hash = rendezvous::hash(entry.instance.get());
+  return record;
+}
+
+void
+membership::set_own_state(const own_state& state, instant now)
+{
+  auto& own = records_[self_.instance];
+  changed_ = changed_ || state.config_version > own.entry.config_version ||
+             state.key_version > own.entry.key_version || state.leaving != own.entry.leaving;
+  own.entry.leaving = state.leaving;
+  own.entry.config_version = state.config_version;
+  own.entry.key_version = state.key_version;
+  own.table_read_at = state.table_read_at;
+  newest_key_version_ = std::max(newest_key_version_, state.key_version);
+  own.stated_at = now;
+  ++own.entry.sequence;
+}
+
+bool
+membership::heartbeat_due(instant now) const
+{
+  const auto interval = changed_ ? push_interval : heartbeat_interval;
+  return !last_round_ || now - *last_round_ >= interval;
+}
+
+std::vector<const instance_record*>
+membership::choose(std::vector<const instance_record*> from, std::size_t count)
+{
+  count = std::min(count, from.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(from[i], from[i + random_(from.size() - i)]);
+  }
+  from.resize(count);
+  return from;
+}
+
+std::vector<membership::peer>
+membership::heartbeat_targets(instant now)
+{
+  last_round_ = now;
+  changed_ = false;
+  std::erase_if(records_, [&](const auto& item) {
+    const auto& record = item.second;
+    return item.first != self_.instance && record.entry.leaving &&
+           (!record.stated_at || now - *record.stated_at > forget_leaving_after);
+  });
+  std::vector<const instance_record*> near;
+  std::vector<const instance_record*> far;
+  for (const auto& [name, record] : records_) {
+    const bool gone =
+      record.entry.leaving && (!record.stated_at || now - *record.stated_at > live_limit);
+    if (name != self_.instance && !gone) {
+      (record.entry.zone == self_.zone ? near : far).push_back(&record);
+    }
+  }
+  auto chosen = choose(std::move(near), own_zone_targets);
+  const auto other_zone = choose(std::move(far), 1);
+  chosen.insert(chosen.end(), other_zone.begin(), other_zone.end());
+  std::vector<peer> targets;
+  for (const auto* record : chosen) {
+    targets.push_back({ record->entry.instance, record->entry.address });
+  }
+  return targets;
+}
+
+instance_entry
+membership::aged_entry(const instance_record& record, instant now) const
+{
+  auto entry = record.entry;
+  entry.age = record.stated_at ? now - *record.stated_at : never_heard;
+  entry.table_read_age.reset();
+  if (record.table_read_at) {
+    entry.table_read_age = std::max(now - *record.table_read_at, duration(1));
+  }
+  return entry;
+}
+
+void
+membership::start_statement(instant now)
+{
+  if (!sent_clocks_.empty() && sent_clocks_.back() == now) {
+    return;
+  }
+  sent_clocks_.push_back(now);
+  while (now - sent_clocks_.front() > echo_limit) {
+    sent_clocks_.pop_front();
+  }
+  auto& own = records_[self_.instance];
+  ++own.entry.sequence;
+  own.stated_at = now;
+}
+
+heartbeat
+membership::make_heartbeat(const instance_id& target, instant now)
+{
+  start_statement(now);
+  heartbeat beat;
+  beat.clock = now;
+  beat.entries.push_back(aged_entry(records_[self_.instance], now));
+  std::vector<const instance_record*> others;
+  for (const auto& [name, record] : records_) {
+    if (name != self_.instance && (carries_all() || record.entry.zone == self_.zone)) {
+      others.push_back(&record);
+    }
+  }
+  const auto to_zone = records_.find(target);
+  const bool same_zone = to_zone != records_.end() && to_zone->second.entry.zone == self_.zone;
+  if (!carries_all()) {
+    // The youngest news first: older entries have reached most instances already. Another zone gets
+    // the summary instead.
+    std::sort(others.begin(), others.end(), [](const auto* left, const auto* right) {
+      return left->stated_at > right->stated_at;
+    });
+    others.resize(same_zone ? std::min(others.size(), entries_per_heartbeat) : 0);
+  }
+  for (const auto* record : others) {
+    beat.entries.push_back(aged_entry(*record, now));
+  }
+  for (const auto& zone : zones()) {
+    beat.zones.push_back(zone == self_.zone ? summarise(zone, now) : zone_view(zone, now));
+  }
+  const auto heard = echoes_.find(target);
+  if (heard != echoes_.end()) {
+    beat.echo_clock = heard->second.clock;
+    beat.echo_age = now - heard->second.received_at;
+  }
+  return beat;
+}
+
+std::optional<duration>
+membership::transit_bound(const heartbeat& beat, instant now) const
+{
+  if (!beat.echo_clock ||
+      !std::binary_search(sent_clocks_.begin(), sent_clocks_.end(), *beat.echo_clock)) {
+    return std::nullopt;
+  }
+  const auto round_trip = now - *beat.echo_clock - beat.echo_age + beat.echo_age / drift_divisor;
+  return std::max(round_trip, duration(0));
+}
+
+void
+membership::notice_versions(const heartbeat& beat)
+{
+  for (const auto& entry : beat.entries) {
+    newest_key_version_ = std::max(newest_key_version_, entry.key_version);
+  }
+  for (const auto& zone : beat.zones) {
+    newest_key_version_ =
+      std::max({ newest_key_version_, zone.key_version, zone.table_key_version });
+  }
+}
+
+bool
+membership::receive(const instance_id& sender,
+                    incarnation_id incarnation,
+                    const heartbeat& beat,
+                    instant now)
+{
+  if (sender == self_.instance) {
+    return false;
+  }
+  echoes_[sender] = { incarnation, beat.clock, now };
+  notice_versions(beat);
+  const auto transit = transit_bound(beat, now);
+  if (!transit) {
+    const auto own = std::find_if(beat.entries.begin(), beat.entries.end(), [&](const auto& entry) {
+      return entry.instance == sender;
+    });
+    if (own != beat.entries.end() && records_.count(sender) == 0) {
+      add_record({ .instance = sender, .zone = own->zone, .address = own->address });
+    }
+    return true;
+  }
+  for (const auto& entry : beat.entries) {
+    merge_entry(entry, *transit, now);
+  }
+  for (const auto& summary : beat.zones) {
+    merge_summary(summary, *transit, now);
+  }
+  return false;
+}
+
+void
+membership::merge_entry(const instance_entry& entry, duration transit, instant now)
+{
+  if (entry.instance == self_.instance) {
+    auto& own = records_[self_.instance].entry;
+    if (entry.incarnation != self_.incarnation && entry.sequence >= own.sequence) {
+      own.sequence = entry.sequence + 1;
+    }
+    return;
+  }
+  const auto age = entry.age + transit;
+  if (entry.leaving && age > forget_leaving_after) {
+    return;
+  }
+  const auto known = records_.find(entry.instance);
+  if (known == records_.end() || entry.sequence > known->second.entry.sequence) {
+    const auto listed_at = known == records_.end() ? std::nullopt : known->second.listed_at;
+    auto& record = add_record(entry);
+    record.listed_at = listed_at;
+    record.stated_at.reset();
+    record.table_read_at.reset();
+    if (entry.sequence > 0) {
+      record.stated_at = now - age;
+    }
+    if (entry.table_read_age) {
+      record.table_read_at = now - *entry.table_read_age - transit;
+    }
+    return;
+  }
+  auto& record = known->second;
+  if (entry.sequence == 0 || entry.sequence != record.entry.sequence ||
+      entry.incarnation != record.entry.incarnation) {
+    return;
+  }
+  // The same statement over another way: the younger bound is closer and as certain.
+  record.stated_at = later(record.stated_at, now - age);
+  if (entry.table_read_age) {
+    record.table_read_at = later(record.table_read_at, now - *entry.table_read_age - transit);
+  }
+}
+
+void
+membership::apply_platform_list(const std::vector<listed_instance>& list, instant now)
+{
+  for (const auto& line : list) {
+    if (line.instance == self_.instance) {
+      continue;
+    }
+    auto found = records_.find(line.instance);
+    if (found == records_.end()) {
+      if (line.leaving) {
+        continue;
+      }
+      add_record({ .instance = line.instance, .zone = line.zone, .address = line.address });
+      found = records_.find(line.instance);
+    }
+    auto& record = found->second;
+    record.listed_at = now;
+    if (!record.stated_at) {
+      record.entry.zone = line.zone;
+      record.entry.address = line.address;
+      record.entry.leaving = line.leaving;
+    }
+  }
+  std::erase_if(records_, [&](const auto& item) {
+    const auto& record = item.second;
+    const bool silent = !record.stated_at || now - *record.stated_at > drop_unlisted_after;
+    return item.first != self_.instance && record.listed_at != now && silent;
+  });
+}
+
+bool
+membership::is_live(const instance_record& record, instant now) const
+{
+  if (record.entry.leaving) {
+    return false;
+  }
+  if (record.entry.instance == self_.instance) {
+    return true;
+  }
+  if (record.stated_at && now - *record.stated_at <= live_limit) {
+    return true;
+  }
+  if (carries_all() || record.entry.zone == self_.zone || !record.listed_at) {
+    return false;
+  }
+  const auto summary = summaries_.find(record.entry.zone);
+  return summary != summaries_.end() && now - summary->second.stated_at <= live_limit;
+}
+
+bool
+membership::is_live(const instance_id& instance, instant now) const
+{
+  const auto* record = find(instance);
+  return record != nullptr && is_live(*record, now);
+}
+
+std::vector<instance_id>
+membership::live(instant now) const
+{
+  std::vector<instance_id> names;
+  for (const auto& [name, record] : records_) {
+    if (is_live(record, now)) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::vector<instance_id>
+membership::live(const zone_id& zone, instant now) const
+{
+  auto names = live(now);
+  std::erase_if(names, [&](const auto& name) { return find(name)->entry.zone != zone; });
+  return names;
+}
+
+instance_id
+membership::home_of(const database_id& database, const zone_id& zone, instant now) const
+{
+  const auto key_hash = rendezvous::hash(database.get());
+  const instance_record* best = nullptr;
+  std::pair<bool, std::uint64_t> best_rank;
+  for (const auto& [name, record] : records_) {
+    if (!is_live(record, now)) {
+      continue;
+    }
+    // Any live instance of the zone goes before all others.
+    const std::pair rank{ record.entry.zone == zone,
+                          rendezvous::weight(key_hash, record.name_hash) };
+    if (best == nullptr || rank > best_rank) {
+      best = &record;
+      best_rank = rank;
+    }
+  }
+  return best == nullptr ? self_.instance : best->entry.instance;
+}
+
+const instance_record*
+membership::find(const instance_id& instance) const
+{
+  const auto found = records_.find(instance);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
+std::optional<version_holder>
+membership::newer(config_version instance_entry::*field, config_version mine, instant now) const
+{
+  std::optional<version_holder> newest;
+  for (const auto& [name, record] : records_) {
+    const auto version = record.entry.*field;
+    const bool reachable = record.stated_at && now - *record.stated_at <= live_limit;
+    if (name != self_.instance && reachable && version > mine &&
+        (!newest || version > newest->version)) {
+      newest = { version, name };
+    }
+  }
+  return newest;
+}
+
+std::optional<version_holder>
+membership::newer_config(config_version mine, instant now) const
+{
+  return newer(&instance_entry::config_version, mine, now);
+}
+
+std::optional<version_holder>
+membership::newer_keys(config_version mine, instant now) const
+{
+  return newer(&instance_entry::key_version, mine, now);
+}
+
+}
