--- a/Source/Adapters/backend_client.cxx
+++ b/Source/Adapters/backend_client.cxx
@@ -1,5 +1,7 @@
 #include "Adapters/backend_client.h"
 
+#include "Adapters/backend_codec.h"
+
 #include <utility>
 
 namespace persimmonshelf {
@@ -41,9 +43,7 @@
   const auto link = command.link;
   tcp_address address;
   if (!parse_address(command.address, address)) {
-    backend_event event{ happening::connect_failed, link, 0, {}, false, {} };
-    event.reason = command.address + ": not an IP number and port";
-    report_(std::move(event));
+    report(happening::connect_failed, link, command.address + ": not an IP number and port");
     return;
   }
   const auto connection = http_connection::create(context_);
@@ -51,16 +51,14 @@
   connection->on_close([this, link] {
     // A closing that ends an exchange is reported as its failure; the entry is gone by then.
     if (connections_.erase(link) > 0) {
-      report_({ happening::closed, link, 0, {}, false, {} });
+      report(happening::closed, link, {});
     }
   });
   connection->connect(address, command.timeout, [this, link](const std::string& reason) {
     if (reason.empty()) {
-      report_({ happening::connected, link, 0, {}, false, {} });
-      return;
-    }
-    if (connections_.erase(link) > 0) {
-      report_({ happening::connect_failed, link, 0, {}, false, reason });
+      report(happening::connected, link, {});
+    } else if (connections_.erase(link) > 0) {
+      report(happening::connect_failed, link, reason);
     }
   });
 }
@@ -71,33 +69,50 @@
   const auto link = command.link;
   const auto found = connections_.find(link);
   if (found == connections_.end()) {
-    report_({ happening::failed, link, 0, {}, false, "the connection is closed" });
+    report(happening::failed, link, "the connection is closed");
     return;
   }
-  http_request request;
-  request.method = command.method;
-  request.target = command.target;
-  request.body = command.body;
-  request.traceparent = command.traceparent;
   const auto connection = found->second;
-  connection->send(
-    request,
-    command.timeout,
-    [this, link, connection](const http_failure* failure, http_response response) {
-      if (failure != nullptr) {
-        if (connections_.erase(link) > 0) {
-          connection->on_close({});
-          connection->close();
-          report_({ happening::failed, link, 0, {}, failure->may_have_been_sent, failure->reason });
-        }
-        return;
-      }
-      if (!connections_.contains(link)) {
-        // `finish` closed the connection first because the server asked for it.
-        return;
-      }
-      report_({ happening::answered, link, response.status, std::move(response.body), true, {} });
-    });
+  connection->send(encode_backend_message(command.message),
+                   command.timeout,
+                   [this, link, message = command.message](const http_failure* failure,
+                                                           http_response response) {
+                     finished(link, message, failure, response);
+                   });
+}
+
+void
+backend_client::finished(link_number link,
+                         const backend_message& message,
+                         const http_failure* failure,
+                         const http_response& response)
+{
+  if (!connections_.contains(link)) {
+    return;
+  }
+  backend_event event;
+  event.link = link;
+  if (failure != nullptr) {
+    connections_.erase(link);
+    event.kind = happening::failed;
+    event.may_have_been_sent = failure->may_have_been_sent;
+    event.overdue = failure->overdue;
+    event.reason = failure->reason;
+  } else {
+    event.kind = happening::answered;
+    event.reply = decode_backend_reply(message, response);
+  }
+  report_(std::move(event));
+}
+
+void
+backend_client::report(happening kind, link_number link, std::string reason)
+{
+  backend_event event;
+  event.kind = kind;
+  event.link = link;
+  event.reason = std::move(reason);
+  report_(std::move(event));
 }
 
 }
--- a/Source/Engine/backend_link.h
+++ b/Source/Engine/backend_link.h
@@ -1,15 +1,67 @@
 #pragma once
 
+#include "Base/ids.h"
 #include "Base/instant.h"
+#include "Group/group_view.h"
+#include "Home/home_types.h"
 
 #include <cstdint>
 #include <string>
+#include <variant>
 
 namespace persimmonshelf {
 
 // Number of one connection to a backend server, chosen by the engine and never used again.
 using link_number = std::uint64_t;
 
+// Asks for a member's status as soon as its log passes `after`, at the latest after `wait`.
+struct watch_request
+{
+  log_position after;
+  duration wait{};
+};
+
+// Makes a member refuse all terms below `in_term` on behalf of a candidate.
+struct fence_request
+{
+  term in_term;
+  std::string candidate;
+};
+
+struct promote_request
+{
+  term in_term;
+  std::string candidate;
+};
+
+// Tells a member which server it replicates from.
+struct follow_request
+{
+  term in_term;
+  std::string primary_address;
+};
+
+using backend_message =
+  std::variant<watch_request, fence_request, promote_request, follow_request, backend_request>;
+
+struct fence_reply
+{
+  bool granted = false;
+  term promised;
+  log_point last;
+};
+
+// Answer to a promotion or to an order to follow.
+struct order_reply
+{
+  bool done = false;
+};
+
+// A whole answer; monostate stands for one that could not be understood. In a member_report the
+// times are left for the receiver to fill in.
+using backend_reply =
+  std::variant<std::monostate, member_report, fence_reply, order_reply, backend_answer>;
+
 // What the engine asks of a connection.
 struct backend_command
 {
@@ -24,10 +76,7 @@
   link_number link = 0;
   // IP and port for `open`.
   std::string address;
-  std::string method;
-  std::string target;
-  std::string body;
-  std::string traceparent;
+  backend_message message;
   duration timeout{};
 };
 
@@ -47,9 +96,10 @@
 
   happening kind = happening::closed;
   link_number link = 0;
-  unsigned status = 0;
-  std::string body;
+  backend_reply reply;
   bool may_have_been_sent = false;
+  // True if the deadline passed, false if the connection broke.
+  bool overdue = false;
   std::string reason;
 };
 
--- /dev/null
+++ b/Source/Engine/deferred_calls.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Base/instant.h"
+
+#include <deque>
+#include <functional>
+#include <utility>
+
+namespace persimmonshelf {
+
+// Calls that run after the present event. Modules call hooks that must not call back into them; a
+// message to the own instance is delivered through this queue instead.
+class deferred_calls
+{
+public:
+  using call = std::function<void(instant)>;
+
+  void add(call next) { calls_.push_back(std::move(next)); }
+
+  void run(instant now)
+  {
+    while (!calls_.empty()) {
+      const auto next = std::move(calls_.front());
+      calls_.pop_front();
+      next(now);
+    }
+  }
+
+private:
+  std::deque<call> calls_;
+};
+
+}
--- /dev/null
+++ b/Source/Engine/engine.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "Engine/control_service.h"
+#include "Engine/deferred_calls.h"
+#include "Engine/entry_service.h"
+#include "Engine/group_service.h"
+#include "Engine/home_service.h"
+#include "Engine/link_registry.h"
+#include "Limits/share_holder.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+struct engine_settings
+{
+  instance_id instance;
+  incarnation_id incarnation;
+  zone_id zone;
+  std::string peer_address;
+  std::vector<std::string> seed_peers;
+  std::string session_secret;
+  // Wall clock in milliseconds at the start.
+  std::uint64_t start_sequence = 0;
+};
+
+// What the engine asks of the adapters. All calls return at once.
+struct engine_hooks
+{
+  // False if the command was certainly not taken.
+  std::function<bool(backend_command)> backend;
+  // Sends to a peer. A message that was certainly not sent is reported with `peer_refused` and `id`;
+  // false stands for the same at once.
+  std::function<bool(const std::string& address, wire::envelope, std::uint64_t id)> send_peer;
+  table_hooks table;
+  std::function<void(std::function<void(result<std::vector<listed_instance>>)>)> list_instances;
+  std::function<std::uint64_t()> random_bits;
+  std::function<void(const std::string&)> log;
+  // The end of a caller's request, for metrics and the account.
+  std::function<void(const workspace_id&, result_code, run_outcome, duration elapsed, instant)>
+    ended;
+};
+
+// All decisions of one instance, on one thread. Takes events with the time of their arrival and acts
+// through hooks, so that tests step the same code as the daemon.
+class engine
+{
+public:
+  engine(engine_settings settings, engine_hooks hooks, instant now);
+  ~engine();
+  engine(const engine&) = delete;
+  engine& operator=(const engine&) = delete;
+
+  void submit(caller_request request, entry_service::respond reply, instant now);
+  void peer_message(const wire::envelope& message, instant now);
+  void peer_refused(std::uint64_t id, instant now);
+  void backend_happened(backend_event event, instant now);
+  // Runs a callback of a platform call.
+  void platform_answered(const std::function<void()>& callback, instant now);
+
+  // Expected every 5 to 10 ms.
+  void tick(instant now);
+
+  // Starts a planned stop: new callers are refused, what runs is finished.
+  void drain(instant now);
+  bool drained() const;
+  bool draining() const { return draining_; }
+
+  control_service& control() { return *control_; }
+  group_service& groups() { return *groups_; }
+  home_service& homes() { return *homes_; }
+  entry_service& entry() { return *entry_; }
+  share_holder& shares() { return *shares_; }
+  const engine_settings& settings() const { return settings_; }
+  instant now() const { return now_; }
+
+private:
+  struct clock_sample
+  {
+    incarnation_id incarnation;
+    instant clock;
+    instant received_at;
+  };
+
+  struct refusable
+  {
+    std::function<void(instant)> refused;
+    instant sent;
+  };
+
+  void make_control(instant now);
+  void make_shares();
+  void make_homes();
+  void make_entry();
+  void send(const std::string& address,
+            wire::envelope message,
+            std::function<void(instant)> refused = {});
+  void note_clock(const instance_id& peer, incarnation_id incarnation, instant clock, instant now);
+  std::optional<instant> peer_clock(const instance_id& peer, instant now) const;
+  void send_to(const instance_id& peer, wire::envelope message);
+  void configured(instant now);
+  // Takes over and gives up homes after a change of the configuration or of the live view.
+  void assign_homes(instant now);
+  void end_event(instant now);
+
+  engine_settings settings_;
+  engine_hooks hooks_;
+  instant now_;
+  deferred_calls deferred_;
+  std::unique_ptr<link_registry> links_;
+  std::unique_ptr<control_service> control_;
+  std::unique_ptr<share_holder> shares_;
+  std::unique_ptr<group_service> groups_;
+  std::unique_ptr<home_service> homes_;
+  std::unique_ptr<entry_service> entry_;
+  std::map<instance_id, clock_sample> clocks_;
+  std::map<std::uint64_t, refusable> refusable_;
+  std::uint64_t next_send_ = 1;
+  instant assigned_at_;
+  bool draining_ = false;
+  bool entry_drained_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/Engine/entry_service.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Engine/control_service.h"
+#include "Engine/deferred_calls.h"
+#include "Engine/trace_store.h"
+#include "Entry/caller_request.h"
+#include "Entry/request_table.h"
+#include "Limits/share_holder.h"
+#include "Session/session_token.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace persimmonshelf {
+
+// The requests that this instance takes from callers: admission, forwarding and the answer.
+class entry_service
+{
+public:
+  using respond = std::function<void(caller_answer)>;
+
+  struct hooks
+  {
+    // Sends a forwarded request to a peer; `refused` runs later if it was certainly not sent.
+    std::function<void(const std::string& address,
+                       wire::envelope,
+                       std::function<void(instant)> refused)>
+      send;
+    // Hands a request to the homes of this instance.
+    std::function<void(wire::forward_request, instant)> submit_local;
+    // Counts the end of a request for metrics and the account. The workspace is empty on open routes.
+    std::function<void(const workspace_id&, result_code, run_outcome, duration elapsed, instant)>
+      ended;
+    // Time on a peer's clock that is certainly not later than now; empty if it is not known.
+    std::function<std::optional<instant>(const instance_id&, instant now)> peer_clock;
+    std::string session_secret;
+  };
+
+  entry_service(control_service& control,
+                share_holder& shares,
+                deferred_calls& deferred,
+                hooks callbacks);
+  ~entry_service();
+
+  // Takes a request; `reply` runs once.
+  void submit(caller_request request, respond reply, instant now);
+  void on_answer(const wire::forward_answer& answer, instant now);
+  void configured();
+  void revoke(const sha256_digest& key_digest, instant now);
+  void tick(instant now);
+
+  // Refuses new requests from now on.
+  void drain() { draining_ = true; }
+  std::size_t open_requests() const { return open_.size(); }
+  const trace_store& traces() const { return traces_; }
+
+private:
+  struct open_request;
+
+  // Fills in who sends the request and what it may do; fails with the reason for a refusal.
+  result<void> check(open_request& entry, instant now);
+  result<void> check_key(open_request& entry, const route_config& route, instant now);
+  void admitted(const request_id& request, admission decision, instant now);
+  void launch(const request_id& request, open_request& entry, instant now);
+  void send(const request_id& request, const attempt& next, instant now);
+  wire::forward_request make_forward(const open_request& entry, const attempt& next) const;
+  void finish(const request_id& request,
+              result_code code,
+              run_outcome outcome,
+              const std::string& message,
+              const attempt_answer* answer,
+              instant now);
+  void note_session(open_request& entry, result_code code, run_outcome outcome) const;
+  void check_homes(instant now);
+
+  control_service& control_;
+  share_holder& shares_;
+  deferred_calls& deferred_;
+  hooks hooks_;
+  router router_;
+  retry_budget budget_;
+  request_table table_;
+  std::unordered_map<request_id, std::unique_ptr<open_request>> open_;
+  trace_store traces_;
+  std::uint64_t next_request_ = 1;
+  instant now_;
+  instant homes_checked_at_;
+  bool draining_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/Engine/group_service.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Control/configuration.h"
+#include "Engine/link_registry.h"
+#include "Group/group_view.h"
+#include "Group/promotion.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace persimmonshelf {
+
+// Watches the database groups of which this instance is a home: keeps a view of each from its
+// members' reports and replaces a failed primary.
+class group_service
+{
+public:
+  struct hooks
+  {
+    // Random number below `bound`.
+    std::function<std::uint64_t(std::uint64_t bound)> random;
+    // The view of a database may have changed.
+    std::function<void(const database_id&, instant)> changed;
+    std::function<void(const std::string&)> log;
+    // Name of this candidate: instance and incarnation.
+    std::string candidate;
+  };
+
+  group_service(link_registry& links, hooks callbacks);
+  ~group_service();
+
+  // Watches exactly these databases from now on. The pointers are not kept.
+  void configure(const std::map<database_id, const database_config*>& databases, instant now);
+
+  // Null if the database is not watched here.
+  const group_view* find(const database_id& database) const;
+
+  // The primary, if a majority confirmed it lately.
+  std::optional<primary_claim> confirmed_primary(const database_id& database, instant now) const;
+
+  const promotion* find_promotion(const database_id& database) const;
+
+  void tick(instant now);
+
+  std::size_t size() const { return groups_.size(); }
+
+private:
+  struct group;
+  struct watch;
+
+  void open_watch(group& target, watch& member, instant now);
+  void watch_event(group& target, watch& member, backend_event& event, instant now);
+  void request_status(watch& member, instant now);
+  void lost(watch& member, instant now);
+  std::unique_ptr<group> make_group(const database_config& database);
+
+  link_registry& links_;
+  hooks hooks_;
+  std::map<database_id, std::unique_ptr<group>> groups_;
+};
+
+}
--- /dev/null
+++ b/Source/Engine/home_service.cxx
@@ -0,0 +1,399 @@
+#include "Engine/home_service.h"
+
+#include "Engine/wire_convert.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace persimmonshelf {
+
+namespace {
+
+constexpr duration connect_timeout = std::chrono::seconds(1);
+// Every home of a database watches each member on a connection of its own, and a promotion opens one
+// more; they come out of the member's part of the connection limit.
+constexpr std::int64_t watch_connections = 4;
+
+}
+
+struct home_service::served_member
+{
+  member_id id;
+  database_id database;
+  std::string address;
+  std::unique_ptr<member_home> home;
+  std::map<connection_number, link_number> links;
+  bool retired = false;
+};
+
+struct home_service::open_request
+{
+  requester from;
+  database_id database;
+  bool session_discarded = false;
+  bool needs_primary = false;
+};
+
+home_service::home_service(link_registry& links, group_service& groups, hooks callbacks)
+  : links_(links)
+  , groups_(groups)
+  , hooks_(std::move(callbacks))
+{
+}
+
+home_service::~home_service() = default;
+
+void
+home_service::configure(const std::map<member_id, configuration::member_place>& members,
+                        const fleet_settings& settings,
+                        instant now)
+{
+  now_ = now;
+  for (auto& [id, served] : members_) {
+    const auto wanted = members.find(id);
+    const bool same = wanted != members.end() && wanted->second.member->address == served->address;
+    if (!same && !served->retired) {
+      served->retired = true;
+      served->home->drain(now);
+    }
+  }
+  for (const auto& [id, place] : members) {
+    const auto known = members_.find(id);
+    if (known == members_.end() || (known->second->retired && known->second->home->drained())) {
+      erase(id);
+      members_[id] = make_member(place, settings);
+      continue;
+    }
+    if (!known->second->retired) {
+      known->second->home->resize(static_cast<std::size_t>(place.database->slots),
+                                  static_cast<std::size_t>(std::max<std::int64_t>(
+                                    1, place.database->connections_per_member() - watch_connections)),
+                                  now);
+    }
+  }
+}
+
+std::unique_ptr<home_service::served_member>
+home_service::make_member(const configuration::member_place& place, const fleet_settings& settings)
+{
+  auto served = std::make_unique<served_member>();
+  served->id = place.member->id;
+  served->database = place.database->id;
+  served->address = place.member->address;
+  member_home_options options;
+  options.member = place.member->id;
+  options.slots = static_cast<std::size_t>(place.database->slots);
+  options.queue.per_workspace = static_cast<std::size_t>(settings.queue_per_workspace);
+  options.pool.cap = static_cast<std::size_t>(
+    std::max<std::int64_t>(1, place.database->connections_per_member() - watch_connections));
+  options.transaction.instance = hooks_.instance;
+  options.transaction.incarnation = hooks_.incarnation;
+  options.transaction.idle_limit = settings.idle_transaction;
+  served->home = std::make_unique<member_home>(options, hooks_for(*served));
+  return served;
+}
+
+member_home_hooks
+home_service::hooks_for(served_member& target)
+{
+  member_home_hooks calls;
+  calls.open_connection = [this, &target](connection_number number) { open_link(target, number); };
+  calls.send = [this, &target](connection_number number, backend_request request) {
+    const auto link = target.links.find(number);
+    if (link != target.links.end()) {
+      const auto timeout = request.timeout;
+      links_.send(link->second, std::move(request), timeout);
+    }
+  };
+  calls.close_connection = [this, &target](connection_number number) {
+    const auto link = target.links.find(number);
+    if (link != target.links.end()) {
+      links_.close(link->second);
+      target.links.erase(link);
+    }
+  };
+  calls.answer = [this, &target](home_answer answer) { answered(target, std::move(answer)); };
+  calls.current_term = [this, &target]() -> std::optional<term> {
+    const auto claim = groups_.confirmed_primary(target.database, now_);
+    if (!claim || claim->member != target.id) {
+      return std::nullopt;
+    }
+    return claim->in_term;
+  };
+  calls.other_primary = [this, &target] {
+    const auto claim = groups_.confirmed_primary(target.database, now_);
+    return claim && claim->member != target.id;
+  };
+  calls.majority_holds = [this, &target](log_point point) {
+    const auto* view = groups_.find(target.database);
+    return view != nullptr && view->majority_holds(point);
+  };
+  calls.member_ready =
+    [this, &target](const std::optional<log_point>& at_least, duration max_age, instant now) {
+      return reader_state_of(target, at_least, max_age, now);
+    };
+  calls.random_bits = hooks_.random_bits;
+  return calls;
+}
+
+reader_state
+home_service::reader_state_of(const served_member& target,
+                              const std::optional<log_point>& at_least,
+                              duration max_age,
+                              instant now) const
+{
+  const auto* view = groups_.find(target.database);
+  if (view == nullptr) {
+    return reader_state::never;
+  }
+  const auto* state = view->find(target.id);
+  if (state == nullptr || state->leaving) {
+    return reader_state::never;
+  }
+  if (at_least && !view->member_contains(target.id, view->required_point(*at_least))) {
+    return reader_state::never;
+  }
+  if (max_age > duration::zero()) {
+    const auto age = view->age(target.id, now);
+    if (!age || *age > max_age) {
+      return reader_state::never;
+    }
+  }
+  return reader_state::ready;
+}
+
+void
+home_service::open_link(served_member& target, connection_number number)
+{
+  target.links[number] = links_.open(
+    target.address, connect_timeout, [this, &target, number](backend_event& event, instant now) {
+      link_event(target, number, event, now);
+    });
+}
+
+void
+home_service::link_event(served_member& target,
+                         connection_number number,
+                         backend_event& event,
+                         instant now)
+{
+  now_ = now;
+  using happening = backend_event::happening;
+  auto& home = *target.home;
+  switch (event.kind) {
+    case happening::connected:
+      home.connected(number, true, now);
+      return;
+    case happening::answered:
+      if (auto* answer = std::get_if<backend_answer>(&event.reply)) {
+        home.backend_answered(number, std::move(*answer), now);
+      } else {
+        home.backend_failed(number, true, result_code::malformed_answer, now);
+      }
+      return;
+    case happening::connect_failed:
+      target.links.erase(number);
+      home.connected(number, false, now);
+      return;
+    case happening::failed: {
+      target.links.erase(number);
+      const auto reason = event.overdue ? result_code::answer_overdue : result_code::connection_lost;
+      home.backend_failed(number, event.may_have_been_sent, reason, now);
+      return;
+    }
+    case happening::closed:
+      target.links.erase(number);
+      home.connection_closed(number, now);
+      return;
+  }
+}
+
+home_service::served_member*
+home_service::find_target(const wire::forward_request& request)
+{
+  auto id = member_id(request.member());
+  if (!request.transaction().empty()) {
+    const auto known = transactions_.find(transaction_id(request.transaction()));
+    if (known == transactions_.end()) {
+      return nullptr;
+    }
+    id = known->second;
+  }
+  const auto found = members_.find(id);
+  return found == members_.end() ? nullptr : found->second.get();
+}
+
+void
+home_service::refuse(const requester& to,
+                     const wire::forward_request& request,
+                     result_code code,
+                     const std::string& message,
+                     instant now)
+{
+  wire::forward_answer answer;
+  answer.set_request_id(request.request_id());
+  answer.set_code(static_cast<std::uint32_t>(code));
+  answer.set_outcome(static_cast<std::uint32_t>(run_outcome::not_run));
+  answer.set_message(message);
+  answer.set_member(request.member());
+  add_view(database_id(request.database()), answer, now);
+  hooks_.answer(to, std::move(answer));
+}
+
+void
+home_service::submit(const requester& from, const wire::forward_request& request, instant now)
+{
+  now_ = now;
+  const auto database = database_id(request.database());
+  auto* target = find_target(request);
+  if (target == nullptr || (target->retired && request.transaction().empty())) {
+    const bool in_transaction = !request.transaction().empty();
+    refuse(from,
+           request,
+           in_transaction ? result_code::unknown_transaction : result_code::wrong_home,
+           in_transaction ? "the transaction is not open here"
+                          : "member " + request.member() + " is not served here",
+           now);
+    return;
+  }
+  auto converted = to_home_request(request);
+  const auto claim = groups_.confirmed_primary(database, now);
+  const auto seen_term = converted.at_least ? converted.at_least->in_term : term();
+  if (converted.needs_primary && claim && claim->in_term < seen_term) {
+    refuse(from, request, result_code::no_primary, "the session has seen a later term", now);
+    return;
+  }
+  open_request entry{ from, database, false, converted.needs_primary };
+  const auto* view = groups_.find(database);
+  if (view != nullptr && converted.at_least && !request.session().pending()) {
+    entry.session_discarded = view->locate(*converted.at_least) == point_place::discarded;
+  }
+  // A joined duplicate keeps the first requester; attempts have ids of their own, so this happens
+  // only for a message that was delivered twice.
+  open_.try_emplace(converted.id, std::move(entry));
+  target->home->submit(std::move(converted), now);
+}
+
+void
+home_service::answered(served_member& target, home_answer answer)
+{
+  const auto found = open_.find(answer.id);
+  if (found == open_.end()) {
+    return;
+  }
+  const auto entry = std::move(found->second);
+  open_.erase(found);
+  if (!answer.transaction.get().empty()) {
+    transactions_[answer.transaction] = target.id;
+  }
+  auto message = to_wire(answer);
+  message.set_member(target.id.get());
+  message.mutable_session()->set_database(target.database.get());
+  message.set_session_discarded(entry.session_discarded);
+  const auto claim = groups_.confirmed_primary(target.database, now_);
+  message.set_from_replica(answer.outcome == run_outcome::done && !entry.needs_primary &&
+                           (!claim || claim->member != target.id));
+  add_view(target.database, message, now_);
+  hooks_.answer(entry.from, std::move(message));
+}
+
+void
+home_service::add_view(const database_id& database, wire::forward_answer& answer, instant now) const
+{
+  const auto claim = groups_.confirmed_primary(database, now);
+  if (!claim) {
+    return;
+  }
+  auto* view = answer.mutable_view();
+  view->set_database(database.get());
+  view->set_primary(claim->member.get());
+  view->set_term(claim->in_term.get());
+}
+
+void
+home_service::group_changed(const database_id& database, instant now)
+{
+  now_ = now;
+  const auto* view = groups_.find(database);
+  for (auto& [id, served] : members_) {
+    if (served->database != database) {
+      continue;
+    }
+    const auto* state = view == nullptr ? nullptr : view->find(id);
+    served->home->set_leaving(state != nullptr && state->leaving);
+    served->home->group_changed(now);
+  }
+}
+
+void
+home_service::revoke(const sha256_digest& key_digest, instant now)
+{
+  now_ = now;
+  for (auto& [id, served] : members_) {
+    served->home->revoke(key_digest, now);
+  }
+}
+
+void
+home_service::drain(instant now)
+{
+  now_ = now;
+  draining_ = true;
+  for (auto& [id, served] : members_) {
+    served->home->drain(now);
+  }
+}
+
+bool
+home_service::drained() const
+{
+  for (const auto& [id, served] : members_) {
+    if (!served->home->drained()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+home_service::tick(instant now)
+{
+  now_ = now;
+  std::vector<member_id> ended;
+  for (auto& [id, served] : members_) {
+    served->home->tick(now);
+    if (served->retired && served->home->drained()) {
+      ended.push_back(id);
+    }
+  }
+  for (const auto& id : ended) {
+    erase(id);
+  }
+}
+
+void
+home_service::erase(const member_id& id)
+{
+  const auto found = members_.find(id);
+  if (found == members_.end()) {
+    return;
+  }
+  for (const auto& [number, link] : found->second->links) {
+    links_.close(link);
+  }
+  members_.erase(found);
+  std::erase_if(transactions_, [&](const auto& item) { return item.second == id; });
+}
+
+std::map<member_id, home_figures>
+home_service::figures() const
+{
+  std::map<member_id, home_figures> all;
+  for (const auto& [id, served] : members_) {
+    all[id] = served->home->figures();
+  }
+  return all;
+}
+
+}
--- /dev/null
+++ b/Source/Engine/home_service.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "Control/configuration.h"
+#include "Engine/deferred_calls.h"
+#include "Engine/group_service.h"
+#include "Engine/link_registry.h"
+#include "Home/member_home.h"
+#include "Wire/peer.pb.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace persimmonshelf {
+
+// The homes that this instance holds: takes forwarded requests, runs them on its members and sends
+// the answers back to the instances that forwarded them.
+class home_service
+{
+public:
+  // Where an answer goes: an instance and, for the own one, the empty address.
+  struct requester
+  {
+    std::string address;
+    bool local = false;
+  };
+
+  struct hooks
+  {
+    std::function<void(const requester&, wire::forward_answer)> answer;
+    std::function<std::uint64_t()> random_bits;
+    instance_id instance;
+    incarnation_id incarnation;
+  };
+
+  home_service(link_registry& links, group_service& groups, hooks callbacks);
+  ~home_service();
+
+  // Serves exactly these members from now on. A member that is no longer served finishes what it
+  // has and takes no new requests.
+  void configure(const std::map<member_id, configuration::member_place>& members,
+                 const fleet_settings& settings,
+                 instant now);
+
+  void submit(const requester& from, const wire::forward_request& request, instant now);
+
+  void group_changed(const database_id& database, instant now);
+  void revoke(const sha256_digest& key_digest, instant now);
+  void drain(instant now);
+  bool drained() const;
+  void tick(instant now);
+
+  // Members that are served here, with their figures for status and metrics.
+  std::map<member_id, home_figures> figures() const;
+
+private:
+  struct served_member;
+  struct open_request;
+
+  std::unique_ptr<served_member> make_member(const configuration::member_place& place,
+                                             const fleet_settings& settings);
+  member_home_hooks hooks_for(served_member& target);
+  reader_state reader_state_of(const served_member& target,
+                               const std::optional<log_point>& at_least,
+                               duration max_age,
+                               instant now) const;
+  // Closes the member's connections and forgets it.
+  void erase(const member_id& id);
+  void open_link(served_member& target, connection_number number);
+  void link_event(served_member& target,
+                  connection_number number,
+                  backend_event& event,
+                  instant now);
+  void answered(served_member& target, home_answer answer);
+  void refuse(const requester& to,
+              const wire::forward_request& request,
+              result_code code,
+              const std::string& message,
+              instant now);
+  served_member* find_target(const wire::forward_request& request);
+  void add_view(const database_id& database, wire::forward_answer& answer, instant now) const;
+
+  link_registry& links_;
+  group_service& groups_;
+  hooks hooks_;
+  std::map<member_id, std::unique_ptr<served_member>> members_;
+  std::unordered_map<request_id, open_request> open_;
+  // Member of each transaction that was opened here.
+  std::unordered_map<transaction_id, member_id> transactions_;
+  instant now_;
+  bool draining_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/Engine/link_registry.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Engine/backend_link.h"
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace persimmonshelf {
+
+// Numbers the connections to backend servers and hands their events to whoever opened them. An event
+// of a connection that was closed here is dropped.
+class link_registry
+{
+public:
+  using handler = std::function<void(backend_event&, instant)>;
+  // The reply is null if no whole answer came.
+  using reply_handler = std::function<void(const backend_reply*, instant)>;
+
+  // `execute` passes a command to the adapter; false if it certainly was not taken.
+  explicit link_registry(std::function<bool(backend_command)> execute);
+
+  link_number open(const std::string& address, duration timeout, handler on_event);
+  void send(link_number link, backend_message message, duration timeout);
+  void close(link_number link);
+
+  // One request on a connection of its own, which is closed afterwards.
+  void call(const std::string& address,
+            backend_message message,
+            duration timeout,
+            reply_handler done);
+
+  void handle(backend_event event, instant now);
+
+  // Reports the commands that the adapter did not take.
+  void flush(instant now);
+
+  std::size_t size() const { return handlers_.size(); }
+
+private:
+  void execute(backend_command command);
+
+  std::function<bool(backend_command)> execute_;
+  std::unordered_map<link_number, handler> handlers_;
+  std::vector<backend_event> refused_;
+  link_number next_link_ = 1;
+};
+
+}
--- a/Source/Entry/router.cxx
+++ b/Source/Entry/router.cxx
@@ -61,6 +61,13 @@
   return found == databases_.end() ? std::nullopt : found->second.primary;
 }
 
+term
+router::primary_term(const database_id& database) const
+{
+  const auto found = databases_.find(database);
+  return found == databases_.end() ? term() : found->second.primary_term;
+}
+
 std::vector<route_member>
 router::write_order(const database_id& database) const
 {
--- a/Source/Entry/router.h
+++ b/Source/Entry/router.h
@@ -35,6 +35,9 @@
 
   std::optional<member_id> primary(const database_id& database) const;
 
+  // Term of the known primary; zero if none is known.
+  term primary_term(const database_id& database) const;
+
   // Members for a write, in the order to try: the known primary, then the others.
   std::vector<route_member> write_order(const database_id& database) const;
 
--- a/Source/Net/http_connection.cxx
+++ b/Source/Net/http_connection.cxx
@@ -111,7 +111,7 @@
 http_connection::send(const http_request& request, duration timeout, response_handler done)
 {
   if (!state_->open || state_->on_response) {
-    const http_failure failure{ false, "the connection is not available" };
+    const http_failure failure{ false, "the connection is not available", false };
     done(&failure, {});
     return;
   }
@@ -137,7 +137,7 @@
   state_->timer.async_wait(
     [self = shared_from_this(), exchange = state_->exchange](error_code cancelled) {
       if (!cancelled && exchange == self->state_->exchange && self->state_->on_response) {
-        const http_failure overdue{ true, "no answer before the deadline" };
+        const http_failure overdue{ true, "no answer before the deadline", true };
         self->finish(&overdue, {});
       }
     });
@@ -150,7 +150,7 @@
         return;
       }
       if (failure) {
-        const http_failure lost{ true, "write failed: " + failure.message() };
+        const http_failure lost{ true, "write failed: " + failure.message(), false };
         self->finish(&lost, {});
         return;
       }
@@ -163,7 +163,7 @@
             return;
           }
           if (read_failure) {
-            const http_failure lost{ true, "read failed: " + read_failure.message() };
+            const http_failure lost{ true, "read failed: " + read_failure.message(), false };
             self->finish(&lost, {});
             return;
           }
@@ -210,7 +210,7 @@
   state_->timer.cancel();
   state_->socket.close(ignored);
   if (state_->on_response) {
-    const http_failure closed{ true, "the connection was closed" };
+    const http_failure closed{ true, "the connection was closed", false };
     const auto done = std::exchange(state_->on_response, {});
     done(&closed, {});
   }
--- a/Source/Net/http_connection.h
+++ b/Source/Net/http_connection.h
@@ -19,6 +19,8 @@
   // True if a byte of the request may have left this process.
   bool may_have_been_sent = false;
   std::string reason;
+  // True if the deadline passed, false if the connection broke.
+  bool overdue = false;
 };
 
 // Where to connect: an IP number and a port.
