--- /dev/null
+++ b/Source/Limits/own_lease.cxx
@@ -0,0 +1,172 @@
+#include "Limits/own_lease.h"
+
+#include "Base/json_fields.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t counter_limit = 1LL << 60;
+
+struct lease_row
+{
+  std::string incarnation;
+  std::int64_t counter = 0;
+};
+
+std::optional<lease_row>
+parse_lease(const std::string& text)
+{
+  const auto value = parse_json(text, result_code::malformed_answer);
+  if (!value) {
+    return std::nullopt;
+  }
+  auto fields = json_fields::create(value.value(), "lease row", result_code::malformed_answer);
+  if (!fields) {
+    return std::nullopt;
+  }
+  auto incarnation = fields.value().text("incarnation");
+  auto counter = fields.value().integer("counter", 0, counter_limit);
+  if (!incarnation || !counter) {
+    return std::nullopt;
+  }
+  return lease_row{ std::move(incarnation).value(), counter.value() };
+}
+
+}
+
+own_lease::own_lease(instance_id self,
+                     incarnation_id incarnation,
+                     const share_settings& settings,
+                     table_hooks table,
+                     std::function<instant()> now)
+  : self_(std::move(self))
+  , incarnation_(incarnation)
+  , settings_(settings)
+  , table_(std::move(table))
+  , now_(std::move(now))
+  , alive_(std::make_shared<own_lease*>(this))
+{
+}
+
+std::string
+own_lease::key(const instance_id& instance)
+{
+  return "lease/" + instance.get();
+}
+
+void
+own_lease::tick(instant now)
+{
+  if (superseded_) {
+    return;
+  }
+  if (in_flight_ && now - sent_ >= settings_.call_timeout) {
+    in_flight_ = false;
+    revision_known_ = false;
+    due_ = now;
+  }
+  if (in_flight_ || now < due_) {
+    return;
+  }
+  if (revision_known_) {
+    renew(now);
+  } else {
+    read(now);
+  }
+}
+
+void
+own_lease::read(instant now)
+{
+  in_flight_ = true;
+  sent_ = now;
+  const auto call = ++call_;
+  table_.get(key(self_),
+             [this, call, alive = std::weak_ptr(alive_)](const result<table_row>& answer) {
+               if (alive.expired() || call != call_) {
+                 return;
+               }
+               in_flight_ = false;
+               if (!answer) {
+                 due_ = now_() + settings_.retry_interval;
+                 return;
+               }
+               learn(answer.value());
+               due_ = now_();
+               tick(now_());
+             });
+}
+
+void
+own_lease::renew(instant now)
+{
+  in_flight_ = true;
+  sent_ = now;
+  ++counter_;
+  const auto call = ++call_;
+  auto value = json::serialize(
+    json::object{ { "incarnation", std::to_string(incarnation_.get()) }, { "counter", counter_ } });
+  table_.put(
+    key(self_),
+    std::move(value),
+    revision_,
+    [this, call, sent = now, alive = std::weak_ptr(alive_)](const result<table_write>& answer) {
+      if (alive.expired() || call != call_) {
+        return;
+      }
+      in_flight_ = false;
+      due_ = sent + settings_.renew_interval;
+      if (!answer) {
+        revision_known_ = false;
+        due_ = sent + settings_.retry_interval;
+        return;
+      }
+      if (answer.value().written) {
+        revision_ = answer.value().row.revision;
+        written_ = true;
+        confirmed(sent, now_());
+        return;
+      }
+      learn(answer.value().row);
+      due_ = now_();
+      tick(now_());
+    });
+}
+
+void
+own_lease::learn(const table_row& row)
+{
+  revision_ = row.revision;
+  revision_known_ = true;
+  const auto found = parse_lease(row.value);
+  const bool ours = found && found->incarnation == std::to_string(incarnation_.get());
+  written_ = written_ || ours;
+  // Once our own renewal took effect, only a later run of the instance replaces it.
+  superseded_ = written_ && !ours;
+}
+
+void
+own_lease::confirmed(instant sent, instant now)
+{
+  // A confirmation that comes after the former validity ended doesn't extend it: others may have
+  // reclaimed our shares in between.
+  if (extra_epoch_ == 0 || now >= extra_until_) {
+    ++extra_epoch_;
+  }
+  if (base_epoch_ == 0 || now >= base_until_) {
+    ++base_epoch_;
+  }
+  extra_until_ = sent + settings_.extra_lease;
+  base_until_ = sent + settings_.base_lease;
+}
+
+}
--- /dev/null
+++ b/Source/Limits/share_editor.cxx
@@ -0,0 +1,269 @@
+#include "Limits/share_editor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonshelf {
+
+share_editor::share_editor(workspace_id workspace,
+                           share_owner owner,
+                           const share_settings& settings,
+                           const own_lease& lease,
+                           lease_watch& watch,
+                           hooks environment)
+  : workspace_(std::move(workspace))
+  , owner_(std::move(owner))
+  , settings_(settings)
+  , lease_(lease)
+  , watch_(watch)
+  , hooks_(std::move(environment))
+  , alive_(std::make_shared<share_editor*>(this))
+{
+}
+
+std::int64_t
+share_editor::usable_ppm(instant now) const
+{
+  if (lease_.superseded()) {
+    return 0;
+  }
+  std::int64_t usable = 0;
+  if (base_epoch_ > 0 && base_epoch_ == lease_.base_epoch() && now < lease_.base_until()) {
+    usable += base_ppm_;
+  }
+  if (extra_epoch_ > 0 && extra_epoch_ == lease_.extra_epoch() && now < lease_.extra_until()) {
+    usable += extra_ppm_;
+  }
+  return usable;
+}
+
+bool
+share_editor::affirmed(const share_entry& entry) const
+{
+  return (entry.base_ppm == 0 || base_epoch_ == lease_.base_epoch()) &&
+         (entry.extra_ppm == 0 || extra_epoch_ == lease_.extra_epoch());
+}
+
+std::uint64_t
+share_editor::begin_call(step next, instant now)
+{
+  step_ = next;
+  sent_ = now;
+  return ++call_;
+}
+
+void
+share_editor::finish(bool retry)
+{
+  step_ = step::idle;
+  retry_soon_ = retry;
+}
+
+void
+share_editor::start(instant now, bool leaving)
+{
+  if (step_ != step::idle || lease_.superseded()) {
+    return;
+  }
+  leaving_ = leaving;
+  get(step::reading, share_table::key(workspace_), now);
+}
+
+void
+share_editor::tick(instant now)
+{
+  if (step_ == step::lowering) {
+    lower(now);
+    return;
+  }
+  if (step_ != step::idle && now - sent_ >= settings_.call_timeout) {
+    // The answer, should it still come, is ignored; the next cycle reads what took effect.
+    ++call_;
+    finish(true);
+  }
+}
+
+void
+share_editor::get(step next, const std::string& key, instant now)
+{
+  const auto call = begin_call(next, now);
+  hooks_.table.get(key,
+                   [this, call, alive = std::weak_ptr(alive_)](const result<table_row>& answer) {
+                     if (!alive.expired() && call == call_) {
+                       received(answer, hooks_.now());
+                     }
+                   });
+}
+
+void
+share_editor::received(const result<table_row>& answer, instant now)
+{
+  if (!answer) {
+    finish(true);
+    return;
+  }
+  if (step_ == step::checking_lease) {
+    watch_.observe(*suspect_, answer.value(), now);
+    const auto unchanged = watch_.unchanged(*suspect_, sent_);
+    plan(row_.reclaim(*suspect_, unchanged, settings_), now);
+    return;
+  }
+  const bool confirming = step_ == step::confirming;
+  if (!learn(answer.value(), now)) {
+    finish(true);
+    return;
+  }
+  if (confirming) {
+    finish(false);
+    return;
+  }
+  find_suspect(now);
+}
+
+void
+share_editor::set_local(std::int64_t base, std::int64_t extra, instant now)
+{
+  if (base == base_ppm_ && extra == extra_ppm_) {
+    return;
+  }
+  base_ppm_ = base;
+  extra_ppm_ = extra;
+  hooks_.changed(now);
+}
+
+bool
+share_editor::learn(const table_row& row, instant now)
+{
+  auto parsed = share_table::parse(row.value);
+  if (!parsed) {
+    return false;
+  }
+  row_ = std::move(parsed).value();
+  row_bytes_ = row.value.size();
+  revision_ = row.revision;
+  known_ = true;
+  if (uncertain_ && uncertain_->if_revision != revision_) {
+    uncertain_.reset();
+  }
+  const auto* entry = row_.find(owner_.instance);
+  if (entry == nullptr || entry->incarnation != owner_.incarnation) {
+    set_local(0, 0, now);
+    return true;
+  }
+  auto base = entry->base_ppm;
+  auto extra = entry->extra_ppm;
+  if (uncertain_) {
+    // A lowering that was sent may still take effect.
+    base = std::min(base, uncertain_->base_ppm);
+    extra = std::min(extra, uncertain_->extra_ppm);
+  }
+  set_local(base, extra, now);
+  return true;
+}
+
+void
+share_editor::find_suspect(instant now)
+{
+  // The lease is read after the row: if its holder wrote the row again since, our write fails, and
+  // if it renewed before, the read shows it.
+  for (const auto& [instance, entry] : row_.holders()) {
+    const bool anything =
+      entry.extra_ppm > 0 || entry.want_ppm > 0 ||
+      settings_.with_margin(settings_.base_lease) <= watch_.unchanged(instance, now);
+    if (instance != owner_.instance && anything && watch_.seems_expired(instance) && !leaving_) {
+      suspect_ = instance;
+      get(step::checking_lease, own_lease::key(instance), now);
+      return;
+    }
+  }
+  plan(row_, now);
+}
+
+void
+share_editor::plan(const share_table& base, instant now)
+{
+  target_ = hooks_.plan(base, now);
+  const auto* entry = target_.find(owner_.instance);
+  const bool stale = entry != nullptr && !affirmed(*entry);
+  if (target_ == row_ && !stale && !uncertain_) {
+    finish(false);
+    return;
+  }
+  lower(now);
+}
+
+void
+share_editor::lower(instant now)
+{
+  step_ = step::lowering;
+  const auto* entry = target_.find(owner_.instance);
+  const auto base = entry == nullptr ? 0 : entry->base_ppm;
+  const auto extra = entry == nullptr ? 0 : entry->extra_ppm;
+  set_local(std::min(base_ppm_, base), std::min(extra_ppm_, extra), now);
+  // Lent tokens may still be used; a part that they need is not given away yet.
+  if (hooks_.settled(now)) {
+    write(now);
+  }
+}
+
+void
+share_editor::write(instant now)
+{
+  if (!leaving_ && !lease_.valid(now)) {
+    finish(true);
+    return;
+  }
+  const auto* entry = target_.find(owner_.instance);
+  pending_write pending{ revision_, 0, 0 };
+  if (entry != nullptr) {
+    pending.base_ppm = entry->base_ppm;
+    pending.extra_ppm = entry->extra_ppm;
+  }
+  if (uncertain_) {
+    pending.base_ppm = std::min(pending.base_ppm, uncertain_->base_ppm);
+    pending.extra_ppm = std::min(pending.extra_ppm, uncertain_->extra_ppm);
+  }
+  uncertain_ = pending;
+  writing_base_epoch_ = lease_.base_epoch();
+  writing_extra_epoch_ = lease_.extra_epoch();
+  ++writes_;
+  const auto call = begin_call(step::writing, now);
+  hooks_.table.put(share_table::key(workspace_),
+                   target_.to_json(),
+                   revision_,
+                   [this, call, alive = std::weak_ptr(alive_)](const result<table_write>& answer) {
+                     if (!alive.expired() && call == call_) {
+                       wrote(answer, hooks_.now());
+                     }
+                   });
+}
+
+void
+share_editor::wrote(const result<table_write>& answer, instant now)
+{
+  if (!answer) {
+    finish(true);
+    return;
+  }
+  if (!answer.value().written) {
+    --writes_;
+    ++conflicts_;
+    learn(answer.value().row, now);
+    finish(true);
+    return;
+  }
+  uncertain_.reset();
+  row_ = target_;
+  revision_ = answer.value().row.revision;
+  base_epoch_ = writing_base_epoch_;
+  extra_epoch_ = writing_extra_epoch_;
+  hooks_.changed(now);
+  const auto* entry = row_.find(owner_.instance);
+  if (entry != nullptr && (entry->base_ppm > base_ppm_ || entry->extra_ppm > extra_ppm_)) {
+    get(step::confirming, share_table::key(workspace_), now);
+    return;
+  }
+  finish(false);
+}
+
+}
--- /dev/null
+++ b/Source/Limits/share_policy.cxx
@@ -0,0 +1,162 @@
+#include "Limits/share_policy.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Demand is covered with this headroom, since arrivals come in bursts.
+constexpr std::int64_t headroom_percent = 120;
+
+std::int64_t
+even_share(std::int64_t holder_count)
+{
+  return ppm_total / std::max<std::int64_t>(1, holder_count);
+}
+
+// What the holder should have for its demand.
+std::int64_t
+needed_ppm(const share_wish& wish)
+{
+  const auto demand = std::min(wish.demand_ppm, ppm_total);
+  return std::min(ppm_total, demand * headroom_percent / 100);
+}
+
+// Gives to those who lack shares: at most half of what this holder doesn't need itself, so that a
+// short pause in demand costs little.
+share_table
+give(const share_table& row, const share_wish& wish, std::int64_t floor)
+{
+  const auto lacking = row.wanted_by_others(wish.owner.instance) - row.unassigned();
+  const auto own = row.find(wish.owner.instance)->total();
+  const auto spare = own - std::max(floor, needed_ppm(wish));
+  const auto amount = std::min(lacking, (spare + 1) / 2);
+  if (wish.pressed || amount < even_share(wish.holder_count) / 50 || amount <= 0) {
+    return row;
+  }
+  return row.shrink(wish.owner, amount);
+}
+
+share_table
+take(const share_table& row, const share_wish& wish, std::int64_t floor, std::int64_t limit)
+{
+  const auto even = even_share(wish.holder_count);
+  const auto own = row.find(wish.owner.instance)->total();
+  const auto free = row.unassigned() - row.wanted_by_others(wish.owner.instance);
+  std::int64_t amount = 0;
+  if (wish.pressed || own < floor) {
+    amount = std::min(row.unassigned(), std::max(floor, needed_ppm(wish)) - own);
+  }
+  // Free shares that no one lacks return to an even distribution.
+  if (own < even - even / 10) {
+    amount = std::max(amount, std::min(free, even - own));
+  }
+  if (amount < even / 50 || amount <= 0) {
+    return row;
+  }
+  return row.grow(wish.owner, amount, limit);
+}
+
+std::int64_t
+lacks(const share_table& row, const share_wish& wish, std::int64_t floor)
+{
+  const auto own = row.find(wish.owner.instance)->total();
+  const auto goal = wish.pressed ? std::max(floor, needed_ppm(wish)) : floor;
+  return std::max<std::int64_t>(0, goal - own);
+}
+
+}
+
+std::int64_t
+part_of(std::int64_t amount, std::int64_t ppm)
+{
+  // Split, since amount * ppm may not fit 64 bits.
+  return amount / ppm_total * ppm + amount % ppm_total * ppm / ppm_total;
+}
+
+std::vector<instance_id>
+choose_holders(const std::vector<share_candidate>& candidates,
+               std::int64_t burst_milli,
+               const share_settings& settings)
+{
+  std::set<zone_id> zones;
+  for (const auto& candidate : candidates) {
+    zones.insert(candidate.zone);
+  }
+  const auto all = static_cast<std::int64_t>(candidates.size());
+  auto count = std::min(all, burst_milli / (settings.tokens_per_holder * token_milli));
+  const auto zone_count = static_cast<std::int64_t>(zones.size());
+  // Rounding down must leave each holder a whole token.
+  while (count < zone_count && part_of(burst_milli, ppm_total / (count + 1)) >= token_milli) {
+    ++count;
+  }
+  std::vector<instance_id> chosen;
+  std::set<instance_id> taken;
+  std::set<zone_id> served;
+  const auto choose = [&](const share_candidate& candidate) {
+    if (static_cast<std::int64_t>(chosen.size()) < count &&
+        taken.insert(candidate.instance).second) {
+      chosen.push_back(candidate.instance);
+      served.insert(candidate.zone);
+    }
+  };
+  for (const auto& candidate : candidates) {
+    if (!served.contains(candidate.zone)) {
+      choose(candidate);
+    }
+  }
+  for (const auto& candidate : candidates) {
+    choose(candidate);
+  }
+  return chosen;
+}
+
+std::int64_t
+base_limit(const workspace_limit& limit, std::int64_t holder_count, const share_settings& settings)
+{
+  const auto base = part_of(even_share(holder_count), settings.base_limit_ppm);
+  return part_of(limit.burst_milli, base) < token_milli ? ppm_total : settings.base_limit_ppm;
+}
+
+std::int64_t
+floor_ppm(const workspace_limit& limit, std::int64_t holder_count)
+{
+  const auto even = even_share(holder_count);
+  const auto burst = std::max<std::int64_t>(1, limit.burst_milli);
+  const auto one_token = (token_milli * ppm_total + burst - 1) / burst;
+  return std::min(even, std::max(even / 4, one_token));
+}
+
+share_table
+plan_share(const share_table& row, const share_wish& wish, const share_settings& settings)
+{
+  const auto limit = base_limit(wish.limit, wish.holder_count, settings);
+  const auto floor = floor_ppm(wish.limit, wish.holder_count);
+  const auto* entry = row.find(wish.owner.instance);
+  if (!wish.holder) {
+    return entry == nullptr ? row : row.restart(wish.owner).leave(wish.owner);
+  }
+  if (entry == nullptr) {
+    const auto even = even_share(wish.holder_count);
+    const auto amount = std::min(even, row.unassigned());
+    const auto joined = row.join(wish.owner, amount, limit);
+    return joined.set_want(wish.owner, lacks(joined, wish, floor));
+  }
+  if (entry->incarnation != wish.owner.incarnation) {
+    return row.restart(wish.owner);
+  }
+  auto next = give(row, wish, floor);
+  if (next == row) {
+    next = take(row, wish, floor, limit);
+  }
+  const auto old_want = entry->want_ppm;
+  const auto want = lacks(next, wish, floor);
+  // A want that changed little is not worth a write of its own.
+  const bool same = (want == 0) == (old_want == 0) && std::abs(want - old_want) * 4 <= old_want;
+  return same && next == row ? row : next.set_want(wish.owner, want);
+}
+
+}
