home: Add the home of a member

Each member needs one place that orders its requests, owns its slots and connections and decides which outcome a request may be given.

No test has run against it yet.

--- /dev/null
+++ b/Source/Home/fair_queue.cxx
@@ -0,0 +1,231 @@
+#include "Home/fair_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Weight of a new sample: about the last eight statements decide the estimate.
+constexpr double average_weight = 0.125;
+
+// Idle workspaces are forgotten above this count, so that a long run with changing workspaces does
+// not grow without bound.
+constexpr std::size_t kept_flows = 4096;
+
+double
+microseconds(duration value)
+{
+  return static_cast<double>(value.count());
+}
+
+}
+
+fair_queue::fair_queue(limits bounds, std::size_t slots)
+  : bounds_(bounds)
+  , slots_(slots)
+{
+}
+
+fair_queue::flow&
+fair_queue::flow_of(const workspace_id& workspace)
+{
+  if (flows_.size() >= kept_flows && !flows_.contains(workspace)) {
+    forget_idle();
+  }
+  auto [position, created] = flows_.try_emplace(workspace);
+  if (created) {
+    position->second.tag = virtual_time_;
+    position->second.average = microseconds(bounds_.first_estimate);
+  }
+  return position->second;
+}
+
+void
+fair_queue::forget_idle()
+{
+  std::erase_if(flows_, [&](const auto& item) {
+    const auto& [workspace, state] = item;
+    return state.entries.empty() && state.slots.empty() && state.tag <= virtual_time_;
+  });
+}
+
+// A workspace that comes back from idling starts at the present virtual time: the time in which it
+// asked for nothing gives it no claim on later slots.
+void
+fair_queue::activate(flow& target) const
+{
+  target.tag = std::max(target.tag, virtual_time_);
+}
+
+result<void>
+fair_queue::push(queue_entry entry)
+{
+  auto& target = flow_of(entry.workspace);
+  if (target.entries.size() >= bounds_.per_workspace) {
+    return fail(result_code::queue_full,
+                "workspace " + entry.workspace.get() + " has " +
+                  std::to_string(target.entries.size()) + " requests queued at this member");
+  }
+  if (size_ >= bounds_.total) {
+    return fail(result_code::queue_full,
+                std::to_string(size_) + " requests are queued at this member");
+  }
+  if (target.entries.empty()) {
+    activate(target);
+  }
+  earliest_expiry_ = std::min(earliest_expiry_, entry.expires);
+  target.entries.push_back(std::move(entry));
+  ++size_;
+  return success();
+}
+
+void
+fair_queue::push_ahead(queue_entry entry)
+{
+  auto& target = flow_of(entry.workspace);
+  earliest_expiry_ = std::min(earliest_expiry_, entry.expires);
+  target.entries.push_front(std::move(entry));
+  ++size_;
+}
+
+// A statement that outlasts its estimate is charged while it runs. Otherwise a workspace whose
+// statements became slow would be given further slots at its old price until the first one ends.
+void
+fair_queue::charge_overrun(flow& target, instant now)
+{
+  for (auto& slot : target.slots) {
+    const double held = microseconds(now - slot.since);
+    if (held > slot.charged) {
+      target.tag += held - slot.charged;
+      slot.charged = held;
+    }
+  }
+}
+
+std::optional<queue_entry>
+fair_queue::pop(instant now, const ready_check& ready)
+{
+  std::vector<flow*> waiting;
+  for (auto& [workspace, state] : flows_) {
+    charge_overrun(state, now);
+    if (!state.entries.empty()) {
+      waiting.push_back(&state);
+    }
+  }
+  std::stable_sort(
+    waiting.begin(), waiting.end(), [](auto* left, auto* right) { return left->tag < right->tag; });
+
+  const auto runnable = [&](const queue_entry& entry) {
+    return entry.not_before <= now && now < entry.expires && (!ready || ready(entry));
+  };
+  flow* chosen = nullptr;
+  std::deque<queue_entry>::iterator chosen_entry;
+  for (auto* candidate : waiting) {
+    const auto entry = std::find_if(candidate->entries.begin(), candidate->entries.end(), runnable);
+    if (entry == candidate->entries.end()) {
+      // Nothing of this workspace can run now, so it counts as idle and gains no credit.
+      activate(*candidate);
+      continue;
+    }
+    // The last slot stays open to other workspaces while one of them waits.
+    const bool at_cap = slots_ > 1 && candidate->slots.size() + 1 >= slots_;
+    if (chosen == nullptr || !at_cap) {
+      chosen = candidate;
+      chosen_entry = entry;
+    }
+    if (!at_cap) {
+      break;
+    }
+  }
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  auto taken = std::move(*chosen_entry);
+  chosen->entries.erase(chosen_entry);
+  --size_;
+  virtual_time_ = std::max(virtual_time_, chosen->tag);
+  chosen->tag += chosen->average;
+  chosen->slots.push_back({ now, chosen->average });
+  return taken;
+}
+
+void
+fair_queue::finished(const workspace_id& workspace, duration slot_time, instant now, bool ran)
+{
+  const auto found = flows_.find(workspace);
+  if (found == flows_.end() || found->second.slots.empty()) {
+    return;
+  }
+  auto& state = found->second;
+  const instant since = now - slot_time;
+  auto slot = std::find_if(
+    state.slots.begin(), state.slots.end(), [&](const auto& one) { return one.since == since; });
+  if (slot == state.slots.end()) {
+    slot = state.slots.begin();
+  }
+  const double used = microseconds(slot_time);
+  state.tag += used - slot->charged;
+  if (ran) {
+    state.average += average_weight * (used - state.average);
+  }
+  state.slots.erase(slot);
+}
+
+std::vector<queue_entry>
+fair_queue::expire(instant now)
+{
+  if (now < earliest_expiry_) {
+    return {};
+  }
+  auto expired = remove_if([&](const queue_entry& entry) { return entry.expires <= now; });
+  earliest_expiry_ = instant::max();
+  for (const auto& [workspace, state] : flows_) {
+    for (const auto& entry : state.entries) {
+      earliest_expiry_ = std::min(earliest_expiry_, entry.expires);
+    }
+  }
+  return expired;
+}
+
+std::vector<queue_entry>
+fair_queue::remove_if(const std::function<bool(const queue_entry&)>& condition)
+{
+  std::vector<queue_entry> removed;
+  for (auto& [workspace, state] : flows_) {
+    const auto kept = std::stable_partition(state.entries.begin(),
+                                            state.entries.end(),
+                                            [&](const auto& entry) { return !condition(entry); });
+    std::move(kept, state.entries.end(), std::back_inserter(removed));
+    state.entries.erase(kept, state.entries.end());
+  }
+  size_ -= removed.size();
+  return removed;
+}
+
+std::size_t
+fair_queue::size(const workspace_id& workspace) const
+{
+  const auto found = flows_.find(workspace);
+  return found == flows_.end() ? 0 : found->second.entries.size();
+}
+
+std::size_t
+fair_queue::held(const workspace_id& workspace) const
+{
+  const auto found = flows_.find(workspace);
+  return found == flows_.end() ? 0 : found->second.slots.size();
+}
+
+duration
+fair_queue::estimate(const workspace_id& workspace) const
+{
+  const auto found = flows_.find(workspace);
+  if (found == flows_.end()) {
+    return bounds_.first_estimate;
+  }
+  return duration(static_cast<duration::rep>(found->second.average));
+}
+
+}
--- /dev/null
+++ b/Source/Home/fair_queue.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "Base/error.h"
+#include "Base/ids.h"
+#include "Base/instant.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace persimmonshelf {
+
+// One queued request. The queue keeps only what it orders by; the home keeps the request.
+struct queue_entry
+{
+  request_id id;
+  workspace_id workspace;
+  instant expires;
+  // The entry is not handed out earlier; used for the delay after a busy answer.
+  instant not_before;
+};
+
+// Orders the requests of one member by workspace with start-time fair queueing on consumed slot
+// time. A slot is handed to the workspace that has consumed the least, not to the oldest request.
+class fair_queue
+{
+public:
+  struct limits
+  {
+    std::size_t per_workspace = 256;
+    std::size_t total = 2048;
+    // Charged for the first statement of a workspace, before an average is known.
+    duration first_estimate = std::chrono::milliseconds(2);
+  };
+
+  using ready_check = std::function<bool(const queue_entry&)>;
+
+  fair_queue(limits bounds, std::size_t slots);
+
+  // Fails with queue_full if the workspace's or the total bound is reached.
+  result<void> push(queue_entry entry);
+
+  // Puts back an entry that did not run, ahead of its workspace. Not bounded: the entry was counted
+  // when it was first pushed, and at most `slots` entries are out at a time.
+  void push_ahead(queue_entry entry);
+
+  // The next entry to run, or none. Passes over entries past their expiry, before `not_before`, or
+  // for which `ready` is false. The caller has a free slot; it is then counted as held by the
+  // workspace until `finished`.
+  std::optional<queue_entry> pop(instant now, const ready_check& ready = {});
+
+  // Ends the use of a slot that was held for `slot_time` up to `now`, and replaces the estimate by
+  // it. `ran` is false if the backend server ran nothing, which leaves the average as it was.
+  void finished(const workspace_id& workspace, duration slot_time, instant now, bool ran = true);
+
+  // Removes and returns the entries that are past their expiry.
+  std::vector<queue_entry> expire(instant now);
+
+  // Removes and returns the entries that fulfil the condition.
+  std::vector<queue_entry> remove_if(const std::function<bool(const queue_entry&)>& condition);
+
+  void set_slots(std::size_t slots) { slots_ = slots; }
+  std::size_t size() const { return size_; }
+  std::size_t size(const workspace_id& workspace) const;
+  std::size_t held(const workspace_id& workspace) const;
+  // Moving average of the workspace's slot time per statement.
+  duration estimate(const workspace_id& workspace) const;
+
+private:
+  // A statement in a slot, with the time charged for it so far.
+  struct running
+  {
+    instant since;
+    double charged = 0;
+  };
+
+  // One workspace. `tag` is its consumed slot time in microseconds of virtual time.
+  struct flow
+  {
+    std::deque<queue_entry> entries;
+    std::vector<running> slots;
+    double tag = 0;
+    double average = 0;
+  };
+
+  flow& flow_of(const workspace_id& workspace);
+  void activate(flow& target) const;
+  static void charge_overrun(flow& target, instant now);
+  void forget_idle();
+
+  limits bounds_;
+  std::size_t slots_;
+  std::size_t size_ = 0;
+  double virtual_time_ = 0;
+  // No entry expires earlier, so that `expire` returns at once in the usual case.
+  instant earliest_expiry_ = instant::max();
+  std::map<workspace_id, flow> flows_;
+};
+
+}
--- /dev/null
+++ b/Source/Home/member_home.cxx
@@ -0,0 +1,335 @@
+#include "Home/member_home.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace persimmonshelf {
+
+namespace {
+
+std::size_t
+kept_open(const member_home_options& options)
+{
+  return options.slots + options.spare_connections;
+}
+
+backend_pool::options
+pool_options(const member_home_options& options)
+{
+  auto pool = options.pool;
+  pool.kept_open = kept_open(options);
+  return pool;
+}
+
+}
+
+member_home::member_home(member_home_options options, member_home_hooks hooks)
+  : options_(std::move(options))
+  , hooks_(std::move(hooks))
+  , queue_(options_.queue, options_.slots)
+  , pool_(pool_options(options_),
+          { [this](connection_number number) { hooks_.open_connection(number); },
+            [this](connection_number number) {
+              probes_.erase(number);
+              hooks_.close_connection(number);
+            },
+            [this](connection_number number) {
+              const request_id id("probe-" + std::to_string(++last_own_id_));
+              probes_[number] = id;
+              backend_request request;
+              request.id = id;
+              request.kind = operation::probe;
+              request.timeout = options_.pool.probe_timeout;
+              hooks_.send(number, std::move(request));
+            } })
+  , transactions_(options_.transaction, hooks_.random_bits)
+  , work_(options_.store, hooks_.answer)
+{
+}
+
+void
+member_home::submit(home_request request, instant now)
+{
+  if (work_.join(request)) {
+    return;
+  }
+  const auto refuse = [&](result_code code, const std::string& message) {
+    work_.refuse(request, code, message, now);
+  };
+  const bool in_transaction = !request.transaction.get().empty();
+  const bool ends = request.kind == operation::commit || request.kind == operation::rollback;
+  if (request.kind == operation::probe || (request.kind == operation::begin && in_transaction) ||
+      (ends && !in_transaction)) {
+    return refuse(result_code::bad_request, "the operation does not fit the transaction field");
+  }
+  if (revoked_.contains(request.key_digest)) {
+    return refuse(result_code::key_rejected, "the key was revoked");
+  }
+  if (request.expires <= now) {
+    return refuse(result_code::deadline_expired, "the request arrived past its expiry");
+  }
+  if (in_transaction) {
+    return submit_in_transaction(std::move(request), now);
+  }
+  if (draining_) {
+    return refuse(result_code::draining, "the home is stopping");
+  }
+  if (const auto why = refusal_of(request, now); why.code != result_code::ok) {
+    return refuse(why.code, why.message);
+  }
+  const auto pushed = queue_.push({ request.id, request.workspace, request.expires, now });
+  if (!pushed) {
+    return refuse(pushed.error().code, pushed.error().message);
+  }
+  work_.add(std::move(request), now);
+  dispatch(now);
+}
+
+member_home::refusal
+member_home::refusal_of(const home_request& request, instant now) const
+{
+  if (needs_primary(request)) {
+    if (!hooks_.current_term() && other_primary()) {
+      return { result_code::wrong_home, "another member is the primary" };
+    }
+    return {};
+  }
+  if (leaving_) {
+    return { result_code::backend_leaving, "member " + options_.member.get() + " is leaving" };
+  }
+  if (pool_.down()) {
+    return { result_code::backend_connect_failed,
+             "member " + options_.member.get() + " does not answer" };
+  }
+  if (hooks_.member_ready(request.at_least, request.max_age, now) == reader_state::never) {
+    return { result_code::no_fresh_member,
+             "member " + options_.member.get() + " cannot reach the wanted position" };
+  }
+  return {};
+}
+
+bool
+member_home::ready(const home_request& request, instant now) const
+{
+  if (!needs_primary(request)) {
+    return hooks_.member_ready(request.at_least, request.max_age, now) == reader_state::ready;
+  }
+  const auto current = hooks_.current_term();
+  if (!current || (*current == refused_term_ && now < refused_until_)) {
+    return false;
+  }
+  if (request.at_least && *current < request.at_least->in_term) {
+    return false;
+  }
+  return !request.write || work_.replicating() < options_.replicating;
+}
+
+void
+member_home::dispatch(instant now)
+{
+  expire_queued(now);
+  while (!leaving_ && slots_used_ < options_.slots && queue_.size() > 0 && pool_.has_idle()) {
+    const auto entry = queue_.pop(now, [&](const queue_entry& candidate) {
+      return ready(work_.find(candidate.id)->request, now);
+    });
+    if (!entry) {
+      return;
+    }
+    ++slots_used_;
+    start(*work_.find(entry->id), now);
+  }
+}
+
+void
+member_home::start(work& item, instant now)
+{
+  const auto number = *pool_.acquire();
+  item.sent_term = needs_primary(item.request) ? *hooks_.current_term() : term();
+  if (item.request.kind == operation::begin) {
+    transactions_.open(item.request, number, item.sent_term, now);
+  }
+  send(item, number, now);
+}
+
+void
+member_home::send(work& item, connection_number number, instant now)
+{
+  item.step = work_step::sent;
+  item.sent = now;
+  in_flight_[number] = { item.request.id, item.request.expires };
+  backend_request request;
+  request.id = item.request.id;
+  request.in_term = item.sent_term;
+  request.write = item.request.write;
+  request.text = item.request.text;
+  request.kind = item.request.kind;
+  request.timeout = item.request.expires - now;
+  request.traceparent = item.request.traceparent;
+  hooks_.send(number, std::move(request));
+}
+
+// Puts a request that certainly did not run back into the queue.
+void
+member_home::requeue(work& item, duration delay, instant now)
+{
+  item.step = work_step::queued;
+  item.sent = instant();
+  const auto why = refusal_of(item.request, now);
+  if (why.code != result_code::ok) {
+    work_.finish(item.request.id, why.code, why.message, now);
+    return;
+  }
+  queue_.push_ahead({ item.request.id, item.request.workspace, item.request.expires, now + delay });
+}
+
+void
+member_home::release_slot(const workspace_id& workspace, instant since, instant now, bool ran)
+{
+  queue_.finished(workspace, now - since, now, ran);
+  --slots_used_;
+}
+
+void
+member_home::refuse_queued(instant now)
+{
+  std::map<request_id, refusal> reasons;
+  queue_.remove_if([&](const queue_entry& entry) {
+    auto why = refusal_of(work_.find(entry.id)->request, now);
+    if (why.code == result_code::ok) {
+      return false;
+    }
+    reasons.emplace(entry.id, std::move(why));
+    return true;
+  });
+  for (const auto& [id, why] : reasons) {
+    work_.finish(id, why.code, why.message, now);
+  }
+}
+
+member_home::refusal
+member_home::expiry_of(const home_request& request) const
+{
+  if (leaving_) {
+    return { result_code::backend_leaving, "the deadline passed while the member is leaving" };
+  }
+  if (needs_primary(request) && !hooks_.current_term()) {
+    return { result_code::no_primary, "the deadline passed while no primary was confirmed" };
+  }
+  if (pool_.down()) {
+    return { result_code::backend_connect_failed, "the deadline passed while the member is down" };
+  }
+  return { result_code::deadline_expired, "the deadline passed in the queue" };
+}
+
+void
+member_home::expire_queued(instant now)
+{
+  for (const auto& entry : queue_.expire(now)) {
+    const auto why = expiry_of(work_.find(entry.id)->request);
+    work_.finish(entry.id, why.code, why.message, now);
+  }
+}
+
+void
+member_home::group_changed(instant now)
+{
+  work_.confirm(hooks_.majority_holds, now);
+  step_transactions(now);
+  refuse_queued(now);
+  dispatch(now);
+}
+
+void
+member_home::tick(instant now)
+{
+  pool_.tick(now);
+  work_.confirm(hooks_.majority_holds, now);
+  work_.expire_waiting(now);
+  work_.expire_store(now);
+  expire_in_flight(now);
+  step_transactions(now);
+  transactions_.expire(now);
+  std::erase_if(revoked_,
+                [&](const auto& item) { return now - item.second >= options_.revoked_kept; });
+  refuse_queued(now);
+  dispatch(now);
+}
+
+void
+member_home::revoke(const sha256_digest& key_digest, instant now)
+{
+  if (key_digest == sha256_digest{}) {
+    return;
+  }
+  revoked_[key_digest] = now;
+  const auto matches = [&](const request_id& id) {
+    const auto* item = work_.find(id);
+    return item != nullptr && equal_constant_time(item->request.key_digest, key_digest);
+  };
+  const auto queued = queue_.remove_if([&](const queue_entry& entry) { return matches(entry.id); });
+  for (const auto& entry : queued) {
+    work_.finish(entry.id, result_code::key_rejected, "the key was revoked", now);
+  }
+  std::vector<connection_number> running;
+  for (const auto& [number, item] : in_flight_) {
+    if (!item.internal && matches(item.id)) {
+      running.push_back(number);
+    }
+  }
+  for (const auto number : running) {
+    fail_connection(
+      number, true, result_code::key_withdrawn_in_flight, backend_pool::fault::none, now);
+  }
+  for (const auto& id : transactions_.ids()) {
+    auto* owner = transactions_.find(id);
+    if (owner->state == transaction_state::idle &&
+        equal_constant_time(owner->key_digest, key_digest)) {
+      for (const auto& waiting : std::exchange(owner->waiting, {})) {
+        work_.finish(waiting, result_code::key_rejected, "the key was revoked", now);
+      }
+      roll_back_idle(*owner, now);
+    }
+  }
+  work_.withdraw(key_digest, now);
+  dispatch(now);
+}
+
+void
+member_home::set_leaving(bool leaving)
+{
+  leaving_ = leaving;
+  pool_.set_leaving(leaving);
+}
+
+void
+member_home::resize(std::size_t slots, std::size_t connections, instant now)
+{
+  options_.slots = slots;
+  options_.pool.cap = connections;
+  queue_.set_slots(slots);
+  pool_.resize(connections, kept_open(options_), now);
+  dispatch(now);
+}
+
+void
+member_home::drain(instant now)
+{
+  draining_ = true;
+  dispatch(now);
+}
+
+bool
+member_home::drained() const
+{
+  return draining_ && work_.size() == 0 && transactions_.size() == 0;
+}
+
+home_figures
+member_home::figures() const
+{
+  return { queue_.size(),        options_.slots,      slots_used_,  pool_.size(),
+           transactions_.size(), work_.replicating(), work_.size(), pool_.down() };
+}
+
+}
--- /dev/null
+++ b/Source/Home/member_home_answers.cxx
@@ -0,0 +1,184 @@
+#include "Home/member_home.h"
+
+#include <utility>
+#include <vector>
+
+namespace persimmonshelf {
+
+namespace {
+
+bool
+is_whole(result_code code)
+{
+  return code == result_code::ok || code == result_code::statement_failed || promises_not_run(code);
+}
+
+}
+
+void
+member_home::connected(connection_number number, bool ok, instant now)
+{
+  pool_.connected(number, ok, now);
+  if (pool_.down()) {
+    refuse_queued(now);
+  }
+  dispatch(now);
+}
+
+void
+member_home::backend_answered(connection_number number, const backend_answer& answer, instant now)
+{
+  if (!pool_.contains(number)) {
+    return;
+  }
+  if (pool_.probing(number)) {
+    const bool right = probes_[number] == answer.id && answer.code == result_code::ok;
+    probes_.erase(number);
+    pool_.probe_ended(number, right, now);
+    return dispatch(now);
+  }
+  const auto found = in_flight_.find(number);
+  const bool late = found != in_flight_.end() && found->second.deadline <= now;
+  if (found == in_flight_.end() || late || found->second.id != answer.id ||
+      !is_whole(answer.code)) {
+    const auto reason = late ? result_code::answer_overdue : result_code::malformed_answer;
+    fail_connection(number, true, reason, backend_pool::fault::broken, now);
+    return dispatch(now);
+  }
+  auto* item = work_.find(answer.id);
+  const bool wrong_term = item != nullptr && answer.code == result_code::ok &&
+                          may_change(item->request) && answer.point.in_term != item->sent_term;
+  if (wrong_term) {
+    // An answer from another term cannot be acknowledged in the term that was asked for.
+    fail_connection(number, true, result_code::malformed_answer, backend_pool::fault::broken, now);
+    return dispatch(now);
+  }
+  in_flight_.erase(found);
+  if (auto* owner = transactions_.find(number)) {
+    transaction_answered(*owner, item, answer, now);
+  } else {
+    complete(*item, number, answer, now);
+  }
+  dispatch(now);
+}
+
+void
+member_home::complete(work& item,
+                      connection_number number,
+                      const backend_answer& answer,
+                      instant now)
+{
+  const bool ran = !promises_not_run(answer.code);
+  release_slot(item.request.workspace, item.sent, now, ran);
+  pool_.release(number, now);
+  if (ran) {
+    return acknowledge(item, answer, now);
+  }
+  refused(item, answer.code, now);
+}
+
+// Ends a request that the server answered whole, or lets a write wait for a majority.
+void
+member_home::acknowledge(work& item, const backend_answer& answer, instant now)
+{
+  item.answered = now;
+  item.point = answer.point;
+  item.rows = answer.rows;
+  const bool waits = answer.code == result_code::ok && may_change(item.request);
+  if (waits && !hooks_.majority_holds(item.point)) {
+    return work_.await_majority(item);
+  }
+  work_.finish(item.request.id, answer.code, {}, now);
+}
+
+// The server answered that nothing ran.
+void
+member_home::refused(work& item, result_code code, instant now)
+{
+  if (code == result_code::backend_busy) {
+    return requeue(item, options_.busy_delay, now);
+  }
+  if (!needs_primary(item.request)) {
+    item.sent = instant();
+    return work_.finish(item.request.id, code, "the member refused the read", now);
+  }
+  refused_term_ = item.sent_term;
+  refused_until_ = now + options_.refused_term_delay;
+  requeue(item, duration(0), now);
+}
+
+void
+member_home::backend_failed(connection_number number,
+                            bool may_have_been_sent,
+                            result_code reason,
+                            instant now)
+{
+  if (!pool_.contains(number)) {
+    return;
+  }
+  if (pool_.probing(number)) {
+    pool_.probe_ended(number, false, now);
+  } else {
+    const auto fault = reason == result_code::answer_overdue ? backend_pool::fault::silent
+                                                             : backend_pool::fault::broken;
+    // Only codes that state an unknown outcome may end a request that was perhaps sent.
+    const bool known = outcome_of(reason) == run_outcome::unknown;
+    fail_connection(
+      number, may_have_been_sent, known ? reason : result_code::connection_lost, fault, now);
+  }
+  if (pool_.down()) {
+    refuse_queued(now);
+  }
+  dispatch(now);
+}
+
+void
+member_home::connection_closed(connection_number number, instant now)
+{
+  backend_failed(number, true, result_code::connection_lost, now);
+}
+
+void
+member_home::fail_connection(connection_number number,
+                             bool may_have_been_sent,
+                             result_code reason,
+                             backend_pool::fault fault,
+                             instant now)
+{
+  std::optional<in_flight> running;
+  const auto found = in_flight_.find(number);
+  if (found != in_flight_.end()) {
+    running = found->second;
+    in_flight_.erase(found);
+  }
+  pool_.discard(number, fault, now);
+  if (auto* owner = transactions_.find(number)) {
+    return transaction_failed(*owner, running, may_have_been_sent, reason, now);
+  }
+  if (!running) {
+    return;
+  }
+  auto& item = *work_.find(running->id);
+  release_slot(item.request.workspace, item.sent, now, may_have_been_sent);
+  if (!may_have_been_sent) {
+    return requeue(item, duration(0), now);
+  }
+  work_.finish(
+    running->id, reason, "connection " + std::to_string(number.get()) + " was closed", now);
+}
+
+void
+member_home::expire_in_flight(instant now)
+{
+  std::vector<connection_number> overdue;
+  for (const auto& [number, running] : in_flight_) {
+    if (running.deadline <= now) {
+      overdue.push_back(number);
+    }
+  }
+  for (const auto number : overdue) {
+    fail_connection(number, true, result_code::answer_overdue, backend_pool::fault::silent, now);
+  }
+}
+
+}
