standins: Add the backend server and the platform stand-ins

The proxy needs a replicated database group and the platform's services to be tested against, and neither may be a third-party server.

standin_backend is one member of a group with terms, fencing, an asynchronously shipped log, transactions bound to a connection and switches that make it misbehave. standin_platform serves the table, the objects and the list of instances. Their logic is in the library ps_StandIns so that tests use it without a process.

--- /dev/null
+++ b/Utilities/StandIns/standin_backend_replication.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Net/http_connection.h"
+#include "StandIns/standin_backend_member.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace persimmonshelf {
+
+// Ships the log of one member to the others while it is the primary, one request at a time to each.
+// An entry is sent once it is as old as the larger of this member's and the receiver's delay.
+class standin_replication
+{
+public:
+  standin_replication(boost::asio::io_context& context,
+                      standin_member& member,
+                      const std::map<std::string, tcp_address>& peers);
+  ~standin_replication();
+  standin_replication(const standin_replication&) = delete;
+  standin_replication& operator=(const standin_replication&) = delete;
+
+  // Sends what is due; called after each change of the member.
+  void ship();
+
+  void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
+  std::chrono::milliseconds delay() const { return delay_; }
+
+  // Cuts replication from and to these members.
+  void set_refused(std::set<std::string> peers) { refused_ = std::move(peers); }
+  bool is_refused(const std::string& name) const { return refused_.contains(name); }
+
+  // While true, nothing is sent.
+  void set_down(bool down) { down_ = down; }
+
+private:
+  struct receiver_state
+  {
+    std::string name;
+    tcp_address address;
+    std::shared_ptr<http_connection> connection;
+    bool busy = false;
+    // Term of the last answer; in a later term the positions below are not valid.
+    term in_term;
+    // Last position known to match; a guess until the first success in the term.
+    log_position matched;
+    bool confirmed = false;
+    std::chrono::milliseconds delay{ 0 };
+    std::chrono::steady_clock::time_point last_sent;
+  };
+
+  void ship_to(receiver_state& receiver);
+  std::optional<standin_append> next_append(const receiver_state& receiver) const;
+  void send(receiver_state& receiver, const standin_append& append);
+  void answered(receiver_state& receiver,
+                term in_term,
+                const http_failure* failure,
+                const std::string& body);
+  void tick();
+
+  boost::asio::io_context& context_;
+  standin_member& member_;
+  boost::asio::steady_timer timer_;
+  std::map<std::string, receiver_state> peers_;
+  std::set<std::string> refused_;
+  std::chrono::milliseconds delay_{ 0 };
+  bool down_ = false;
+  // Callbacks of connections hold it weakly, since they may run after this object ended.
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+boost::json::object
+to_json(const standin_append& append);
+
+// None if a field is missing or of another type.
+std::optional<standin_append>
+append_from_json(const boost::json::value& value);
+
+}
