--- /dev/null
+++ b/Tests/Session/session_token_test.cxx
@@ -0,0 +1,147 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "Base/digest.h"
+#include "Session/session_token.h"
+
+#include <rapidcheck.h>
+
+#include <string>
+
+using namespace persimmonshelf;
+
+namespace {
+
+const std::string secret = "fleet secret";
+const database_id orders("orders");
+
+session_state
+sample()
+{
+  session_state state;
+  state.note_read(orders, { term(4), log_position(1'000'000) });
+  state.note_unknown_write(database_id("stock"), term(7), std::nullopt);
+  return state;
+}
+
+result_code
+code_of(std::string_view text, std::string_view key = secret)
+{
+  const auto parsed = session_token::parse(text, key);
+  return parsed ? result_code::ok : parsed.error().code;
+}
+
+// A token with a valid signature over any payload whose length is 1 more than a multiple of 3, so
+// that it needs no base64 padding.
+std::string
+signed_text(std::string payload)
+{
+  const auto digest = hmac_sha256(secret, "persimmonshelf session token\n" + payload);
+  payload.append(digest.begin(), digest.end());
+  const std::string_view digits =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+  std::string text;
+  for (std::size_t i = 0; i + 2 < payload.size(); i += 3) {
+    const auto byte = [&](std::size_t k) { return static_cast<unsigned char>(payload[i + k]); };
+    const unsigned block = (byte(0) << 16U) | (byte(1) << 8U) | byte(2);
+    for (const unsigned shift : { 18U, 12U, 6U, 0U }) {
+      text.push_back(digits[(block >> shift) & 63U]);
+    }
+  }
+  return text;
+}
+
+}
+
+// Guards against a position or mark that is lost or altered on the way through a caller.
+TEST_CASE("every state survives encoding in URL-safe characters")
+{
+  CHECK(rc::check([] {
+    session_state state;
+    for (const auto& name : *rc::gen::arbitrary<std::vector<std::string>>()) {
+      auto& seen = state.databases[database_id(name)];
+      seen.point = { term(*rc::gen::arbitrary<std::uint64_t>()),
+                     log_position(*rc::gen::arbitrary<std::uint64_t>()) };
+      if (*rc::gen::arbitrary<bool>()) {
+        seen.pending = term(*rc::gen::arbitrary<std::uint32_t>());
+      }
+    }
+    const auto text = session_token::encode(state, secret).value();
+    RC_ASSERT(text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                                     "0123456789-_") == std::string::npos);
+    RC_ASSERT(session_token::parse(text, secret).value() == state);
+  }));
+  CHECK(session_token::parse("", secret).value() == session_state{});
+}
+
+// Guards against a caller that raises, lowers or invents positions.
+TEST_CASE("every single-bit flip, truncation and foreign secret is refused")
+{
+  const auto text = session_token::encode(sample(), secret).value();
+  for (std::size_t bit = 0; bit < text.size() * 8; ++bit) {
+    auto damaged = text;
+    damaged[bit / 8] = static_cast<char>(damaged[bit / 8] ^ (1U << (bit % 8)));
+    CHECK_MESSAGE(code_of(damaged) == result_code::bad_session_token, "bit " << bit);
+  }
+  for (std::size_t length = 1; length < text.size(); ++length) {
+    CHECK(code_of(text.substr(0, length)) == result_code::bad_session_token);
+    CHECK(code_of(text.substr(length)) == result_code::bad_session_token);
+  }
+  for (const auto& wrong :
+       { text + "A", text + "=", text + text, " " + text, std::string("\0", 1) }) {
+    CHECK(code_of(wrong) == result_code::bad_session_token);
+  }
+  CHECK(code_of(text, "other secret") == result_code::bad_session_token);
+  CHECK(code_of(text, "") == result_code::settings_invalid);
+  CHECK(session_token::encode(sample(), "").error().code == result_code::settings_invalid);
+}
+
+// Guards against payloads that carry a valid signature but another layout, as after an upgrade.
+TEST_CASE("signed payloads of another layout are refused")
+{
+  using namespace std::string_literals;
+  CHECK(code_of(signed_text("\1\1\0\4\5\0\0"s)) != result_code::ok);       // trailing byte
+  CHECK(code_of(signed_text("\1\0\0\0"s)) != result_code::ok);             // trailing bytes
+  CHECK(code_of(signed_text("\2\1\1a\4\5\0"s)) != result_code::ok);        // unknown version
+  CHECK(code_of(signed_text("\1\1\1a\4\5\0"s)) == result_code::ok);        // the valid neighbour
+  CHECK(code_of(signed_text("\1\1\x7f\4"s)) != result_code::ok);           // name past the end
+  CHECK(code_of(signed_text("\1\2\0\4\5\0\0\4\5\0"s)) != result_code::ok); // one database twice
+}
+
+// Guards against unbounded tokens from sessions that touch very many databases.
+TEST_CASE("over-long tokens are refused when written and when read")
+{
+  session_state state;
+  for (int i = 0; i < 2000; ++i) {
+    state.note_read(database_id("database-" + std::to_string(i)), { term(1), log_position(1) });
+  }
+  CHECK(session_token::encode(state, secret).error().code == result_code::bad_session_token);
+  const auto too_long = signed_text("\1\1\xc7\x65" + std::string(12999, 'a') + "\4\5\6");
+  CHECK(too_long.size() > max_session_token_length);
+  CHECK(code_of(too_long) == result_code::bad_session_token);
+}
+
+// Guards against a merge that drops the higher point or a mark of unknown outcome.
+TEST_CASE("points only rise, and a pending mark ends only at a primary of its term or later")
+{
+  auto state = sample();
+  state.note_read(orders, { term(3), log_position(9'000'000) });
+  CHECK(state.databases[orders].point == log_point{ term(4), log_position(1'000'000) });
+
+  state.note_unknown_write(orders, term(5), log_point{ term(5), log_position(1'000'001) });
+  state.note_unknown_write(orders, term(4), std::nullopt);
+  auto merged = sample();
+  merged.merge(state);
+  state.merge(sample());
+  CHECK(merged == state);
+  CHECK(merged.databases[orders].pending == term(5));
+  CHECK(merged.databases[orders].point == log_point{ term(5), log_position(1'000'001) });
+
+  merged.note_read(orders, { term(6), log_position(2'000'000) });
+  CHECK(merged.databases[orders].pending == term(5));
+  merged.note_primary_answer(orders, term(4), { term(4), log_position(3) });
+  CHECK(merged.databases[orders].pending == term(5));
+  merged.note_primary_answer(orders, term(5), { term(5), log_position(1'000'002) });
+  CHECK_FALSE(merged.databases[orders].pending);
+  CHECK(merged.databases[orders].point == log_point{ term(6), log_position(2'000'000) });
+}
