account: Add the usage ledger and the account of a month

Adds cumulative usage rows that merge by maximum, a conditional writer that reads back after a conflict or a lost answer, bounds for runs that ended without closing, and the account that one conditional write closes. Late counters become adjustments: the difference between the rows now and all that earlier accounts list, so that each appears once.

--- /dev/null
+++ b/Source/Account/month.cxx
@@ -0,0 +1,275 @@
+#include "Account/month.h"
+
+#include "Base/json_fields.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace persimmonshelf {
+
+namespace json = boost::json;
+
+namespace {
+
+// Only these appear in the account; the others are for the bounds.
+bool
+listed(std::string_view counter)
+{
+  return counter != usage_counter::admitted && counter != usage_counter::ended;
+}
+
+json::object
+write_counters(const usage_counters& counters)
+{
+  json::object workspaces;
+  for (const auto& [workspace, values] : counters) {
+    json::object object;
+    for (const auto& [name, value] : values) {
+      object[name] = value;
+    }
+    workspaces[workspace.get()] = std::move(object);
+  }
+  return workspaces;
+}
+
+json::array
+write_bounds(const std::vector<account_bound>& bounds)
+{
+  json::array list;
+  for (const auto& [incarnation, bound] : bounds) {
+    list.push_back(json::object{ { "incarnation", incarnation },
+                                 { "workspace", bound.workspace.get() },
+                                 { "amount", bound.amount },
+                                 { "cause", bound.cause } });
+  }
+  return list;
+}
+
+// Reads the fields that an account and an adjustment have in common, by way of the usage row whose
+// format they share.
+bool
+read_parts(json_fields& fields, usage_counters& counters, std::vector<account_bound>& bounds)
+{
+  const auto* workspaces = fields.find("workspaces");
+  const auto* list = fields.find("bounds");
+  if (workspaces == nullptr || list == nullptr || !list->is_array()) {
+    return false;
+  }
+  const json::object plain{ { "workspaces", *workspaces }, { "bounds", json::array() } };
+  const auto row = usage_row::parse(json::serialize(plain));
+  if (!row) {
+    return false;
+  }
+  counters = row.value().counters();
+  for (const auto& item : list->as_array()) {
+    auto bound = json_fields::create(item, "account.bounds[]", result_code::malformed_answer);
+    if (!bound) {
+      return false;
+    }
+    auto incarnation = bound.value().text("incarnation");
+    auto workspace = bound.value().text("workspace");
+    const auto amount = bound.value().integer("amount", 0, INT64_MAX);
+    auto cause = bound.value().text("cause");
+    if (!incarnation || !workspace || !amount || !cause) {
+      return false;
+    }
+    bounds.push_back({ std::move(incarnation).value(),
+                       { workspace_id(std::move(workspace).value()),
+                         static_cast<std::uint64_t>(amount.value()),
+                         std::move(cause).value() } });
+  }
+  return true;
+}
+
+error
+malformed(const std::string& place)
+{
+  return { result_code::malformed_answer, place };
+}
+
+// Subtracts what was accounted before; a counter that is used up is left out.
+void
+subtract(usage_counters& counters, const usage_counters& accounted)
+{
+  for (const auto& [workspace, values] : accounted) {
+    const auto found = counters.find(workspace);
+    if (found == counters.end()) {
+      continue;
+    }
+    for (const auto& [name, value] : values) {
+      const auto counter = found->second.find(name);
+      if (counter == found->second.end()) {
+        continue;
+      }
+      counter->second -= std::min(counter->second, value);
+      if (counter->second == 0) {
+        found->second.erase(counter);
+      }
+    }
+    if (found->second.empty()) {
+      counters.erase(found);
+    }
+  }
+}
+
+void
+remove_known(std::vector<account_bound>& bounds, const std::vector<account_bound>& known)
+{
+  std::erase_if(bounds, [&](const account_bound& bound) {
+    return std::find(known.begin(), known.end(), bound) != known.end();
+  });
+}
+
+}
+
+std::string
+account_month::key(const calendar_month& month)
+{
+  return "account/" + month.text();
+}
+
+result<void>
+account_month::add_rows(const std::vector<table_row>& rows)
+{
+  for (const auto& row : rows) {
+    const auto parsed = usage_row::parse(row.value);
+    if (!parsed) {
+      return malformed(row.key + ": " + parsed.error().message);
+    }
+    const std::string incarnation(usage_row::incarnation_text(row.key));
+    for (const auto& [workspace, counters] : parsed.value().counters()) {
+      for (const auto& [name, value] : counters) {
+        if (listed(name) && value > 0) {
+          counters_[workspace][name] += value;
+        }
+      }
+    }
+    for (const auto& bound : parsed.value().bounds()) {
+      bounds_.push_back({ incarnation, bound });
+    }
+    if (!parsed.value().closed() && parsed.value().bounds().empty()) {
+      unfinished_.push_back(incarnation);
+    }
+  }
+  std::sort(bounds_.begin(), bounds_.end());
+  std::sort(unfinished_.begin(), unfinished_.end());
+  return success();
+}
+
+result<account_adjustment>
+account_month::adjust(const month_rows& late)
+{
+  account_month present(late.month);
+  const auto added = present.add_rows(late.rows);
+  if (!added) {
+    return added.error();
+  }
+  account_adjustment adjustment{ late.month, present.counters_, present.bounds_ };
+  for (const auto& account : late.closed) {
+    if (account.month_ == late.month) {
+      subtract(adjustment.counters, account.counters_);
+      remove_known(adjustment.bounds, account.bounds_);
+    }
+    for (const auto& former : account.adjustments_) {
+      if (former.month == late.month) {
+        subtract(adjustment.counters, former.counters);
+        remove_known(adjustment.bounds, former.bounds);
+      }
+    }
+  }
+  return adjustment;
+}
+
+result<account_month>
+account_month::build(const calendar_month& month,
+                     const std::vector<table_row>& rows,
+                     const std::vector<month_rows>& earlier)
+{
+  account_month account(month);
+  const auto added = account.add_rows(rows);
+  if (!added) {
+    return added.error();
+  }
+  for (const auto& late : earlier) {
+    auto adjustment = adjust(late);
+    if (!adjustment) {
+      return adjustment.error();
+    }
+    if (!adjustment.value().counters.empty() || !adjustment.value().bounds.empty()) {
+      account.adjustments_.push_back(std::move(adjustment).value());
+    }
+  }
+  std::sort(account.adjustments_.begin(),
+            account.adjustments_.end(),
+            [](const auto& left, const auto& right) { return left.month < right.month; });
+  return account;
+}
+
+result<account_month>
+account_month::parse(std::string_view text)
+{
+  const auto parsed = parse_json(text, result_code::malformed_answer);
+  if (!parsed) {
+    return parsed.error();
+  }
+  auto fields = json_fields::create(parsed.value(), "account", result_code::malformed_answer);
+  if (!fields) {
+    return fields.error();
+  }
+  const auto name = fields.value().text("month");
+  const auto month = calendar_month::parse(name ? name.value() : "");
+  if (!month) {
+    return malformed("account.month: " + month.error().message);
+  }
+  account_month account(month.value());
+  const auto* unfinished = fields.value().find("unfinished");
+  const auto* adjustments = fields.value().find("adjustments");
+  if (!read_parts(fields.value(), account.counters_, account.bounds_) || unfinished == nullptr ||
+      !unfinished->is_array() || adjustments == nullptr || !adjustments->is_array()) {
+    return malformed("account " + name.value() + ": expected workspaces, bounds, unfinished and " +
+                     "adjustments");
+  }
+  for (const auto& item : unfinished->as_array()) {
+    account.unfinished_.emplace_back(item.is_string() ? std::string(item.as_string()) : "");
+  }
+  for (const auto& item : adjustments->as_array()) {
+    auto parts = json_fields::create(item, "account.adjustments[]", result_code::malformed_answer);
+    if (!parts) {
+      return parts.error();
+    }
+    const auto late_name = parts.value().text("month");
+    const auto late = calendar_month::parse(late_name ? late_name.value() : "");
+    if (!late) {
+      return malformed("account.adjustments[].month: " + late.error().message);
+    }
+    account_adjustment adjustment{ late.value(), {}, {} };
+    if (!read_parts(parts.value(), adjustment.counters, adjustment.bounds)) {
+      return malformed("account.adjustments[]: expected workspaces and bounds");
+    }
+    account.adjustments_.push_back(std::move(adjustment));
+  }
+  return account;
+}
+
+std::string
+account_month::to_json() const
+{
+  json::array unfinished;
+  for (const auto& incarnation : unfinished_) {
+    unfinished.emplace_back(incarnation);
+  }
+  json::array adjustments;
+  for (const auto& adjustment : adjustments_) {
+    adjustments.push_back(json::object{ { "month", adjustment.month.text() },
+                                        { "workspaces", write_counters(adjustment.counters) },
+                                        { "bounds", write_bounds(adjustment.bounds) } });
+  }
+  return json::serialize(json::object{ { "month", month_.text() },
+                                       { "workspaces", write_counters(counters_) },
+                                       { "bounds", write_bounds(bounds_) },
+                                       { "unfinished", std::move(unfinished) },
+                                       { "adjustments", std::move(adjustments) } });
+}
+
+}
--- /dev/null
+++ b/Source/Account/usage_ledger.cxx
@@ -0,0 +1,190 @@
+#include "Account/usage_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+constexpr std::int64_t us_per_s = 1'000'000;
+constexpr std::int64_t milli_per_request = 1'000;
+
+void
+append(std::vector<usage_value>& values,
+       const calendar_month& month,
+       const usage_row& row,
+       const usage_row& known)
+{
+  for (const auto& [workspace, counters] : row.counters()) {
+    for (const auto& [name, value] : counters) {
+      if (value != known.value(workspace, name)) {
+        values.push_back({ month.text(), workspace, name, value });
+      }
+    }
+  }
+}
+
+}
+
+usage_ledger::usage_ledger(incarnation_id incarnation,
+                           const usage_settings& settings,
+                           table_hooks table,
+                           std::function<instant()> now,
+                           std::int64_t utc)
+  : incarnation_(incarnation)
+  , settings_(settings)
+  , table_(std::move(table))
+  , now_(std::move(now))
+  , month_(calendar_month::at(utc))
+{
+}
+
+usage_writer&
+usage_ledger::open(rows& months, const calendar_month& month, incarnation_id incarnation)
+{
+  auto& writer = months[month];
+  if (!writer) {
+    writer =
+      std::make_unique<usage_writer>(usage_row::key(month, incarnation), settings_, table_, now_);
+  }
+  return *writer;
+}
+
+void
+usage_ledger::count(const workspace_id& workspace, std::string_view counter, std::uint64_t amount)
+{
+  open(own_, month_, incarnation_).row().add(workspace, std::string(counter), amount);
+}
+
+void
+usage_ledger::tick(instant now, std::int64_t utc)
+{
+  // A wall clock that is set back doesn't reopen a closed month.
+  month_ = std::max(month_, calendar_month::at(utc));
+  for (auto& [month, writer] : own_) {
+    if (month < month_ && !writer->row().closed()) {
+      writer->row().close();
+    }
+    writer->tick(now);
+  }
+  for (auto& [incarnation, peer] : peers_) {
+    if (!peer.failed) {
+      continue;
+    }
+    for (auto& [month, writer] : peer.months) {
+      writer->tick(now);
+    }
+  }
+  std::erase_if(peers_, [](const auto& item) {
+    const auto& months = item.second.months;
+    return std::all_of(months.begin(), months.end(), [](const auto& entry) {
+      return entry.second->row().closed() && entry.second->written();
+    });
+  });
+}
+
+std::vector<usage_value>
+usage_ledger::changes()
+{
+  std::vector<usage_value> values;
+  for (const auto& [month, writer] : own_) {
+    append(values, month, writer->row(), mirrored_[month]);
+    mirrored_[month] = writer->row();
+  }
+  return values;
+}
+
+std::vector<usage_value>
+usage_ledger::all() const
+{
+  std::vector<usage_value> values;
+  for (const auto& [month, writer] : own_) {
+    append(values, month, writer->row(), usage_row());
+  }
+  return values;
+}
+
+void
+usage_ledger::on_mirror(incarnation_id peer, const std::vector<usage_value>& values, bool closed)
+{
+  if (peer == incarnation_) {
+    return;
+  }
+  auto& known = peers_[peer];
+  for (const auto& value : values) {
+    const auto month = calendar_month::parse(value.month);
+    if (month) {
+      open(known.months, month.value(), peer)
+        .row()
+        .raise(value.workspace, value.counter, value.value);
+    }
+  }
+  if (!closed) {
+    return;
+  }
+  // The run may have died between its last mirror and its last write.
+  known.failed = true;
+  for (auto& [month, writer] : known.months) {
+    writer->row().close();
+  }
+}
+
+std::uint64_t
+usage_ledger::bound_of(const usage_share& share, duration gap)
+{
+  // Whole seconds first, so that a day at a high rate fits 64 bits.
+  const auto length = std::max<std::int64_t>(0, gap.count());
+  const auto earned = length / us_per_s * share.rate_milli +
+                      (length % us_per_s * share.rate_milli + us_per_s - 1) / us_per_s;
+  const auto milli = earned + share.burst_milli + share.borrowed_milli;
+  return static_cast<std::uint64_t>((milli + milli_per_request - 1) / milli_per_request);
+}
+
+void
+usage_ledger::peer_failed(incarnation_id peer,
+                          const std::vector<usage_share>& shares,
+                          duration gap,
+                          const std::string& cause)
+{
+  auto& known = peers_[peer];
+  known.failed = true;
+  open(known.months, month_, peer);
+  for (const auto& share : shares) {
+    std::uint64_t admitted = 0;
+    std::uint64_t ended = 0;
+    for (const auto& [month, writer] : known.months) {
+      admitted += writer->row().value(share.workspace, usage_counter::admitted);
+      ended += writer->row().value(share.workspace, usage_counter::ended);
+    }
+    const auto open_requests = admitted > ended ? admitted - ended : 0;
+    // The gap may reach into each month that the run did not close.
+    for (auto& [month, writer] : known.months) {
+      writer->row().add_bound({ share.workspace, bound_of(share, gap) + open_requests, cause });
+    }
+  }
+}
+
+void
+usage_ledger::forget(incarnation_id peer)
+{
+  peers_.erase(peer);
+}
+
+void
+usage_ledger::close()
+{
+  for (auto& [month, writer] : own_) {
+    writer->row().close();
+    writer->hurry();
+  }
+}
+
+bool
+usage_ledger::written() const
+{
+  return std::all_of(
+    own_.begin(), own_.end(), [](const auto& item) { return item.second->written(); });
+}
+
+}
--- /dev/null
+++ b/Source/Account/usage_writer.cxx
@@ -0,0 +1,107 @@
+#include "Account/usage_writer.h"
+
+#include <utility>
+
+namespace persimmonshelf {
+
+usage_writer::usage_writer(std::string key,
+                           const usage_settings& settings,
+                           table_hooks table,
+                           std::function<instant()> now)
+  : key_(std::move(key))
+  , settings_(settings)
+  , table_(std::move(table))
+  , now_(std::move(now))
+  , alive_(std::make_shared<usage_writer*>(this))
+{
+}
+
+void
+usage_writer::tick(instant now)
+{
+  if (in_flight_ && now - sent_ >= settings_.call_timeout) {
+    // The write may have taken effect; the row is read again before the next one.
+    in_flight_ = false;
+    stored_known_ = false;
+  }
+  if (in_flight_ || now < due_ || written()) {
+    return;
+  }
+  due_ = now + settings_.write_interval;
+  if (stored_known_) {
+    write(now);
+  } else {
+    read(now);
+  }
+}
+
+bool
+usage_writer::current(std::uint64_t call, const std::weak_ptr<usage_writer*>& alive)
+{
+  return !alive.expired() && call == call_;
+}
+
+void
+usage_writer::read(instant now)
+{
+  in_flight_ = true;
+  sent_ = now;
+  table_.get(
+    key_, [this, call = ++call_, alive = std::weak_ptr(alive_)](const result<table_row>& answer) {
+      if (!current(call, alive)) {
+        return;
+      }
+      in_flight_ = false;
+      if (answer) {
+        merge(answer.value());
+      }
+      if (stored_known_ && !written()) {
+        write(now_());
+      }
+    });
+}
+
+void
+usage_writer::write(instant now)
+{
+  in_flight_ = true;
+  sent_ = now;
+  table_.put(key_,
+             row_.to_json(),
+             revision_,
+             [this, call = ++call_, sent = row_, alive = std::weak_ptr(alive_)](
+               const result<table_write>& answer) {
+               if (!current(call, alive)) {
+                 return;
+               }
+               in_flight_ = false;
+               if (!answer) {
+                 stored_known_ = false;
+                 return;
+               }
+               if (answer.value().written) {
+                 revision_ = answer.value().row.revision;
+                 stored_ = sent;
+                 return;
+               }
+               // Another instance wrote first; the next tick writes the merged row.
+               merge(answer.value().row);
+               hurry();
+             });
+}
+
+void
+usage_writer::merge(const table_row& row)
+{
+  auto parsed = usage_row::parse(row.value);
+  if (!parsed) {
+    stored_known_ = false;
+    return;
+  }
+  stored_ = std::move(parsed).value();
+  revision_ = row.revision;
+  stored_known_ = true;
+  row_.merge(stored_);
+}
+
+}
