adapters: Add the ZeroMQ transport between instances

Instances exchange envelopes over one bound router and one dealer for each peer. Dealers use ZMQ_IMMEDIATE without linger, so that a refused send certainly never reaches the peer. The router's descriptor is watched through asio; since it is edge-triggered, the socket is emptied before each wait.

Tests/PeerTransport covers bursts both ways, unreachable and restarted peers, malformed and oversized messages and bad addresses.

--- /dev/null
+++ b/Source/Adapters/peer_transport.cxx
@@ -0,0 +1,241 @@
+#include "Adapters/peer_transport.h"
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <zmq.hpp>
+
+#include <unordered_map>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+namespace {
+
+// Few messages, so that a slow peer shows as refused sends instead of as old messages.
+constexpr int queue_limit = 256;
+// A peer that vanished without closing is noticed within the time-out.
+constexpr int heartbeat_interval_ms = 1000;
+constexpr int heartbeat_timeout_ms = 3000;
+constexpr int connect_timeout_ms = 1000;
+constexpr int reconnect_interval_ms = 50;
+constexpr int reconnect_limit_ms = 1000;
+// One socket for each peer; the default of 1023 is too close to the planned 530 instances.
+constexpr int socket_limit = 4096;
+constexpr int receives_per_wakeup = 64;
+constexpr std::string_view scheme = "tcp://";
+
+void
+set_common_options(zmq::socket_t& socket)
+{
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::sndhwm, queue_limit);
+  socket.set(zmq::sockopt::rcvhwm, queue_limit);
+  socket.set(zmq::sockopt::maxmsgsize,
+             static_cast<std::int64_t>(peer_transport::message_limit_bytes));
+  socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval_ms);
+  socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
+  socket.set(zmq::sockopt::heartbeat_ttl, heartbeat_timeout_ms);
+}
+
+}
+
+struct peer_transport::state : std::enable_shared_from_this<peer_transport::state>
+{
+  state(asio::io_context& context_in, receive_handler receive_in)
+    : context(context_in)
+    , router(zmq_context, zmq::socket_type::router)
+    , descriptor(context_in)
+    , receive(std::move(receive_in))
+  {
+  }
+
+  void watch();
+  void drain();
+  void receive_one(zmq::message_t first);
+  zmq::socket_t& dealer_to(const std::string& peer_address);
+
+  asio::io_context& context;
+  zmq::context_t zmq_context{ 1, socket_limit };
+  zmq::socket_t router;
+  std::unordered_map<std::string, zmq::socket_t> dealers;
+  // Watches the file descriptor of the router, which belongs to ZeroMQ.
+  asio::posix::stream_descriptor descriptor;
+  receive_handler receive;
+  std::string address;
+  peer_transport_counts counts;
+  bool stopped = false;
+};
+
+void
+peer_transport::state::watch()
+{
+  descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                        [self = shared_from_this()](error_code failure) {
+                          if (!failure && !self->stopped) {
+                            self->drain();
+                          }
+                        });
+}
+
+void
+peer_transport::state::drain()
+{
+  // The descriptor only tells that the events may have changed. It does not become readable again
+  // for messages that were left in the socket, so the socket is emptied before the next wait.
+  for (int i = 0; i < receives_per_wakeup; ++i) {
+    if ((router.get(zmq::sockopt::events) & ZMQ_POLLIN) == 0) {
+      watch();
+      return;
+    }
+    zmq::message_t part;
+    if (router.recv(part, zmq::recv_flags::dontwait)) {
+      receive_one(std::move(part));
+    }
+    if (stopped) {
+      return;
+    }
+  }
+  asio::post(context, [self = shared_from_this()] {
+    if (!self->stopped) {
+      self->drain();
+    }
+  });
+}
+
+void
+peer_transport::state::receive_one(zmq::message_t first)
+{
+  // The first part is the sender's identity, which the router added.
+  zmq::message_t part = std::move(first);
+  zmq::message_t body;
+  int parts = 1;
+  while (part.more()) {
+    zmq::message_t next;
+    if (!router.recv(next, zmq::recv_flags::dontwait)) {
+      break;
+    }
+    ++parts;
+    part = std::move(next);
+    if (parts == 2) {
+      body.copy(part);
+    }
+  }
+  wire::envelope message;
+  const bool whole = parts == 2 && body.size() <= message_limit_bytes &&
+                     message.ParseFromArray(body.data(), static_cast<int>(body.size())) &&
+                     message.body_case() != wire::envelope::BODY_NOT_SET;
+  if (!whole) {
+    ++counts.malformed;
+    return;
+  }
+  ++counts.received;
+  receive(std::move(message));
+}
+
+zmq::socket_t&
+peer_transport::state::dealer_to(const std::string& peer_address)
+{
+  const auto found = dealers.find(peer_address);
+  if (found != dealers.end()) {
+    return found->second;
+  }
+  zmq::socket_t dealer(zmq_context, zmq::socket_type::dealer);
+  set_common_options(dealer);
+  // Messages are accepted only for an established connection and are dropped with it, so that a
+  // refused message was certainly not sent.
+  dealer.set(zmq::sockopt::immediate, 1);
+  dealer.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
+  dealer.set(zmq::sockopt::reconnect_ivl, reconnect_interval_ms);
+  dealer.set(zmq::sockopt::reconnect_ivl_max, reconnect_limit_ms);
+  dealer.connect(std::string(scheme) + peer_address);
+  return dealers.emplace(peer_address, std::move(dealer)).first->second;
+}
+
+peer_transport::peer_transport(std::shared_ptr<state> shared)
+  : state_(std::move(shared))
+{
+}
+
+peer_transport::~peer_transport()
+{
+  state_->stopped = true;
+  // ZeroMQ closes the descriptor itself.
+  state_->descriptor.release();
+  state_->dealers.clear();
+  state_->router.close();
+}
+
+result<std::unique_ptr<peer_transport>>
+peer_transport::create(asio::io_context& context,
+                       const std::string& bind_address,
+                       receive_handler receive)
+{
+  try {
+    auto shared = std::make_shared<state>(context, std::move(receive));
+    set_common_options(shared->router);
+    auto endpoint = std::string(scheme) + bind_address;
+    if (endpoint.ends_with(":0")) {
+      endpoint.back() = '*';
+    }
+    shared->router.bind(endpoint);
+    shared->address = shared->router.get(zmq::sockopt::last_endpoint).substr(scheme.size());
+    shared->descriptor.assign(shared->router.get(zmq::sockopt::fd));
+    // A message may have arrived before the first wait.
+    shared->drain();
+    return std::unique_ptr<peer_transport>(new peer_transport(std::move(shared)));
+  } catch (const std::exception& failure) {
+    return fail(result_code::address_unavailable, bind_address + ": " + failure.what());
+  }
+}
+
+bool
+peer_transport::send(const std::string& peer_address, const wire::envelope& message)
+{
+  auto& counts = state_->counts;
+  const auto size = message.ByteSizeLong();
+  if (size > message_limit_bytes) {
+    ++counts.refused;
+    return false;
+  }
+  try {
+    auto& dealer = state_->dealer_to(peer_address);
+    zmq::message_t body(size);
+    message.SerializeToArray(body.data(), static_cast<int>(size));
+    auto accepted = dealer.send(body, zmq::send_flags::dontwait);
+    if (!accepted) {
+      // A send looks at state changes of the connection only from time to time; reading the events
+      // always does.
+      static_cast<void>(dealer.get(zmq::sockopt::events));
+      accepted = dealer.send(body, zmq::send_flags::dontwait);
+    }
+    ++(accepted ? counts.sent : counts.refused);
+    return accepted.has_value();
+  } catch (const zmq::error_t&) {
+    // Bad address or out of sockets; ZeroMQ took nothing.
+    ++counts.refused;
+    return false;
+  }
+}
+
+void
+peer_transport::forget(const std::string& peer_address)
+{
+  state_->dealers.erase(peer_address);
+}
+
+const std::string&
+peer_transport::address() const
+{
+  return state_->address;
+}
+
+const peer_transport_counts&
+peer_transport::counts() const
+{
+  return state_->counts;
+}
+
+}
--- /dev/null
+++ b/Tests/PeerTransport/peer_transport_test.cxx
@@ -0,0 +1,178 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "Adapters/peer_transport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <zmq.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace persimmonshelf;
+
+namespace {
+
+constexpr std::chrono::seconds patience{ 30 };
+
+struct endpoint
+{
+  std::unique_ptr<peer_transport> transport;
+  std::vector<std::string> texts;
+
+  void open(boost::asio::io_context& context, const std::string& address)
+  {
+    auto created = peer_transport::create(context, address, [this](const wire::envelope& message) {
+      texts.push_back(message.forward().text());
+    });
+    REQUIRE(created);
+    transport = std::move(created).value();
+  }
+};
+
+wire::envelope
+envelope_with(const std::string& text)
+{
+  wire::envelope message;
+  message.set_sender("test");
+  message.mutable_forward()->set_text(text);
+  return message;
+}
+
+// Runs the context until the condition holds; false when patience ends.
+bool
+run_until(boost::asio::io_context& context, const std::function<bool()>& condition)
+{
+  const auto end = std::chrono::steady_clock::now() + patience;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    context.restart();
+    context.run_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+}
+
+// Guards against messages that stay in the socket because the descriptor is edge-triggered: a burst
+// larger than one wake-up must arrive whole and in order, both ways.
+TEST_CASE("bursts arrive in order in both directions")
+{
+  boost::asio::io_context context;
+  endpoint left;
+  endpoint right;
+  left.open(context, "127.0.0.1:0");
+  right.open(context, "127.0.0.1:0");
+  const auto burst = [&](endpoint& from, endpoint& to) {
+    const auto target = to.transport->address();
+    for (int i = 0; i < 200; ++i) {
+      REQUIRE(run_until(
+        context, [&] { return from.transport->send(target, envelope_with(std::to_string(i))); }));
+    }
+    REQUIRE(run_until(context, [&] { return to.texts.size() == 200; }));
+    for (int i = 0; i < 200; ++i) {
+      CHECK(to.texts[static_cast<std::size_t>(i)] == std::to_string(i));
+    }
+  };
+  burst(left, right);
+  burst(right, left);
+}
+
+// Guards against a message reported as refused that still reaches the peer once it starts, which
+// would run a statement that its caller was told had not run.
+TEST_CASE("a refused message never reaches a peer that starts later")
+{
+  boost::asio::io_context context;
+  endpoint left;
+  endpoint right;
+  left.open(context, "127.0.0.1:0");
+  right.open(context, "127.0.0.1:0");
+  const auto target = right.transport->address();
+  right.transport.reset();
+  for (int i = 0; i < 20; ++i) {
+    CHECK_FALSE(left.transport->send(target, envelope_with("early")));
+    context.restart();
+    context.run_for(std::chrono::milliseconds(5));
+  }
+  CHECK(left.transport->counts().refused == 20);
+  right.open(context, target);
+  REQUIRE(run_until(context, [&] { return left.transport->send(target, envelope_with("late")); }));
+  REQUIRE(run_until(context, [&] { return !right.texts.empty(); }));
+  CHECK(right.texts == std::vector<std::string>{ "late" });
+}
+
+// Guards against a transport that stays bound to the dead connection of a restarted peer.
+TEST_CASE("sends are refused while a peer is down and work after its restart")
+{
+  boost::asio::io_context context;
+  endpoint left;
+  endpoint right;
+  left.open(context, "127.0.0.1:0");
+  right.open(context, "127.0.0.1:0");
+  const auto target = right.transport->address();
+  REQUIRE(run_until(context, [&] { return left.transport->send(target, envelope_with("first")); }));
+  REQUIRE(run_until(context, [&] { return !right.texts.empty(); }));
+  right.transport.reset();
+  REQUIRE(run_until(context, [&] { return !left.transport->send(target, envelope_with("lost")); }));
+  right.texts.clear();
+  right.open(context, target);
+  REQUIRE(run_until(context, [&] { return left.transport->send(target, envelope_with("again")); }));
+  REQUIRE(run_until(context, [&] { return !right.texts.empty(); }));
+  CHECK(right.texts == std::vector<std::string>{ "again" });
+
+  left.transport->forget(target);
+  REQUIRE(run_until(context, [&] { return left.transport->send(target, envelope_with("new")); }));
+  CHECK(run_until(context, [&] { return right.texts.size() == 2; }));
+}
+
+// Guards against a damaged, foreign or oversized message that stops the receiver or is passed on.
+TEST_CASE("malformed and oversized messages are dropped and counted")
+{
+  boost::asio::io_context context;
+  endpoint left;
+  endpoint right;
+  left.open(context, "127.0.0.1:0");
+  right.open(context, "127.0.0.1:0");
+  const auto target = right.transport->address();
+  zmq::context_t foreign_context;
+  zmq::socket_t foreign(foreign_context, zmq::socket_type::dealer);
+  foreign.set(zmq::sockopt::linger, 0);
+  foreign.connect("tcp://" + target);
+  const std::string damaged = "\xff\xff\xff no envelope";
+  foreign.send(zmq::buffer(damaged), zmq::send_flags::none);
+  foreign.send(zmq::message_t(), zmq::send_flags::none);
+  const auto text = envelope_with("in two parts").SerializeAsString();
+  foreign.send(zmq::buffer(text), zmq::send_flags::sndmore);
+  foreign.send(zmq::buffer(text), zmq::send_flags::none);
+  foreign.send(zmq::buffer(text), zmq::send_flags::none);
+  REQUIRE(run_until(context, [&] { return !right.texts.empty(); }));
+  CHECK(right.transport->counts().malformed == 3);
+  CHECK(right.texts == std::vector<std::string>{ "in two parts" });
+
+  const std::string large(peer_transport::message_limit_bytes + 1, 'x');
+  foreign.send(zmq::buffer(large), zmq::send_flags::none);
+  REQUIRE(run_until(context, [&] { return left.transport->send(target, envelope_with("ok")); }));
+  CHECK_FALSE(left.transport->send(target, envelope_with(large)));
+  REQUIRE(run_until(context, [&] { return right.texts.size() == 2; }));
+  CHECK(right.texts.back() == "ok");
+}
+
+// Guards against an instance that starts without its peer address and goes unnoticed.
+TEST_CASE("an address in use or malformed is an error that names it")
+{
+  boost::asio::io_context context;
+  endpoint first;
+  first.open(context, "127.0.0.1:0");
+  for (const auto& address : { first.transport->address(), std::string("no address") }) {
+    const auto second = peer_transport::create(context, address, [](const wire::envelope&) {});
+    REQUIRE(!second);
+    CHECK(second.error().code == result_code::address_unavailable);
+    CHECK(second.error().message.find(address) == 0);
+  }
+  CHECK_FALSE(first.transport->send("no address", envelope_with("x")));
+}
