--- a/Source/Control/config_difference.cxx
+++ b/Source/Control/config_difference.cxx
@@ -65,7 +65,7 @@
 {
   std::string text;
   for (const auto& [name, value] : fields) {
-    text += (text.empty() ? "" : ", ") + name + " " + value;
+    text.append(text.empty() ? "" : ", ").append(name).append(" ").append(value);
   }
   return text;
 }
@@ -88,7 +88,8 @@
       const auto& [field, value] = fields[i];
       const auto& changed = found->second[i].second;
       if (value != changed) {
-        lines[name].push_back(name + ": " + field + " " + value + " -> " + changed);
+        auto& line = lines[name].emplace_back(name);
+        line.append(": ").append(field).append(" ").append(value).append(" -> ").append(changed);
       }
     }
   }
--- /dev/null
+++ b/Source/Control/document.cxx
@@ -0,0 +1,336 @@
+#include "Control/document.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+constexpr duration poll_interval = std::chrono::seconds(1);
+// An instance that polls only because it heard nothing spares the table, which all users share;
+// after a failed read it waits longer, since a whole fleet does this during an outage.
+constexpr duration fallback_interval = std::chrono::seconds(2);
+constexpr duration failed_interval = std::chrono::seconds(4);
+constexpr duration fresh_limit = std::chrono::seconds(2);
+// A call that is not answered in this time counts as lost.
+constexpr duration answer_limit = std::chrono::seconds(1);
+constexpr duration retry_interval = std::chrono::milliseconds(200);
+// Accepted edits that the row remembers, so that an edit whose answer was lost is recognised as
+// accepted although others followed.
+constexpr std::size_t remembered_edits = 32;
+
+std::string
+number(config_version version)
+{
+  return std::to_string(version.get());
+}
+
+}
+
+struct document::pending_edit
+{
+  document_edit edit;
+  published report;
+  bool settled = false;
+  // True once a write was sent whose answer did not come.
+  bool may_be_written = false;
+  // The call in flight, if any, and when it was sent or when to try again. Answers to earlier calls
+  // are recognised by their number.
+  bool in_flight = false;
+  bool writing = false;
+  instant since;
+  std::uint64_t call = 0;
+};
+
+document::document(std::string row, hooks calls)
+  : row_(std::move(row))
+  , hooks_(std::move(calls))
+{
+}
+
+template<typename callback>
+auto
+document::guarded(callback call)
+{
+  return [alive = std::weak_ptr<int>(alive_), call = std::move(call)](auto answer) {
+    if (!alive.expired()) {
+      call(std::move(answer));
+    }
+  };
+}
+
+result<void>
+document::take(const document_row& offered)
+{
+  const auto wanted = offered.version.version;
+  if (wanted < version()) {
+    return fail(result_code::older_version,
+                "row " + row_ + ": version " + number(wanted) + " is older than version " +
+                  number(version()) + " in force");
+  }
+  if (wanted == version()) {
+    if (status_.in_force.edit_id.empty()) {
+      status_.in_force = offered.version;
+    }
+    return success();
+  }
+  // The same bad content comes with each poll; it is checked once.
+  if (wanted == status_.refused_version && offered.content == refused_content_) {
+    return fail(result_code::config_invalid, status_.refused_reason);
+  }
+  const auto checked = hooks_.check(offered.content);
+  if (!checked) {
+    if (wanted >= status_.refused_version) {
+      status_.refused_version = wanted;
+      status_.refused_reason = checked.error().message;
+      refused_content_ = offered.content;
+    }
+    return fail(result_code::config_invalid, checked.error().message);
+  }
+  status_.in_force = offered.version;
+  content_ = offered.content;
+  if (status_.refused_version <= wanted) {
+    status_.refused_version = config_version(0);
+    status_.refused_reason.clear();
+    refused_content_.clear();
+  }
+  hooks_.in_force(wanted, content_);
+  return success();
+}
+
+result<void>
+document::offer(config_version version, const std::string& content)
+{
+  document_row offered;
+  offered.version.version = version;
+  offered.content = content;
+  return take(offered);
+}
+
+void
+document::heard_fresh(instant read_at)
+{
+  fresh_at_ = std::max(fresh_at_, std::optional(read_at));
+}
+
+void
+document::learn(const document_row& found, instant sent_at)
+{
+  const auto taken = take(found);
+  if (!taken && taken.error().code == result_code::older_version) {
+    // A table that lost versions proves nothing about newer ones.
+    return;
+  }
+  status_.last_read = std::max(status_.last_read, std::optional(sent_at));
+  if (taken) {
+    heard_fresh(sent_at);
+  }
+  if (hooks_.table_read) {
+    hooks_.table_read(found.version.version, sent_at);
+  }
+}
+
+void
+document::poll(instant now)
+{
+  now_ = now;
+  // Reports may start further edits.
+  const auto edits = edits_;
+  for (const auto& edit : edits) {
+    step(edit, now);
+  }
+  std::erase_if(edits_, [](const auto& edit) { return edit->settled; });
+  status_.pending_edits = edits_.size();
+  read_for_poll(now);
+}
+
+void
+document::read_for_poll(instant now)
+{
+  const bool poller = hooks_.is_poller();
+  const bool fresh = fresh_at_ && now - *fresh_at_ <= fresh_limit;
+  if (!poller && fresh) {
+    return;
+  }
+  auto interval = poller ? poll_interval : fallback_interval;
+  if (last_read_failed_ && !poller) {
+    interval = failed_interval;
+  }
+  if (read_sent_at_ && now - *read_sent_at_ < interval) {
+    return;
+  }
+  read_sent_at_ = now;
+  // Stays set if the answer never comes.
+  last_read_failed_ = true;
+  hooks_.table.get(row_, guarded([this, now](const result<table_row>& answer) {
+                     if (!answer) {
+                       return;
+                     }
+                     last_read_failed_ = false;
+                     const auto found = document_row::parse(answer.value());
+                     if (!found) {
+                       status_.refused_reason = found.error().message;
+                       return;
+                     }
+                     learn(found.value(), now);
+                   }));
+}
+
+void
+document::publish(document_edit edit, instant now, published report)
+{
+  now_ = now;
+  const auto checked = hooks_.check(edit.content);
+  if (!checked) {
+    report(checked.error());
+    return;
+  }
+  auto started = std::make_shared<pending_edit>();
+  started->edit = std::move(edit);
+  started->report = std::move(report);
+  edits_.push_back(started);
+  status_.pending_edits = edits_.size();
+  read_for_edit(started, now);
+}
+
+void
+document::step(const pending& edit, instant now)
+{
+  if (edit->settled) {
+    return;
+  }
+  if (now >= edit->edit.deadline) {
+    const bool unknown = edit->may_be_written || (edit->in_flight && edit->writing);
+    settle(edit,
+           fail(result_code::platform_unavailable,
+                unknown ? "row " + row_ + ": may have been accepted, run the command again"
+                        : "row " + row_ + ": the table did not answer, nothing was written"));
+    return;
+  }
+  if (edit->in_flight && now - edit->since >= answer_limit) {
+    edit->may_be_written = edit->may_be_written || edit->writing;
+    read_for_edit(edit, now);
+    return;
+  }
+  if (!edit->in_flight && now - edit->since >= retry_interval) {
+    read_for_edit(edit, now);
+  }
+}
+
+void
+document::read_for_edit(const pending& edit, instant now)
+{
+  edit->in_flight = true;
+  edit->writing = false;
+  edit->since = now;
+  const auto call = ++edit->call;
+  hooks_.table.get(row_, guarded([this, edit, call, now](const result<table_row>& answer) {
+                     if (edit->settled || edit->call != call) {
+                       return;
+                     }
+                     edit->in_flight = false;
+                     if (answer) {
+                       edit_row_read(edit, answer.value(), now);
+                     }
+                   }));
+}
+
+// Decides by the current row: the edit is in it, was overtaken, or is still to be written.
+void
+document::edit_row_read(const pending& edit, const table_row& row, instant sent_at)
+{
+  const auto parsed = document_row::parse(row);
+  if (!parsed) {
+    settle(edit, parsed.error());
+    return;
+  }
+  const auto& found = parsed.value();
+  learn(found, sent_at);
+  const auto is_own = [&](const document_version& version) {
+    return version.edit_id == edit->edit.edit_id && version.author == edit->edit.author;
+  };
+  if (is_own(found.version)) {
+    settle(edit, found.version);
+    return;
+  }
+  const auto earlier = std::find_if(found.earlier.begin(), found.earlier.end(), is_own);
+  if (earlier != found.earlier.end()) {
+    settle(edit, *earlier);
+    return;
+  }
+  if (found.version.version != edit->edit.expected_version) {
+    settle(edit,
+           fail(result_code::config_conflict,
+                "row " + row_ + ": the current version is " + number(found.version.version) +
+                  " by \"" + found.version.author + "\", the edit was made from version " +
+                  number(edit->edit.expected_version)));
+    return;
+  }
+  write(edit, found, row.revision);
+}
+
+void
+document::write(const pending& edit, const document_row& before, std::uint64_t revision)
+{
+  document_row after;
+  after.version = { config_version(before.version.version.get() + 1),
+                    edit->edit.author,
+                    edit->edit.edit_id };
+  after.content = edit->edit.content;
+  after.earlier = before.earlier;
+  if (revision != 0) {
+    after.earlier.insert(after.earlier.begin(), before.version);
+  }
+  after.earlier.resize(std::min(after.earlier.size(), remembered_edits));
+  edit->in_flight = true;
+  edit->writing = true;
+  edit->since = now_;
+  const auto call = ++edit->call;
+  const auto sent_at = now_;
+  hooks_.table.put(row_,
+                   after.format(),
+                   revision,
+                   guarded([this, edit, after, call, sent_at](const result<table_write>& answer) {
+                     write_answered(edit, after, call, sent_at, answer);
+                   }));
+}
+
+void
+document::write_answered(const pending& edit,
+                         const document_row& after,
+                         std::uint64_t call,
+                         instant sent_at,
+                         const result<table_write>& answer)
+{
+  if (edit->settled) {
+    return;
+  }
+  if (answer && answer.value().written) {
+    // Certain even if it comes after the edit was taken for lost.
+    learn(after, sent_at);
+    settle(edit, after.version);
+    return;
+  }
+  if (!answer) {
+    edit->may_be_written = true;
+  }
+  if (edit->call != call) {
+    return;
+  }
+  edit->in_flight = false;
+  if (answer) {
+    edit_row_read(edit, answer.value().row, sent_at);
+  }
+}
+
+void
+document::settle(const pending& edit, result<document_version> outcome)
+{
+  edit->settled = true;
+  edit->in_flight = false;
+  const auto report = std::move(edit->report);
+  report(std::move(outcome));
+}
+
+}
--- a/Source/Control/document.h
+++ b/Source/Control/document.h
@@ -4,6 +4,7 @@
 #include "Base/ids.h"
 #include "Base/instant.h"
 #include "Base/table.h"
+#include "Control/document_row.h"
 
 #include <functional>
 #include <memory>
@@ -26,14 +27,6 @@
   instant deadline;
 };
 
-// Identity of an accepted version.
-struct document_version
-{
-  config_version version;
-  std::string author;
-  std::string edit_id;
-};
-
 // One versioned document in a row of the platform's table, with the copy that is in force here.
 // Versions only rise, whatever the order in which the table and the peers report them.
 class document
@@ -75,8 +68,9 @@
   // whether the edit may have been accepted.
   void publish(document_edit edit, instant now, published report);
 
-  // To be called at least four times a second: reads the row once a second if due, and drives
-  // pending edits.
+  // To be called at least four times a second: drives pending edits and reads the row if due. A
+  // poller reads once a second; another instance reads only when it has heard no fresh version for
+  // 2 s, every 2 s, or every 4 s while the table fails.
   void poll(instant now);
 
   // A version from a peer. Fails with older_version or config_invalid; the version in force then
@@ -92,21 +86,22 @@
   const status& state() const { return status_; }
 
 private:
-  struct row_content;
   struct pending_edit;
   using pending = std::shared_ptr<pending_edit>;
 
-  static result<row_content> parse_row(const table_row& row);
-  static std::string format_row(const row_content& content);
-  result<void> take(const row_content& offered);
+  result<void> take(const document_row& offered);
+  void learn(const document_row& found, instant sent_at);
   void read_for_poll(instant now);
   void read_for_edit(const pending& edit, instant now);
-  void edit_row_read(const pending& edit, const table_row& row);
-  void write(const pending& edit, const row_content& before, std::uint64_t revision);
-  void write_answered(const pending& edit, const row_content& after, result<table_write> answer);
-  void settle(const pending& edit, result<document_version> outcome);
+  void edit_row_read(const pending& edit, const table_row& row, instant sent_at);
+  void write(const pending& edit, const document_row& before, std::uint64_t revision);
+  void write_answered(const pending& edit,
+                      const document_row& after,
+                      std::uint64_t call,
+                      instant sent_at,
+                      const result<table_write>& answer);
+  static void settle(const pending& edit, result<document_version> outcome);
   void step(const pending& edit, instant now);
-  void learn(const table_row& row, instant sent_at);
   // Wraps a callback so that it does nothing after this object is gone.
   template<typename callback>
   auto guarded(callback call);
@@ -119,7 +114,7 @@
   status status_;
   std::vector<pending> edits_;
   std::optional<instant> read_sent_at_;
-  bool read_pending_ = false;
+  bool last_read_failed_ = false;
   std::optional<instant> fresh_at_;
   std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
--- a/Source/Control/json_locator.cxx
+++ b/Source/Control/json_locator.cxx
@@ -98,7 +98,8 @@
     }
     const auto line = line_;
     const auto name = read_name();
-    const auto inner = path.empty() ? name : path + "." + name;
+    auto inner = path.empty() ? name : path + ".";
+    inner += path.empty() ? "" : name;
     if (!names.insert(name).second) {
       duplicates_.push_back({ inner, line });
     }
--- a/Source/Control/membership.cxx
+++ b/Source/Control/membership.cxx
@@ -106,6 +106,7 @@
   const auto other_zone = choose(std::move(far), 1);
   chosen.insert(chosen.end(), other_zone.begin(), other_zone.end());
   std::vector<peer> targets;
+  targets.reserve(chosen.size());
   for (const auto* record : chosen) {
     targets.push_back({ record->entry.instance, record->entry.address });
   }
@@ -300,105 +301,4 @@
   });
 }
 
-bool
-membership::is_live(const instance_record& record, instant now) const
-{
-  if (record.entry.leaving) {
-    return false;
-  }
-  if (record.entry.instance == self_.instance) {
-    return true;
-  }
-  if (record.stated_at && now - *record.stated_at <= live_limit) {
-    return true;
-  }
-  if (carries_all() || record.entry.zone == self_.zone || !record.listed_at) {
-    return false;
-  }
-  const auto summary = summaries_.find(record.entry.zone);
-  return summary != summaries_.end() && now - summary->second.stated_at <= live_limit;
-}
-
-bool
-membership::is_live(const instance_id& instance, instant now) const
-{
-  const auto* record = find(instance);
-  return record != nullptr && is_live(*record, now);
-}
-
-std::vector<instance_id>
-membership::live(instant now) const
-{
-  std::vector<instance_id> names;
-  for (const auto& [name, record] : records_) {
-    if (is_live(record, now)) {
-      names.push_back(name);
-    }
-  }
-  return names;
-}
-
-std::vector<instance_id>
-membership::live(const zone_id& zone, instant now) const
-{
-  auto names = live(now);
-  std::erase_if(names, [&](const auto& name) { return find(name)->entry.zone != zone; });
-  return names;
-}
-
-instance_id
-membership::home_of(const database_id& database, const zone_id& zone, instant now) const
-{
-  const auto key_hash = rendezvous::hash(database.get());
-  const instance_record* best = nullptr;
-  std::pair<bool, std::uint64_t> best_rank;
-  for (const auto& [name, record] : records_) {
-    if (!is_live(record, now)) {
-      continue;
-    }
-    // Any live instance of the zone goes before all others.
-    const std::pair rank{ record.entry.zone == zone,
-                          rendezvous::weight(key_hash, record.name_hash) };
-    if (best == nullptr || rank > best_rank) {
-      best = &record;
-      best_rank = rank;
-    }
-  }
-  return best == nullptr ? self_.instance : best->entry.instance;
-}
-
-const instance_record*
-membership::find(const instance_id& instance) const
-{
-  const auto found = records_.find(instance);
-  return found == records_.end() ? nullptr : &found->second;
-}
-
-std::optional<version_holder>
-membership::newer(config_version instance_entry::*field, config_version mine, instant now) const
-{
-  std::optional<version_holder> newest;
-  for (const auto& [name, record] : records_) {
-    const auto version = record.entry.*field;
-    const bool reachable = record.stated_at && now - *record.stated_at <= live_limit;
-    if (name != self_.instance && reachable && version > mine &&
-        (!newest || version > newest->version)) {
-      newest = { version, name };
-    }
-  }
-  return newest;
-}
-
-std::optional<version_holder>
-membership::newer_config(config_version mine, instant now) const
-{
-  return newer(&instance_entry::config_version, mine, now);
-}
-
-std::optional<version_holder>
-membership::newer_keys(config_version mine, instant now) const
-{
-  return newer(&instance_entry::key_version, mine, now);
-}
-
 }
