--- /dev/null
+++ b/Tests/Limits/fleet.h
@@ -0,0 +1,307 @@
+#pragma once
+
+#include "../Support/fake_table.h"
+
+#include "Limits/share_holder.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace persimmonshelf::testing {
+
+inline const workspace_id workspace{ "w" };
+
+// Checks all windows at once: a bucket that starts full, is refilled at the rate and never runs
+// below zero exists exactly if no window has more than burst + rate * window admissions.
+class window_oracle
+{
+public:
+  void limit(instant now, workspace_limit value)
+  {
+    advance(now);
+    limit_ = value;
+    level_ = fresh_ ? full() : std::min(level_, full());
+    fresh_ = false;
+  }
+  bool admit(instant now)
+  {
+    advance(now);
+    level_ -= token_milli * units;
+    return level_ >= 0;
+  }
+
+private:
+  static constexpr std::int64_t units = 1'000'000;
+  std::int64_t full() const { return limit_.burst_milli * units; }
+  void advance(instant now)
+  {
+    level_ = std::min(full(), level_ + (now - updated_).count() * limit_.rate_milli);
+    updated_ = now;
+  }
+  workspace_limit limit_;
+  std::int64_t level_ = 0;
+  instant updated_{};
+  bool fresh_ = true;
+};
+
+// Several share holders over one table, with faults. Instances have own clocks; the oracle uses the
+// true time.
+class fleet
+{
+public:
+  struct node
+  {
+    share_candidate self;
+    std::int64_t drift_ppm = 0;
+    std::shared_ptr<process> run = std::make_shared<process>();
+    std::unique_ptr<share_holder> holder;
+    workspace_limit limit;
+    std::uint64_t runs = 0;
+  };
+
+  fleet(int count, int zones, share_settings settings, workspace_limit limit, std::uint64_t seed)
+    : table(loop)
+    , random(seed)
+    , settings_(settings)
+  {
+    for (int i = 0; i < count; ++i) {
+      auto made = std::make_unique<node>();
+      made->self = { instance_id("i" + std::to_string(i)),
+                     zone_id("z" + std::to_string(i % zones)) };
+      // Clocks differ by at most the reserve that the buckets keep.
+      made->drift_ppm = (i % 3 - 1) * settings.rate_reserve_ppm;
+      nodes.push_back(std::move(made));
+    }
+    configured_ = limit;
+    for (auto& each : nodes) {
+      start(*each);
+    }
+    tick();
+  }
+
+  event_loop loop;
+  fake_table table;
+  std::mt19937_64 random;
+  std::vector<std::unique_ptr<node>> nodes;
+  // Faults. A zone in `cut_zones` reaches only itself; `cut_platform` also loses the table there.
+  bool outage = false;
+  bool cut_platform = false;
+  std::set<std::string> cut_zones;
+  int lost_answer_percent = 0;
+  int lost_message_percent = 0;
+  // Overrides the fate of a call, for single faults.
+  std::function<std::optional<call_fate>(node&, call_kind, const std::string&, const std::string&)>
+    inject;
+  // Results.
+  std::uint64_t admitted = 0;
+  std::string violation;
+
+  instant local(const node& self) const
+  {
+    const auto count = loop.now().time_since_epoch().count();
+    return instant(duration(count + count / 1'000'000 * self.drift_ppm + 1'000'000));
+  }
+
+  bool reaches(const node& from, const node& to) const
+  {
+    const auto& left = from.self.zone.get();
+    const auto& right = to.self.zone.get();
+    return left == right || (!cut_zones.contains(left) && !cut_zones.contains(right));
+  }
+
+  void start(node& self)
+  {
+    self.run = std::make_shared<process>();
+    ++self.runs;
+    share_holder::hooks hooks;
+    hooks.table =
+      table.hooks(self.run, [this, &self](call_kind kind, const auto& key, const auto& value) {
+        const auto special = inject ? inject(self, kind, key, value) : std::nullopt;
+        return special ? *special : fate(self);
+      });
+    hooks.now = [this, &self] { return local(self); };
+    hooks.eligible = [this, &self](const workspace_id&) { return members(self); };
+    hooks.send_borrow = [this,
+                         &self](const instance_id& peer, auto id, const auto& name, auto milli) {
+      message(self, peer, [=, this, &self](node& other) {
+        other.holder->on_borrow(self.self.instance, id, name, milli, local(other));
+      });
+    };
+    hooks.answer_borrow = [this, &self](const instance_id& peer, auto id, const auto&, auto milli) {
+      message(self, peer, [=, this, &self](node& other) {
+        other.holder->on_borrow_answer(self.self.instance, id, milli, local(other));
+      });
+    };
+    const auto hash = std::hash<std::string>{}(self.self.instance.get());
+    self.holder = std::make_unique<share_holder>(
+      share_owner{ self.self.instance, incarnation_id(hash ^ (self.runs << 32U)) },
+      settings_,
+      std::move(hooks));
+    apply_limit(self);
+  }
+
+  void kill(node& self) { self.run->alive = false; }
+  void pause(node& self, duration length)
+  {
+    if (!self.run->alive || self.run->paused) {
+      return;
+    }
+    self.run->paused = true;
+    loop.after(length, [run = self.run] { run->resume(); });
+  }
+
+  // The configuration reaches each instance when its process runs.
+  void configure(workspace_limit limit)
+  {
+    configured_ = limit;
+    for (auto& each : nodes) {
+      each->run->deliver([this, self = each.get()] { apply_limit(*self); });
+    }
+  }
+
+  void request(node& self, std::function<void(admission)> done = {})
+  {
+    self.run->deliver([=, this, &self] {
+      self.holder->admit(workspace, local(self), [=, this](admission outcome) {
+        if (outcome == admission::admitted) {
+          ++admitted;
+          if (!oracle_.admit(loop.now()) && violation.empty()) {
+            violation = "a window has more than burst + rate * window admissions at " + time();
+          }
+        }
+        if (done) {
+          done(outcome);
+        }
+      });
+    });
+  }
+
+  // Requests at random times until `end`: each node gets `weights` of the total.
+  void load(double per_second, std::vector<double> weights, instant end)
+  {
+    const auto gap = std::exponential_distribution<double>(per_second)(random);
+    loop.after(duration(static_cast<std::int64_t>(gap * 1e6)), [=, this, this_end = end]() mutable {
+      if (loop.now() >= this_end) {
+        return;
+      }
+      std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+      on_arrival(*nodes[pick(random)]);
+      load(per_second, weights, this_end);
+    });
+  }
+  std::function<void(node&)> on_arrival = [this](node& self) { request(self); };
+
+  void run(duration length) { loop.run_until(loop.now() + length); }
+
+  std::int64_t usable_ppm() const
+  {
+    std::int64_t sum = 0;
+    for (const auto& each : nodes) {
+      sum += each->run->alive ? each->holder->share_ppm(workspace, local(*each)) : 0;
+    }
+    return sum;
+  }
+
+  std::string time() const
+  {
+    return std::to_string(loop.now().time_since_epoch().count() / 1000) + " ms";
+  }
+
+private:
+  void apply_limit(node& self)
+  {
+    self.limit = configured_;
+    self.holder->configure({ { workspace, configured_ } }, local(self));
+    // A token that was lent under a larger burst may be used for its time to live.
+    update_oracle(false);
+    loop.after(2 * settings_.borrow_ttl, [this] { update_oracle(true); });
+  }
+
+  void update_oracle(bool may_lower)
+  {
+    workspace_limit largest;
+    for (const auto& each : nodes) {
+      if (each->run->alive && each->holder) {
+        largest.rate_milli = std::max(largest.rate_milli, each->limit.rate_milli);
+        largest.burst_milli = std::max(largest.burst_milli, each->limit.burst_milli);
+      }
+    }
+    if (!may_lower) {
+      largest.rate_milli = std::max(largest.rate_milli, in_force_.rate_milli);
+      largest.burst_milli = std::max(largest.burst_milli, in_force_.burst_milli);
+    }
+    in_force_ = largest;
+    oracle_.limit(loop.now(), largest);
+  }
+
+  void tick()
+  {
+    for (auto& each : nodes) {
+      if (each->run->alive && !each->run->paused) {
+        each->holder->tick(local(*each));
+      }
+    }
+    if (usable_ppm() > ppm_total && violation.empty()) {
+      violation = "usable shares exceed one million at " + time();
+    }
+    loop.after(10ms, [this] { tick(); });
+  }
+
+  call_fate fate(const node& self)
+  {
+    call_fate made;
+    const auto delay = [&] { return duration(1000 + random() % 4000); };
+    made.out = delay();
+    made.back = delay();
+    if (outage || (cut_platform && cut_zones.contains(self.self.zone.get()))) {
+      // A call may be lost on the way or may take effect without an answer.
+      made.takes_effect = outage && random() % 8 == 0;
+      made.answered = random() % 2 == 0;
+      made.fails = true;
+      return made;
+    }
+    if (static_cast<int>(random() % 100) < lost_answer_percent) {
+      made.takes_effect = random() % 4 != 0;
+      made.answered = random() % 2 == 0;
+      made.fails = true;
+      made.out = duration(random() % 2'000'000);
+    }
+    return made;
+  }
+
+  std::vector<share_candidate> members(const node& self) const
+  {
+    std::vector<share_candidate> found;
+    for (const auto& each : nodes) {
+      if (each->run->alive && reaches(self, *each)) {
+        found.push_back(each->self);
+      }
+    }
+    return found;
+  }
+
+  void message(const node& from, const instance_id& peer, std::function<void(node&)> handle)
+  {
+    const auto found = std::find_if(
+      nodes.begin(), nodes.end(), [&](const auto& each) { return each->self.instance == peer; });
+    if (found == nodes.end() || !reaches(from, **found) ||
+        static_cast<int>(random() % 100) < lost_message_percent) {
+      return;
+    }
+    auto& other = **found;
+    const auto latency = from.self.zone == other.self.zone ? 300us : 1500us;
+    loop.after(latency + duration(random() % 200),
+               [handle = std::move(handle), &other, run = other.run] {
+                 run->deliver([=, &other] { handle(other); });
+               });
+  }
+
+  share_settings settings_;
+  workspace_limit configured_;
+  workspace_limit in_force_;
+  window_oracle oracle_;
+};
+
+}
