--- /dev/null
+++ b/Tests/Control/fake_table.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "Base/instant.h"
+#include "Base/table.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+// The platform's table in simulated time. `fault` decides how each call goes.
+class fake_table
+{
+public:
+  enum class course
+  {
+    normal,
+    // Takes effect, then reports a failure.
+    answer_lost,
+    // Takes effect and never reports.
+    silent,
+    // Fails without effect.
+    down,
+    // Takes effect and reports only after the document counts the call as lost.
+    slow,
+  };
+
+  std::map<std::string, persimmonshelf::table_row> rows;
+  // Every value that was written, in order.
+  std::vector<std::string> written;
+  std::function<course(const std::string& client, bool is_write)> fault;
+
+  persimmonshelf::table_hooks hooks(const std::string& client)
+  {
+    persimmonshelf::table_hooks calls;
+    calls.get = [this, client](std::string key, auto report) {
+      schedule(client, false, [this, key, report](bool failed, bool answered) {
+        const auto row = current(key);
+        if (answered) {
+          later_.emplace(now_ + delay,
+                         [row, failed, report] { failed ? report(unavailable()) : report(row); });
+        }
+      });
+    };
+    calls.put = [this,
+                 client](std::string key, std::string value, std::uint64_t revision, auto report) {
+      schedule(client, true, [this, key, value, revision, report](bool failed, bool answered) {
+        const auto answer = write(key, value, revision);
+        if (answered) {
+          later_.emplace(now_ + delay, [answer, failed, report] {
+            failed ? report(unavailable()) : report(answer);
+          });
+        }
+      });
+    };
+    return calls;
+  }
+
+  persimmonshelf::table_write write(const std::string& key,
+                                    const std::string& value,
+                                    std::uint64_t revision)
+  {
+    auto row = current(key);
+    if (row.revision != revision) {
+      return { false, row };
+    }
+    row.value = value;
+    ++row.revision;
+    rows[key] = row;
+    written.push_back(value);
+    return { true, row };
+  }
+
+  persimmonshelf::table_row current(const std::string& key)
+  {
+    const auto found = rows.find(key);
+    return found == rows.end() ? persimmonshelf::table_row{ key, "", 0 } : found->second;
+  }
+
+  // Runs what is due up to `now`.
+  void run(persimmonshelf::instant now)
+  {
+    while (!later_.empty() && later_.begin()->first <= now) {
+      const auto call = later_.begin()->second;
+      now_ = std::max(now_, later_.begin()->first);
+      later_.erase(later_.begin());
+      call();
+    }
+    now_ = now;
+  }
+
+private:
+  static persimmonshelf::error unavailable()
+  {
+    return { persimmonshelf::result_code::platform_unavailable, "no answer" };
+  }
+
+  template<typename effect>
+  void schedule(const std::string& client, bool is_write, effect apply)
+  {
+    const auto how = fault ? fault(client, is_write) : course::normal;
+    if (how == course::down) {
+      // The caller's report of a failed call is the same as that of one without effect.
+      later_.emplace(now_ + delay, [this, apply] { fail_only(apply); });
+      return;
+    }
+    const auto wait = how == course::slow ? slow_delay : delay;
+    later_.emplace(now_ + wait,
+                   [apply, how] { apply(how == course::answer_lost, how != course::silent); });
+  }
+  template<typename effect>
+  void fail_only(effect apply)
+  {
+    const auto kept_rows = rows;
+    const auto kept_log = written;
+    apply(true, true);
+    rows = kept_rows;
+    written = kept_log;
+  }
+
+  static constexpr persimmonshelf::duration delay = std::chrono::milliseconds(5);
+  static constexpr persimmonshelf::duration slow_delay = std::chrono::milliseconds(1300);
+  persimmonshelf::instant now_;
+  std::multimap<persimmonshelf::instant, std::function<void()>> later_;
+};
