--- a/Source/Control/document.cxx
+++ b/Source/Control/document.cxx
@@ -256,6 +256,8 @@
   }
   const auto earlier = std::find_if(found.earlier.begin(), found.earlier.end(), is_own);
   if (earlier != found.earlier.end()) {
+    // The row has a newer content by now; if that is refused here, this one comes into force.
+    (void)take({ *earlier, edit->edit.content, {} });
     settle(edit, *earlier);
     return;
   }
