daemon: Add the daemon with its threads, adapters and operator API

Joins the engine to HTTP callers, backend servers, ZeroMQ peers, the platform and operators over bounded rings.

--- /dev/null
+++ b/Source/Adapters/metrics.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Base/error.h"
+#include "Base/ids.h"
+#include "Base/instant.h"
+#include "Base/result_code.h"
+#include "Net/http_connection.h"
+
+#include <memory>
+
+namespace persimmonshelf {
+
+// Metrics page of one instance, in Prometheus' text format on an HTTP address of its own.
+class metrics
+{
+public:
+  // Figures that are sampled, not counted.
+  struct sample
+  {
+    double callers = 0;
+    double open_requests = 0;
+    double config_version = 0;
+    double key_version = 0;
+    double key_evidence = 0;
+    double live_instances = 0;
+    double homes = 0;
+    double queued = 0;
+    double slots_used = 0;
+    double backend_connections = 0;
+  };
+
+  // Fails with address_unavailable if the address cannot be bound.
+  static result<std::unique_ptr<metrics>> create(const tcp_address& address);
+  ~metrics();
+  metrics(const metrics&) = delete;
+  metrics& operator=(const metrics&) = delete;
+
+  // Counts the end of a request. The elapsed time is from its arrival to its answer.
+  void request_ended(const workspace_id& workspace,
+                     result_code code,
+                     run_outcome outcome,
+                     duration elapsed);
+  void record(const sample& figures);
+
+private:
+  struct state;
+  explicit metrics(std::unique_ptr<state> owned);
+  std::unique_ptr<state> state_;
+};
+
+}
--- /dev/null
+++ b/Source/Adapters/platform_adapter.cxx
@@ -0,0 +1,241 @@
+#include "Adapters/platform_adapter.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <cctype>
+#include <optional>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+
+error
+unavailable(const platform_reply& reply)
+{
+  return { result_code::platform_unavailable,
+           reply.status == 0
+             ? "the platform did not answer"
+             : "the platform answered with status " + std::to_string(reply.status) };
+}
+
+// Encodes all but unreserved characters and slashes.
+std::string
+percent_encode(const std::string& text)
+{
+  constexpr std::string_view digits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char letter : text) {
+    const auto byte = static_cast<unsigned char>(letter);
+    if (std::isalnum(byte) != 0 || letter == '-' || letter == '_' || letter == '.' ||
+        letter == '~' || letter == '/') {
+      encoded.push_back(letter);
+      continue;
+    }
+    encoded.push_back('%');
+    encoded.push_back(digits[byte >> 4U]);
+    encoded.push_back(digits[byte & 15U]);
+  }
+  return encoded;
+}
+
+std::optional<json::value>
+parse_body(const platform_reply& reply)
+{
+  boost::system::error_code failure;
+  auto value = json::parse(reply.body, failure);
+  if (failure) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string
+text(const json::object& fields, std::string_view name)
+{
+  const auto* value = fields.if_contains(name);
+  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+std::optional<table_row>
+to_row(const json::value& value, const std::string& key)
+{
+  const auto* fields = value.if_object();
+  const auto* revision = fields == nullptr ? nullptr : fields->if_contains("revision");
+  if (revision == nullptr || !revision->is_int64() || revision->as_int64() < 0) {
+    return std::nullopt;
+  }
+  table_row row;
+  row.key = key.empty() ? text(*fields, "key") : key;
+  row.value = text(*fields, "value");
+  row.revision = static_cast<std::uint64_t>(revision->as_int64());
+  return row;
+}
+
+result<table_row>
+decode_get(const platform_reply& reply, const std::string& key)
+{
+  if (reply.status == status_not_found) {
+    return table_row{ key, {}, 0 };
+  }
+  const auto body = parse_body(reply);
+  const auto row = reply.status == status_ok && body ? to_row(*body, key) : std::nullopt;
+  if (!row) {
+    return unavailable(reply);
+  }
+  return *row;
+}
+
+result<table_write>
+decode_put(const platform_reply& reply, const std::string& key, const std::string& value)
+{
+  const auto body = parse_body(reply);
+  const bool understood = reply.status == status_ok || reply.status == status_conflict;
+  auto row = understood && body ? to_row(*body, key) : std::nullopt;
+  if (!row) {
+    return unavailable(reply);
+  }
+  const bool written = reply.status == status_ok;
+  if (written) {
+    row->value = value;
+  }
+  return table_write{ written, std::move(*row) };
+}
+
+result<std::vector<table_row>>
+decode_list(const platform_reply& reply)
+{
+  const auto body = parse_body(reply);
+  const auto* fields = reply.status == status_ok && body ? body->if_object() : nullptr;
+  const auto* list = fields == nullptr ? nullptr : fields->if_contains("rows");
+  if (list == nullptr || !list->is_array()) {
+    return unavailable(reply);
+  }
+  std::vector<table_row> rows;
+  for (const auto& item : list->as_array()) {
+    auto row = to_row(item, {});
+    if (!row) {
+      return unavailable(reply);
+    }
+    rows.push_back(std::move(*row));
+  }
+  return rows;
+}
+
+result<std::vector<listed_instance>>
+decode_instances(const platform_reply& reply)
+{
+  const auto body = parse_body(reply);
+  if (reply.status != status_ok || !body || !body->is_array()) {
+    return unavailable(reply);
+  }
+  std::vector<listed_instance> list;
+  for (const auto& item : body->as_array()) {
+    const auto* fields = item.if_object();
+    // The list also names backend servers; their state comes from their own status.
+    if (fields == nullptr || text(*fields, "kind") == "backend") {
+      continue;
+    }
+    listed_instance listed;
+    listed.instance = instance_id(text(*fields, "instance"));
+    listed.zone = zone_id(text(*fields, "zone"));
+    listed.address = text(*fields, "address");
+    listed.leaving = text(*fields, "state") == "leaving";
+    list.push_back(std::move(listed));
+  }
+  return list;
+}
+
+}
+
+platform_adapter::platform_adapter(std::function<bool(platform_call)> execute)
+  : execute_(std::move(execute))
+{
+}
+
+void
+platform_adapter::call(std::string method, std::string target, std::string body, reply_handler done)
+{
+  const auto id = next_id_++;
+  pending_[id] = std::move(done);
+  if (!execute_({ id, std::move(method), std::move(target), std::move(body) })) {
+    refused_.push_back(id);
+  }
+}
+
+table_hooks
+platform_adapter::table()
+{
+  table_hooks hooks;
+  hooks.get = [this](std::string key, std::function<void(result<table_row>)> done) {
+    auto target = "/v1/table/" + percent_encode(key);
+    call("GET",
+         std::move(target),
+         {},
+         [key = std::move(key), done = std::move(done)](const auto& reply) {
+           done(decode_get(reply, key));
+         });
+  };
+  hooks.put = [this](std::string key,
+                     std::string value,
+                     std::uint64_t if_revision,
+                     std::function<void(result<table_write>)> done) {
+    auto target = "/v1/table/" + percent_encode(key);
+    auto body = json::serialize(json::object{ { "value", value }, { "if_revision", if_revision } });
+    call("PUT",
+         std::move(target),
+         std::move(body),
+         [key = std::move(key), value = std::move(value), done = std::move(done)](
+           const auto& reply) { done(decode_put(reply, key, value)); });
+  };
+  hooks.list = [this](const std::string& prefix,
+                      std::function<void(result<std::vector<table_row>>)> done) {
+    call("GET",
+         "/v1/table?prefix=" + percent_encode(prefix),
+         {},
+         [done = std::move(done)](const auto& reply) { done(decode_list(reply)); });
+  };
+  return hooks;
+}
+
+void
+platform_adapter::list_instances(list_callback done)
+{
+  call("GET", "/v1/instances", {}, [done = std::move(done)](const auto& reply) {
+    done(decode_instances(reply));
+  });
+}
+
+std::function<void()>
+platform_adapter::take(platform_reply reply)
+{
+  const auto found = pending_.find(reply.id);
+  if (found == pending_.end()) {
+    return {};
+  }
+  auto done = std::move(found->second);
+  pending_.erase(found);
+  return [done = std::move(done), reply = std::move(reply)] { done(reply); };
+}
+
+std::vector<std::function<void()>>
+platform_adapter::take_refused()
+{
+  std::vector<std::function<void()>> callbacks;
+  for (const auto id : std::exchange(refused_, {})) {
+    if (auto callback = take({ id, 0, {} })) {
+      callbacks.push_back(std::move(callback));
+    }
+  }
+  return callbacks;
+}
+
+}
--- /dev/null
+++ b/Source/Engine/account_service.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Account/month_closer.h"
+#include "Account/usage_ledger.h"
+#include "Engine/control_service.h"
+#include "Limits/share_holder.h"
+#include "Wire/peer.pb.h"
+
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+struct request_end;
+
+// Usage counters of this instance, their mirrors at two peers, and the account of each month.
+class account_service
+{
+public:
+  struct hooks
+  {
+    table_hooks table;
+    std::function<instant()> now;
+    // Wall clock in seconds since 1970.
+    std::function<std::int64_t()> utc;
+    std::function<void(const instance_id& peer, wire::envelope)> send;
+    std::function<std::uint64_t(std::uint64_t bound)> random;
+  };
+
+  account_service(const control_service& control,
+                  share_holder& shares,
+                  hooks callbacks,
+                  instant now);
+
+  void admitted(const workspace_id& workspace);
+  void ended(const request_end& end);
+  void on_mirror(const instance_id& sender, const wire::usage_mirror& message, instant now);
+  void tick(instant now);
+
+  // Marks the counters of this run as complete. Nothing may be counted after.
+  void close(instant now);
+  bool closed() const { return closing_ && ledger_.written(); }
+
+  // Counters of this run for a workspace, as JSON.
+  boost::json::object usage(const workspace_id& workspace) const;
+
+  // The closed account of a month, or the present sums if it is still open, as JSON text. Fails
+  // with bad_request, not_found or platform_unavailable.
+  void report(const std::string& month, std::function<void(result<std::string>)> done);
+
+private:
+  // What is known of a peer's run that mirrors its counters here.
+  struct mirrored_run
+  {
+    instance_id instance;
+    std::vector<usage_share> shares;
+    instant mirrored_at;
+    bool failed = false;
+  };
+
+  void send_mirrors(instant now);
+  void check_peers(instant now);
+
+  const control_service& control_;
+  share_holder& shares_;
+  hooks hooks_;
+  usage_ledger ledger_;
+  month_closer closer_;
+  std::map<incarnation_id, mirrored_run> runs_;
+  std::map<workspace_id, std::uint64_t> borrowed_before_;
+  std::vector<instance_id> mirrors_;
+  instant mirrored_at_;
+  bool closing_ = false;
+};
+
+}
--- a/Source/Engine/control_service.cxx
+++ b/Source/Engine/control_service.cxx
@@ -228,9 +228,7 @@
 }
 
 void
-control_service::on_fetch(const std::string& sender,
-                          const wire::document_request& request,
-                          instant)
+control_service::on_fetch(const std::string& sender, const wire::document_request& request, instant)
 {
   const auto& held = request.name() == key_row ? key_document_ : config_document_;
   const auto* record = membership_.find(instance_id(sender));
--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -26,6 +26,7 @@
   make_control(now);
   make_shares();
   make_homes();
+  make_account(now);
   make_entry();
 }
 
@@ -54,8 +55,8 @@
     homes_->revoke(digest, at);
     entry_->revoke(digest, at);
   };
-  control_ = std::make_unique<control_service>(
-    std::move(self), settings_.seed_peers, std::move(calls), now);
+  control_ =
+    std::make_unique<control_service>(std::move(self), settings_.seed_peers, std::move(calls), now);
 }
 
 void
@@ -131,6 +132,20 @@
   homes_ = std::make_unique<home_service>(*links_, *groups_, std::move(calls));
 }
 
+void
+engine::make_account(instant now)
+{
+  account_service::hooks calls;
+  calls.table = hooks_.table;
+  calls.now = [this] { return now_; };
+  calls.utc = hooks_.utc;
+  calls.send = [this](const instance_id& peer, wire::envelope message) {
+    send_to(peer, std::move(message));
+  };
+  calls.random = [this](std::uint64_t bound) { return hooks_.random_bits() % bound; };
+  account_ = std::make_unique<account_service>(*control_, *shares_, std::move(calls), now);
+}
+
 void
 engine::make_entry()
 {
@@ -143,7 +158,11 @@
   calls.submit_local = [this](const wire::forward_request& request, instant at) {
     homes_->submit({ {}, true }, request, at);
   };
-  calls.ended = hooks_.ended;
+  calls.admitted = [this](const workspace_id& workspace) { account_->admitted(workspace); };
+  calls.ended = [this](const request_end& end) {
+    account_->ended(end);
+    hooks_.ended(end);
+  };
   calls.peer_clock = [this](const instance_id& peer, instant at) { return peer_clock(peer, at); };
   calls.session_secret = settings_.session_secret;
   entry_ = std::make_unique<entry_service>(*control_, *shares_, deferred_, std::move(calls));
@@ -176,10 +195,7 @@
 }
 
 void
-engine::note_clock(const instance_id& peer,
-                   incarnation_id incarnation,
-                   instant clock,
-                   instant now)
+engine::note_clock(const instance_id& peer, incarnation_id incarnation, instant clock, instant now)
 {
   auto& sample = clocks_[peer];
   const auto elapsed = now - sample.received_at;
@@ -245,6 +261,9 @@
     case wire::envelope::kFetch:
       control_->on_fetch(message.sender(), message.fetch(), now);
       break;
+    case wire::envelope::kUsage:
+      account_->on_mirror(sender, message.usage(), now);
+      break;
     case wire::envelope::kDocument:
       control_->on_document(message.document(), now);
       break;
@@ -326,6 +345,7 @@
   groups_->tick(now);
   homes_->tick(now);
   entry_->tick(now);
+  account_->tick(now);
   while (!refusable_.empty() && now - refusable_.begin()->second.sent > refusal_limit) {
     refusable_.erase(refusable_.begin());
   }
@@ -333,6 +353,7 @@
   if (draining_ && !entry_drained_ && entry_->open_requests() == 0) {
     entry_drained_ = true;
     shares_->drain(now);
+    account_->close(now);
   }
   end_event(now);
 }
@@ -351,7 +372,7 @@
 bool
 engine::drained() const
 {
-  return entry_drained_ && homes_->drained() && shares_->drained();
+  return entry_drained_ && homes_->drained() && shares_->drained() && account_->closed();
 }
 
 void
--- a/Source/Engine/engine.h
+++ b/Source/Engine/engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Engine/account_service.h"
 #include "Engine/control_service.h"
 #include "Engine/deferred_calls.h"
 #include "Engine/entry_service.h"
@@ -33,20 +34,21 @@
 {
   // False if the command was certainly not taken.
   std::function<bool(backend_command)> backend;
-  // Sends to a peer. A message that was certainly not sent is reported with `peer_refused` and `id`;
-  // false stands for the same at once.
+  // Sends to a peer. A message that was certainly not sent is reported with `peer_refused` and
+  // `id`; false stands for the same at once.
   std::function<bool(const std::string& address, wire::envelope, std::uint64_t id)> send_peer;
   table_hooks table;
   std::function<void(std::function<void(result<std::vector<listed_instance>>)>)> list_instances;
   std::function<std::uint64_t()> random_bits;
   std::function<void(const std::string&)> log;
-  // The end of a caller's request, for metrics and the account.
-  std::function<void(const workspace_id&, result_code, run_outcome, duration elapsed, instant)>
-    ended;
+  // The end of a caller's request, for metrics.
+  std::function<void(const request_end&)> ended;
+  // Wall clock in seconds since 1970; it decides only about the month of the account.
+  std::function<std::int64_t()> utc;
 };
 
-// All decisions of one instance, on one thread. Takes events with the time of their arrival and acts
-// through hooks, so that tests step the same code as the daemon.
+// All decisions of one instance, on one thread. Takes events with the time of their arrival and
+// acts through hooks, so that tests step the same code as the daemon.
 class engine
 {
 public:
@@ -74,6 +76,7 @@
   group_service& groups() { return *groups_; }
   home_service& homes() { return *homes_; }
   entry_service& entry() { return *entry_; }
+  account_service& account() { return *account_; }
   share_holder& shares() { return *shares_; }
   const engine_settings& settings() const { return settings_; }
   instant now() const { return now_; }
@@ -95,6 +98,7 @@
   void make_control(instant now);
   void make_shares();
   void make_homes();
+  void make_account(instant now);
   void make_entry();
   void send(const std::string& address,
             wire::envelope message,
@@ -116,6 +120,7 @@
   std::unique_ptr<share_holder> shares_;
   std::unique_ptr<group_service> groups_;
   std::unique_ptr<home_service> homes_;
+  std::unique_ptr<account_service> account_;
   std::unique_ptr<entry_service> entry_;
   std::map<instance_id, clock_sample> clocks_;
   std::map<std::uint64_t, refusable> refusable_;
--- a/Source/Engine/entry_service.cxx
+++ b/Source/Engine/entry_service.cxx
@@ -64,6 +64,7 @@
   std::string trace_id;
   instant sent;
   bool launched = false;
+  bool admitted = false;
 };
 
 entry_service::entry_service(control_service& control,
@@ -135,9 +136,8 @@
     launch(id, stored, now);
     return;
   }
-  shares_.admit(stored.workspace, now, [this, id](admission decision) {
-    admitted(id, decision, now_);
-  });
+  shares_.admit(
+    stored.workspace, now, [this, id](admission decision) { admitted(id, decision, now_); });
 }
 
 result<void>
@@ -194,8 +194,8 @@
   }
   if (!route.allows(key->workspace)) {
     return fail(result_code::workspace_not_allowed,
-                "workspace \"" + key->workspace.get() + "\" may not use route \"" +
-                  route.id.get() + "\"");
+                "workspace \"" + key->workspace.get() + "\" may not use route \"" + route.id.get() +
+                  "\"");
   }
   entry.workspace = key->workspace;
   entry.key_digest = key->digest;
@@ -212,6 +212,8 @@
   }
   auto& entry = *found->second;
   if (decision == admission::admitted) {
+    entry.admitted = true;
+    hooks_.admitted(entry.workspace);
     launch(request, entry, now);
     return;
   }
@@ -230,8 +232,12 @@
 {
   // Admission may have waited for a borrowed token; the key may have been revoked meanwhile.
   if (entry.has_key && control_.keys().find(entry.key_digest) == nullptr) {
-    finish(
-      request, result_code::key_rejected, run_outcome::not_run, "the key is not valid", nullptr, now);
+    finish(request,
+           result_code::key_rejected,
+           run_outcome::not_run,
+           "the key is not valid",
+           nullptr,
+           now);
     return;
   }
   const auto& sent = entry.request;
@@ -239,7 +245,8 @@
   plan.database = sent.database;
   plan.write = sent.write || sent.operation != caller_operation::statement;
   plan.commit = sent.operation == caller_operation::commit;
-  plan.idempotent = sent.idempotent || (sent.operation == caller_operation::statement && !sent.write);
+  plan.idempotent =
+    sent.idempotent || (sent.operation == caller_operation::statement && !sent.write);
   plan.owner = entry.owner;
   plan.deadline = entry.deadline;
   const auto seen = entry.session.databases.find(sent.database);
@@ -305,9 +312,8 @@
   if (target == members.self().instance) {
     message.set_expires_at_us(persimmonshelf::to_wire(entry.deadline));
     entry.home_incarnation = members.self().incarnation;
-    deferred_.add([this, message = std::move(message)](instant at) {
-      hooks_.submit_local(message, at);
-    });
+    deferred_.add(
+      [this, message = std::move(message)](instant at) { hooks_.submit_local(message, at); });
     return;
   }
   const auto* record = members.find(target);
@@ -430,8 +436,9 @@
   if (auto token = session_token::encode(entry->session, hooks_.session_secret)) {
     reply.session = std::move(token).value();
   }
-  trace_span whole{ "entry", control_.members().self().instance.get(), entry->started,
-                    now - entry->started, {} };
+  trace_span whole{
+    "entry", control_.members().self().instance.get(), entry->started, now - entry->started, {}
+  };
   whole.tags = { { "route", entry->request.route.get() },
                  { "database", entry->request.database.get() },
                  { "workspace", entry->workspace.get() },
@@ -439,7 +446,11 @@
                  { "outcome", std::string(name_of(outcome)) } };
   entry->spans.insert(entry->spans.begin(), std::move(whole));
   traces_.add(request, { entry->trace_id, std::move(entry->spans) });
-  hooks_.ended(entry->workspace, code, outcome, now - entry->started, now);
+  request_end end{ entry->workspace, code, outcome, now - entry->started, {}, entry->admitted };
+  if (entry->answer) {
+    end.backend_time = duration(static_cast<duration::rep>(entry->answer->backend_us()));
+  }
+  hooks_.ended(end);
   entry->reply(std::move(reply));
 }
 
@@ -455,7 +466,8 @@
     }
   }
   for (const auto& id : affected) {
-    finish(id, result_code::key_rejected, run_outcome::not_run, "the key was revoked", nullptr, now);
+    finish(
+      id, result_code::key_rejected, run_outcome::not_run, "the key was revoked", nullptr, now);
   }
 }
 
--- a/Source/Engine/entry_service.h
+++ b/Source/Engine/entry_service.h
@@ -16,6 +16,21 @@
 
 namespace persimmonshelf {
 
+// How a caller's request ended.
+struct request_end
+{
+  // Empty on open routes and if the key was not accepted.
+  workspace_id workspace;
+  result_code code = result_code::internal_error;
+  run_outcome outcome = run_outcome::unknown;
+  // From the arrival to the answer.
+  duration elapsed{};
+  // Time that the backend server ran the request.
+  duration backend_time{};
+  // The request took a token of its workspace.
+  bool admitted = false;
+};
+
 // The requests that this instance takes from callers: admission, forwarding and the answer.
 class entry_service
 {
@@ -25,15 +40,15 @@
   struct hooks
   {
     // Sends a forwarded request to a peer; `refused` runs later if it was certainly not sent.
-    std::function<void(const std::string& address,
-                       wire::envelope,
-                       std::function<void(instant)> refused)>
+    std::function<
+      void(const std::string& address, wire::envelope, std::function<void(instant)> refused)>
       send;
     // Hands a request to the homes of this instance.
     std::function<void(wire::forward_request, instant)> submit_local;
-    // Counts the end of a request for metrics and the account. The workspace is empty on open routes.
-    std::function<void(const workspace_id&, result_code, run_outcome, duration elapsed, instant)>
-      ended;
+    // Counts a request that took a token of its workspace.
+    std::function<void(const workspace_id&)> admitted;
+    // Counts the end of a request for metrics and the account.
+    std::function<void(const request_end&)> ended;
     // Time on a peer's clock that is certainly not later than now; empty if it is not known.
     std::function<std::optional<instant>(const instance_id&, instant now)> peer_clock;
     std::string session_secret;
--- /dev/null
+++ b/Source/Engine/group_service.cxx
@@ -0,0 +1,227 @@
+#include "Engine/group_service.h"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+#include <vector>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Longest wait of a status request; a member whose log grows answers earlier.
+constexpr duration longest_wait = std::chrono::milliseconds(500);
+constexpr duration shortest_wait = std::chrono::milliseconds(50);
+// Added to the wait; a connection that is silent for longer is closed and a fresh one is tried.
+constexpr duration answer_limit = std::chrono::milliseconds(700);
+constexpr duration connect_timeout = std::chrono::milliseconds(700);
+constexpr duration reopen_delay = std::chrono::milliseconds(200);
+// Writes stay queued, and so not run, once the primary was not confirmed for this long.
+constexpr duration confirmation_limit = std::chrono::milliseconds(1500);
+
+}
+
+struct group_service::watch
+{
+  member_id id;
+  std::string address;
+  std::optional<link_number> link;
+  instant sent;
+  instant reopen_at;
+  log_position known;
+};
+
+struct group_service::group
+{
+  database_id id;
+  group_view view;
+  std::vector<std::unique_ptr<watch>> watches;
+  duration wait = longest_wait;
+  std::deque<std::string> events;
+};
+
+group_service::group_service(link_registry& links, hooks callbacks)
+  : links_(links)
+  , hooks_(std::move(callbacks))
+{
+}
+
+group_service::~group_service() = default;
+
+std::unique_ptr<group_service::group>
+group_service::make_group(const database_config& database)
+{
+  std::vector<member_id> members;
+  for (const auto& member : database.members) {
+    members.push_back(member.id);
+  }
+  auto view = group_view::create(std::move(members));
+  if (!view) {
+    return nullptr;
+  }
+  auto made = std::make_unique<group>(group{ database.id, std::move(view).value(), {}, {}, {} });
+  // The age of a member is known to within the wait of a status request.
+  made->wait = longest_wait;
+  if (database.default_max_age > duration::zero()) {
+    made->wait = std::clamp(database.default_max_age / 4, shortest_wait, longest_wait);
+  }
+  for (const auto& member : database.members) {
+    auto watched = std::make_unique<watch>();
+    watched->id = member.id;
+    watched->address = member.address;
+    made->watches.push_back(std::move(watched));
+  }
+  return made;
+}
+
+void
+group_service::configure(const std::map<database_id, const database_config*>& databases,
+                         instant now)
+{
+  const auto same = [](const group& known, const database_config& wanted) {
+    return std::equal(known.watches.begin(),
+                      known.watches.end(),
+                      wanted.members.begin(),
+                      wanted.members.end(),
+                      [](const auto& left, const auto& right) {
+                        return left->id == right.id && left->address == right.address;
+                      });
+  };
+  std::erase_if(groups_, [&](const auto& item) {
+    const auto wanted = databases.find(item.first);
+    if (wanted != databases.end() && same(*item.second, *wanted->second)) {
+      return false;
+    }
+    close_watches(*item.second);
+    return true;
+  });
+  for (const auto& [id, database] : databases) {
+    if (groups_.contains(id)) {
+      continue;
+    }
+    if (auto made = make_group(*database)) {
+      groups_[id] = std::move(made);
+    }
+  }
+  tick(now);
+}
+
+void
+group_service::close_watches(group& target)
+{
+  for (auto& member : target.watches) {
+    if (member->link) {
+      links_.close(*member->link);
+      member->link.reset();
+    }
+  }
+}
+
+const group_view*
+group_service::find(const database_id& database) const
+{
+  const auto found = groups_.find(database);
+  return found == groups_.end() ? nullptr : &found->second->view;
+}
+
+std::optional<primary_claim>
+group_service::confirmed_primary(const database_id& database, instant now) const
+{
+  const auto* view = find(database);
+  if (view == nullptr) {
+    return std::nullopt;
+  }
+  const auto confirmed = view->confirmed_at();
+  if (!confirmed || now - *confirmed > confirmation_limit) {
+    return std::nullopt;
+  }
+  return view->primary();
+}
+
+std::vector<std::string>
+group_service::events(const database_id& database) const
+{
+  const auto found = groups_.find(database);
+  if (found == groups_.end()) {
+    return {};
+  }
+  return { found->second->events.begin(), found->second->events.end() };
+}
+
+void
+group_service::tick(instant now)
+{
+  for (auto& [id, target] : groups_) {
+    for (auto& member : target->watches) {
+      if (!member->link && now >= member->reopen_at) {
+        open_watch(*target, *member, now);
+      }
+    }
+  }
+}
+
+void
+group_service::open_watch(group& target, watch& member, instant now)
+{
+  member.reopen_at = now + reopen_delay;
+  member.link = links_.open(
+    member.address, connect_timeout, [this, &target, &member](backend_event& event, instant at) {
+      watch_event(target, member, event, at);
+    });
+}
+
+void
+group_service::watch_event(group& target, watch& member, backend_event& event, instant now)
+{
+  using happening = backend_event::happening;
+  if (event.kind == happening::connected) {
+    request_status(target, member, now);
+    return;
+  }
+  if (event.kind != happening::answered) {
+    lost(member, now);
+    return;
+  }
+  if (auto* report = std::get_if<member_report>(&event.reply)) {
+    status_received(target, member, std::move(*report), now);
+    request_status(target, member, now);
+    return;
+  }
+  hooks_.log("status of member " + member.id.get() + " could not be understood");
+  links_.close(*member.link);
+  lost(member, now);
+}
+
+void
+group_service::lost(watch& member, instant now)
+{
+  member.link.reset();
+  member.reopen_at = now + reopen_delay;
+}
+
+void
+group_service::request_status(group& target, watch& member, instant now)
+{
+  member.sent = now;
+  links_.send(*member.link, watch_request{ member.known, target.wait }, target.wait + answer_limit);
+}
+
+void
+group_service::status_received(group& target, watch& member, member_report report, instant now)
+{
+  if (report.member != member.id) {
+    hooks_.log("member " + member.id.get() + " answered as \"" + report.member.get() + "\"");
+    return;
+  }
+  report.sent = member.sent;
+  report.received = now;
+  member.known = report.last.position;
+  const auto applied = target.view.apply(report);
+  if (!applied) {
+    hooks_.log("status of member " + member.id.get() + " refused: " + applied.error().message);
+    return;
+  }
+  hooks_.changed(target.id, now);
+}
+
+}
--- a/Source/Engine/group_service.h
+++ b/Source/Engine/group_service.h
@@ -3,12 +3,13 @@
 #include "Control/configuration.h"
 #include "Engine/link_registry.h"
 #include "Group/group_view.h"
-#include "Group/promotion.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmonshelf {
 
@@ -40,7 +41,8 @@
   // The primary, if a majority confirmed it lately.
   std::optional<primary_claim> confirmed_primary(const database_id& database, instant now) const;
 
-  const promotion* find_promotion(const database_id& database) const;
+  // What was decided about a database here, oldest first; the last few entries.
+  std::vector<std::string> events(const database_id& database) const;
 
   void tick(instant now);
 
@@ -50,11 +52,13 @@
   struct group;
   struct watch;
 
+  std::unique_ptr<group> make_group(const database_config& database);
+  void close_watches(group& target);
   void open_watch(group& target, watch& member, instant now);
   void watch_event(group& target, watch& member, backend_event& event, instant now);
-  void request_status(watch& member, instant now);
-  void lost(watch& member, instant now);
-  std::unique_ptr<group> make_group(const database_config& database);
+  void request_status(group& target, watch& member, instant now);
+  void status_received(group& target, watch& member, member_report report, instant now);
+  static void lost(watch& member, instant now);
 
   link_registry& links_;
   hooks hooks_;
--- a/Source/Engine/home_service.cxx
+++ b/Source/Engine/home_service.cxx
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr duration connect_timeout = std::chrono::seconds(1);
-// Every home of a database watches each member on a connection of its own, and a promotion opens one
-// more; they come out of the member's part of the connection limit.
+// Every home of a database watches each member on a connection of its own, and a promotion opens
+// one more; they come out of the member's part of the connection limit.
 constexpr std::int64_t watch_connections = 4;
 
 }
@@ -66,10 +66,11 @@
       continue;
     }
     if (!known->second->retired) {
-      known->second->home->resize(static_cast<std::size_t>(place.database->slots),
-                                  static_cast<std::size_t>(std::max<std::int64_t>(
-                                    1, place.database->connections_per_member() - watch_connections)),
-                                  now);
+      known->second->home->resize(
+        static_cast<std::size_t>(place.database->slots),
+        static_cast<std::size_t>(
+          std::max<std::int64_t>(1, place.database->connections_per_member() - watch_connections)),
+        now);
     }
   }
 }
@@ -198,7 +199,8 @@
       return;
     case happening::failed: {
       target.links.erase(number);
-      const auto reason = event.overdue ? result_code::answer_overdue : result_code::connection_lost;
+      const auto reason =
+        event.overdue ? result_code::answer_overdue : result_code::connection_lost;
       home.backend_failed(number, event.may_have_been_sent, reason, now);
       return;
     }
--- a/Source/Engine/link_registry.h
+++ b/Source/Engine/link_registry.h
@@ -9,8 +9,8 @@
 
 namespace persimmonshelf {
 
-// Numbers the connections to backend servers and hands their events to whoever opened them. An event
-// of a connection that was closed here is dropped.
+// Numbers the connections to backend servers and hands their events to whoever opened them. An
+// event of a connection that was closed here is dropped.
 class link_registry
 {
 public:
--- /dev/null
+++ b/Source/Engine/operator_service.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Engine/engine.h"
+
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmonshelf {
+
+// A command of an operator, as its HTTP request.
+struct operator_request
+{
+  std::string method;
+  std::string target;
+  std::string body;
+};
+
+struct operator_answer
+{
+  unsigned status = 200;
+  std::string body;
+};
+
+// The operators' commands: configuration, keys, status, account, traces and the planned stop.
+class operator_service
+{
+public:
+  using respond = std::function<void(operator_answer)>;
+
+  // `drain` starts the planned stop of this instance.
+  operator_service(engine& target, std::function<void()> drain);
+
+  void handle(const operator_request& request, respond reply, instant now);
+
+  // Ends the waits for a key set that is to come into force.
+  void tick(instant now);
+
+private:
+  // A change of the key set that is stored and waits until enough instances hold it.
+  struct waiting_change
+  {
+    config_version version;
+    boost::json::object body;
+    respond reply;
+    instant give_up;
+  };
+
+  void get(std::string_view path, const respond& reply, instant now);
+  void post(std::string_view path, const std::string& text, const respond& reply, instant now);
+  void set_config(const boost::json::value& body, const respond& reply, instant now);
+  void diff_config(const boost::json::value& body, const respond& reply);
+  void give_key(const boost::json::value& body, const respond& reply, instant now);
+  void revoke_key(const boost::json::value& body, const respond& reply, instant now);
+  void publish_keys(const key_set& changed,
+                    const std::string& edit_id,
+                    boost::json::object body,
+                    const respond& reply,
+                    instant now);
+  std::string derive_key(const std::string& workspace, const std::string& edit_id) const;
+
+  engine& engine_;
+  std::function<void()> drain_;
+  std::vector<waiting_change> waiting_;
+};
+
+}
--- a/Source/Engine/trace_store.h
+++ b/Source/Engine/trace_store.h
@@ -48,10 +48,12 @@
 };
 
 // Trace id of a W3C traceparent header; empty if the header is malformed.
-std::string trace_id_of(const std::string& traceparent);
+std::string
+trace_id_of(const std::string& traceparent);
 
 // JSON of a trace in the form of OpenTracing's mock tracer: a list of spans with operation, start,
 // duration and tags.
-std::string to_json(const request_id& request, const request_trace& trace);
+std::string
+to_json(const request_id& request, const request_trace& trace);
 
 }
--- a/Source/Engine/wire_convert.cxx
+++ b/Source/Engine/wire_convert.cxx
@@ -74,8 +74,8 @@
   request.needs_primary =
     message.needs_primary() || message.write() || request.kind != operation::statement;
   if (message.has_session()) {
-    request.at_least = log_point{ term(message.session().term()),
-                                  log_position(message.session().position()) };
+    request.at_least =
+      log_point{ term(message.session().term()), log_position(message.session().position()) };
   }
   request.max_age = microseconds(message.max_age_us());
   return request;
--- a/Source/Engine/wire_convert.h
+++ b/Source/Engine/wire_convert.h
@@ -9,13 +9,19 @@
 // Translation between the messages of Source/Wire and the types of the logic modules. Times travel
 // in microseconds.
 
-std::uint64_t to_wire(instant time);
-instant from_wire(std::uint64_t time_us);
+std::uint64_t
+to_wire(instant time);
+instant
+from_wire(std::uint64_t time_us);
 
-home_request to_home_request(const wire::forward_request& message);
-wire::forward_answer to_wire(const home_answer& answer);
+home_request
+to_home_request(const wire::forward_request& message);
+wire::forward_answer
+to_wire(const home_answer& answer);
 
-wire::heartbeat to_wire(const heartbeat& beat);
-heartbeat from_wire(const wire::heartbeat& message);
+wire::heartbeat
+to_wire(const heartbeat& beat);
+heartbeat
+from_wire(const wire::heartbeat& message);
 
 }
--- a/Source/Net/http_server.cxx
+++ b/Source/Net/http_server.cxx
@@ -231,12 +231,11 @@
     const auto self = weak.lock();
     return !self || self->draining;
   };
-  shared_hooks->request =
-    [weak](accepted_number number, http_request request, responder respond) {
-      if (const auto self = weak.lock()) {
-        self->on_request(number, std::move(request), std::move(respond));
-      }
-    };
+  shared_hooks->request = [weak](accepted_number number, http_request request, responder respond) {
+    if (const auto self = weak.lock()) {
+      self->on_request(number, std::move(request), std::move(respond));
+    }
+  };
   shared_hooks->closed = [weak](accepted_number number) {
     const auto self = weak.lock();
     if (!self) {
