--- a/Utilities/StandIns/standin_backend_member.h
+++ b/Utilities/StandIns/standin_backend_member.h
@@ -6,6 +6,7 @@
 
 #include <boost/json/array.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -71,6 +72,8 @@
   std::string origin;
   log_point previous;
   std::vector<standin_entry> entries;
+  // Each entry was held back by the sender for at least this time.
+  std::chrono::milliseconds held{ 0 };
 };
 
 struct standin_append_outcome
--- a/Utilities/StandIns/standin_backend_replication.cxx
+++ b/Utilities/StandIns/standin_backend_replication.cxx
@@ -126,8 +126,9 @@
   append.in_term = member_.promised();
   append.origin = member_.name();
   append.previous = { log.term_at(receiver.matched), receiver.matched };
+  append.held = std::max(delay_, receiver.delay);
   if (receiver.confirmed) {
-    const auto due = clock::now() - std::max(delay_, receiver.delay);
+    const auto due = clock::now() - append.held;
     const auto start_of_term = log.history().back().first_position;
     const auto last = log.last().position;
     auto next = log_position(receiver.matched.get() + 1);
@@ -210,6 +211,7 @@
            { "origin", append.origin },
            { "previous_term", append.previous.in_term.get() },
            { "previous_position", append.previous.position.get() },
+           { "held_ms", append.held.count() },
            { "entries", std::move(entries) } };
 }
 
@@ -223,6 +225,7 @@
     append.previous.in_term = term(value.at("previous_term").to_number<std::uint64_t>());
     append.previous.position =
       log_position(value.at("previous_position").to_number<std::uint64_t>());
+    append.held = std::chrono::milliseconds(value.at("held_ms").to_number<std::int64_t>());
     for (const auto& item : value.at("entries").as_array()) {
       auto entry = entry_from_json(item);
       if (!entry) {
--- a/Utilities/StandIns/standin_backend_server.cxx
+++ b/Utilities/StandIns/standin_backend_server.cxx
@@ -235,11 +235,15 @@
 standin_backend::handle_append(const standin_request& request, const responder& respond)
 {
   const auto body = parse_json(request.http.body, result_code::bad_request);
-  const auto append = body ? append_from_json(body.value()) : std::nullopt;
+  auto append = body ? append_from_json(body.value()) : std::nullopt;
   if (!append || down_ || replication_->is_refused(append->origin)) {
     respond(closing());
     return;
   }
+  if (append->held < replication_->delay()) {
+    // The sender does not know this member's lag yet; it learns it from the answer.
+    append->entries.clear();
+  }
   const auto outcome = member_.accept(*append);
   json::object answer{ { "delay_ms", replication_->delay().count() },
                        { "promised", member_.promised().get() } };
