--- a/Source/Adapters/backend_codec.cxx
+++ b/Source/Adapters/backend_codec.cxx
@@ -234,7 +234,8 @@
       } else if constexpr (std::is_same_v<type, backend_request>) {
         return decode_call(fields);
       } else {
-        return order_reply{ response.status == 200 && !fields.contains("error") };
+        const bool done = response.status == 200 && !fields.contains("error");
+        return order_reply{ done, term(number(fields, "promised").value_or(0)) };
       }
     },
     message);
--- a/Source/Adapters/daemon.cxx
+++ b/Source/Adapters/daemon.cxx
@@ -305,6 +305,9 @@
   hooks.ended = [this](const request_end& end) {
     meter->request_ended(end.workspace, end.code, end.outcome, end.elapsed);
   };
+  hooks.failed_over = [this](const database_id& database, const failover_durations& lengths) {
+    meter->failed_over(database, lengths);
+  };
   hooks.utc = read_utc_seconds;
   return hooks;
 }
--- a/Source/Adapters/metrics.cxx
+++ b/Source/Adapters/metrics.cxx
@@ -32,6 +32,10 @@
                 .Name("persimmonshelf_request_seconds")
                 .Help("Time from a request's arrival to its answer, by outcome.")
                 .Register(*registry))
+    , failovers(prometheus::BuildHistogram()
+                  .Name("persimmonshelf_failover_seconds")
+                  .Help("Length of the parts of failovers carried out by this instance.")
+                  .Register(*registry))
     , gauges(prometheus::BuildGauge()
                .Name("persimmonshelf_state")
                .Help("State of the instance, by name.")
@@ -44,6 +48,7 @@
   std::shared_ptr<prometheus::Registry> registry;
   prometheus::Family<prometheus::Counter>& requests;
   prometheus::Family<prometheus::Histogram>& seconds;
+  prometheus::Family<prometheus::Histogram>& failovers;
   prometheus::Family<prometheus::Gauge>& gauges;
   std::unique_ptr<prometheus::Exposer> exposer;
 };
@@ -85,6 +90,18 @@
     .Observe(std::chrono::duration<double>(elapsed).count());
 }
 
+void
+metrics::failed_over(const database_id& database, const failover_durations& lengths)
+{
+  const auto observe = [&](const char* part, duration length) {
+    state_->failovers.Add({ { "database", database.get() }, { "part", part } }, second_buckets)
+      .Observe(std::chrono::duration<double>(length).count());
+  };
+  observe("detection", lengths.detection);
+  observe("agreement", lengths.agreement);
+  observe("resumption", lengths.resumption);
+}
+
 void
 metrics::record(const sample& figures)
 {
--- a/Source/Adapters/metrics.h
+++ b/Source/Adapters/metrics.h
@@ -4,6 +4,7 @@
 #include "Base/ids.h"
 #include "Base/instant.h"
 #include "Base/result_code.h"
+#include "Group/promotion.h"
 #include "Net/http_connection.h"
 
 #include <memory>
@@ -40,6 +41,8 @@
                      result_code code,
                      run_outcome outcome,
                      duration elapsed);
+  // Records how long the parts of a failover took.
+  void failed_over(const database_id& database, const failover_durations& lengths);
   void record(const sample& figures);
 
 private:
--- a/Source/Engine/backend_link.h
+++ b/Source/Engine/backend_link.h
@@ -55,6 +55,8 @@
 struct order_reply
 {
   bool done = false;
+  // Highest term that the member promised; zero if its answer did not say.
+  term promised;
 };
 
 // A whole answer; monostate stands for one that could not be understood. In a member_report the
--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -111,6 +111,9 @@
     homes_->group_changed(database, at);
   };
   group_calls.log = hooks_.log;
+  group_calls.failed_over = [this](const database_id& database, const failover_durations& lengths) {
+    hooks_.failed_over(database, lengths);
+  };
   group_calls.candidate =
     settings_.instance.get() + "-" + std::to_string(settings_.incarnation.get());
   groups_ = std::make_unique<group_service>(*links_, std::move(group_calls));
--- a/Source/Engine/engine.h
+++ b/Source/Engine/engine.h
@@ -43,6 +43,8 @@
   std::function<void(const std::string&)> log;
   // The end of a caller's request, for metrics.
   std::function<void(const request_end&)> ended;
+  // A failover that this instance carried out ended, for metrics.
+  std::function<void(const database_id&, const failover_durations&)> failed_over;
   // Wall clock in seconds since 1970; it decides only about the month of the account.
   std::function<std::int64_t()> utc;
 };
--- a/Source/Engine/group_service.cxx
+++ b/Source/Engine/group_service.cxx
@@ -15,6 +15,9 @@
 // Added to the wait; a connection that is silent for longer is closed and a fresh one is tried.
 constexpr duration answer_limit = std::chrono::milliseconds(700);
 constexpr duration connect_timeout = std::chrono::milliseconds(700);
+constexpr duration order_timeout = std::chrono::milliseconds(900);
+// What an operator can read of the last promotions of a database.
+constexpr std::size_t kept_events = 50;
 constexpr duration reopen_delay = std::chrono::milliseconds(200);
 // Writes stay queued, and so not run, once the primary was not confirmed for this long.
 constexpr duration confirmation_limit = std::chrono::milliseconds(1500);
@@ -38,6 +41,9 @@
   std::vector<std::unique_ptr<watch>> watches;
   duration wait = longest_wait;
   std::deque<std::string> events;
+  std::unique_ptr<promotion> candidate;
+  // Unique to this candidate: members grant a term again to the same name.
+  std::string candidate_name;
 };
 
 group_service::group_service(link_registry& links, hooks callbacks)
@@ -55,11 +61,12 @@
   for (const auto& member : database.members) {
     members.push_back(member.id);
   }
-  auto view = group_view::create(std::move(members));
+  auto view = group_view::create(members);
   if (!view) {
     return nullptr;
   }
-  auto made = std::make_unique<group>(group{ database.id, std::move(view).value(), {}, {}, {} });
+  auto made =
+    std::make_unique<group>(group{ database.id, std::move(view).value(), {}, {}, {}, {}, {} });
   // The age of a member is known to within the wait of a status request.
   made->wait = longest_wait;
   if (database.default_max_age > duration::zero()) {
@@ -71,9 +78,106 @@
     watched->address = member.address;
     made->watches.push_back(std::move(watched));
   }
+  made->candidate_name = hooks_.candidate + "-" + std::to_string(next_candidate_++);
+  auto candidate = promotion::create(std::move(members), promotion_settings(), hooks_for(*made));
+  if (!candidate) {
+    hooks_.log("database " + database.id.get() + ": " + candidate.error().message);
+    return nullptr;
+  }
+  made->candidate = std::move(candidate).value();
   return made;
 }
 
+promotion_hooks
+group_service::hooks_for(group& target)
+{
+  promotion_hooks calls;
+  calls.send_fence = [this, &target](const member_id& member, term in_term) {
+    order(target,
+          member,
+          fence_request{ in_term, target.candidate_name },
+          [&target, member, in_term](const backend_reply& reply, instant now) {
+            if (const auto* answer = std::get_if<fence_reply>(&reply)) {
+              target.candidate->fence_answer(
+                now, member, in_term, answer->granted, answer->promised, answer->last);
+            }
+          });
+  };
+  calls.send_promote = [this, &target](const member_id& member, term in_term) {
+    order(target,
+          member,
+          promote_request{ in_term, target.candidate_name },
+          [&target, member, in_term](const backend_reply& reply, instant now) {
+            if (const auto* answer = std::get_if<order_reply>(&reply)) {
+              target.candidate->promote_answer(
+                now, member, in_term, answer->done, answer->promised);
+            }
+          });
+  };
+  calls.send_follow = [this,
+                       &target](const member_id& member, term in_term, const member_id& primary) {
+    std::string address;
+    for (const auto& watched : target.watches) {
+      if (watched->id == primary) {
+        address = watched->address;
+      }
+    }
+    order(target,
+          member,
+          follow_request{ in_term, std::move(address) },
+          [&target, member, in_term](const backend_reply& reply, instant) {
+            if (const auto* answer = std::get_if<order_reply>(&reply)) {
+              target.candidate->follow_answer(member, in_term, answer->done);
+            }
+          });
+  };
+  calls.random_delay = [this](duration longest) {
+    const auto bound = static_cast<std::uint64_t>(longest.count()) + 1;
+    return duration(static_cast<duration::rep>(hooks_.random(bound)));
+  };
+  calls.notify = [this, &target](const std::string& text) { note(target, text); };
+  calls.report = [this, &target](const failover_durations& lengths) {
+    hooks_.failed_over(target.id, lengths);
+  };
+  return calls;
+}
+
+void
+group_service::note(group& target, const std::string& text)
+{
+  hooks_.log("database=" + target.id.get() + " " + text);
+  target.events.push_back(text);
+  if (target.events.size() > kept_events) {
+    target.events.pop_front();
+  }
+}
+
+void
+group_service::order(group& target,
+                     const member_id& member,
+                     backend_message message,
+                     std::function<void(const backend_reply&, instant)> answered)
+{
+  const auto watched = std::find_if(target.watches.begin(),
+                                    target.watches.end(),
+                                    [&](const auto& item) { return item->id == member; });
+  if (watched == target.watches.end()) {
+    return;
+  }
+  links_.call((*watched)->address,
+              std::move(message),
+              order_timeout,
+              [this, id = target.id, name = target.candidate_name, answered = std::move(answered)](
+                const backend_reply* reply, instant now) {
+                // The database may have been given up or watched anew meanwhile.
+                const auto found = groups_.find(id);
+                if (reply != nullptr && found != groups_.end() &&
+                    found->second->candidate_name == name) {
+                  answered(*reply, now);
+                }
+              });
+}
+
 void
 group_service::configure(const std::map<database_id, const database_config*>& databases,
                          instant now)
@@ -157,6 +261,7 @@
         open_watch(*target, *member, now);
       }
     }
+    target->candidate->tick(now, target->view);
   }
 }
 
--- a/Source/Engine/group_service.h
+++ b/Source/Engine/group_service.h
@@ -3,6 +3,7 @@
 #include "Control/configuration.h"
 #include "Engine/link_registry.h"
 #include "Group/group_view.h"
+#include "Group/promotion.h"
 
 #include <functional>
 #include <map>
@@ -25,6 +26,8 @@
     // The view of a database may have changed.
     std::function<void(const database_id&, instant)> changed;
     std::function<void(const std::string&)> log;
+    // A failover of a database ended.
+    std::function<void(const database_id&, const failover_durations&)> failed_over;
     // Name of this candidate: instance and incarnation.
     std::string candidate;
   };
@@ -53,6 +56,13 @@
   struct watch;
 
   std::unique_ptr<group> make_group(const database_config& database);
+  promotion_hooks hooks_for(group& target);
+  void note(group& target, const std::string& text);
+  // Sends an order of the candidate to a member on a connection of its own.
+  void order(group& target,
+             const member_id& member,
+             backend_message message,
+             std::function<void(const backend_reply&, instant)> answered);
   void close_watches(group& target);
   void open_watch(group& target, watch& member, instant now);
   void watch_event(group& target, watch& member, backend_event& event, instant now);
@@ -62,6 +72,7 @@
 
   link_registry& links_;
   hooks hooks_;
+  std::uint64_t next_candidate_ = 1;
   std::map<database_id, std::unique_ptr<group>> groups_;
 };
 
