limits: Fuzz the share holders under faults

Checks every window of the admissions with a bucket that must never run below zero, and the sum of usable shares at every step, for random cuts, pauses, deaths, restarts, lost answers, outages, drains, moving demand and changes of the limits. The clocks now drift evenly.

--- a/Tests/Limits/fleet.h
+++ b/Tests/Limits/fleet.h
@@ -101,7 +101,7 @@
   instant local(const node& self) const
   {
     const auto count = loop.now().time_since_epoch().count();
-    return instant(duration(count + count / 1'000'000 * self.drift_ppm + 1'000'000));
+    return instant(duration(count + count * self.drift_ppm / 1'000'000 + 1'000'000));
   }
 
   bool reaches(const node& from, const node& to) const
--- /dev/null
+++ b/Tests/Limits/fuzz_test.cxx
@@ -0,0 +1,182 @@
+#include <doctest/doctest.h>
+
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include "fleet.h"
+
+#include <iostream>
+
+using namespace persimmonshelf;
+using namespace persimmonshelf::testing;
+
+namespace {
+
+constexpr int node_count = 5;
+
+// Short leases, so that a run of a minute meets each expiry many times.
+share_settings
+quick_settings()
+{
+  share_settings settings;
+  settings.extra_lease = 3s;
+  settings.base_lease = 12s;
+  settings.renew_interval = 500ms;
+  settings.retry_interval = 200ms;
+  settings.move_interval = 500ms;
+  settings.watch_interval = 500ms;
+  settings.call_timeout = 700ms;
+  settings.leave_delay = 2s;
+  settings.read_budget = 1'000'000;
+  settings.base_limit_ppm = 600'000;
+  return settings;
+}
+
+enum class action
+{
+  load,
+  quiet,
+  pause,
+  kill,
+  restart,
+  cut_zone,
+  cut_zone_and_platform,
+  heal,
+  outage,
+  lose_answers,
+  lose_messages,
+  configure,
+  drain,
+  count,
+};
+
+constexpr const char* action_names[] = { "load",
+                                         "quiet",
+                                         "pause",
+                                         "kill",
+                                         "restart",
+                                         "cut_zone",
+                                         "cut_zone_and_platform",
+                                         "heal",
+                                         "outage",
+                                         "lose_answers",
+                                         "lose_messages",
+                                         "configure",
+                                         "drain" };
+
+void
+perform(fleet& sut, action what, fleet::node& node, int amount)
+{
+  const auto length = duration(std::chrono::milliseconds(amount * 100));
+  const auto restart = [&sut](fleet::node& target) {
+    sut.kill(target);
+    sut.start(target);
+  };
+  switch (what) {
+    case action::load: {
+      // Demand above the rate, mostly at one place that moves with the action.
+      std::vector<double> weights(node_count, 1.0);
+      weights[static_cast<std::size_t>(amount % node_count)] = 6.0;
+      sut.load(120.0 + amount * 4, weights, sut.loop.now() + length);
+      break;
+    }
+    case action::pause:
+      sut.pause(node, length);
+      break;
+    case action::kill:
+      sut.kill(node);
+      break;
+    case action::restart:
+      restart(node);
+      break;
+    case action::cut_zone:
+    case action::cut_zone_and_platform:
+      sut.cut_zones.insert(node.self.zone.get());
+      sut.cut_platform = what == action::cut_zone_and_platform;
+      break;
+    case action::heal:
+      sut.cut_zones.clear();
+      sut.lost_answer_percent = 0;
+      sut.lost_message_percent = 0;
+      for (auto& each : sut.nodes) {
+        if (!each->run->alive) {
+          restart(*each);
+        }
+      }
+      break;
+    case action::outage:
+      sut.outage = true;
+      sut.loop.after(length, [&sut] { sut.outage = false; });
+      break;
+    case action::lose_answers:
+      sut.lost_answer_percent = amount % 60;
+      break;
+    case action::lose_messages:
+      sut.lost_message_percent = amount % 60;
+      break;
+    case action::configure:
+      sut.configure({ 20'000 + amount % 5 * 20'000, 10'000 + amount % 4 * 15'000 });
+      break;
+    case action::drain:
+      node.run->deliver([&] { node.holder->drain(sut.local(node)); });
+      break;
+    case action::quiet:
+    case action::count:
+      break;
+  }
+}
+
+struct model
+{};
+
+struct command : rc::state::Command<model, fleet>
+{
+  int what = *rc::gen::inRange(0, static_cast<int>(action::count));
+  int node = *rc::gen::inRange(0, node_count);
+  int amount = *rc::gen::inRange(0, 60);
+  int run_ms = *rc::gen::inRange(0, 4000);
+
+  void run(const model&, fleet& sut) const override
+  {
+    perform(sut, static_cast<action>(what), *sut.nodes[static_cast<std::size_t>(node)], amount);
+    sut.run(std::chrono::milliseconds(run_ms));
+    if (!sut.violation.empty()) {
+      RC_FAIL(sut.violation);
+    }
+  }
+  void show(std::ostream& out) const override
+  {
+    out << action_names[what] << "(node " << node << ", amount " << amount << ") for " << run_ms
+        << " ms";
+  }
+};
+
+}
+
+// Guards against more than burst + rate * window admissions in any window, under any mix of cuts,
+// pauses, deaths, restarts, lost answers, outages, moving demand and configuration changes.
+TEST_CASE("any window stays within burst and rate under faults")
+{
+  std::uint64_t admitted = 0;
+  std::uint64_t runs = 0;
+  const auto settings = quick_settings();
+  // Longer runs than the default, so that base leases expire within a run.
+  auto params = rc::detail::configuration().testParams;
+  params.maxSuccess = 600;
+  params.maxSize = 200;
+  const auto result = rc::detail::checkTestable(
+    [&] {
+      const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+      fleet sut(node_count, 3, settings, { 60'000, 40'000 }, seed);
+      sut.run(2s);
+      rc::state::check(model{}, sut, rc::state::gen::execOneOfWithArgs<command>());
+      admitted += sut.admitted;
+      ++runs;
+    },
+    rc::detail::TestMetadata{ "windows", "windows" },
+    params);
+  rc::detail::printResultMessage(result, std::cout);
+  CHECK(result.is<rc::detail::SuccessResult>());
+  MESSAGE("fuzz: ", runs, " runs, ", admitted, " admissions checked");
+  CHECK(admitted > 100'000);
+}
