--- /dev/null
+++ b/Tests/Limits/fault_matrix_test.cxx
@@ -0,0 +1,223 @@
+#include <doctest/doctest.h>
+
+#include "fleet.h"
+
+#include <map>
+#include <string>
+
+using namespace persimmonshelf;
+using namespace persimmonshelf::testing;
+
+namespace {
+
+enum class step
+{
+  read,
+  lower,
+  write,
+  confirm,
+  raise,
+  count,
+};
+
+enum class fault
+{
+  answer_lost,
+  conflict,
+  outage,
+  pause,
+  death,
+  count,
+};
+
+struct matrix_case
+{
+  step at;
+  fault what;
+  const char* meaning;
+};
+
+// One case for each step and fault. A giving holder lowers, a taking one writes, confirms and
+// raises.
+const matrix_case cases[] = {
+  { step::read, fault::answer_lost, "the cycle ends and is repeated" },
+  { step::read, fault::conflict, "the row changes after it was read, so the write fails" },
+  { step::read, fault::outage, "the share stays as it is, extra expires" },
+  { step::read, fault::pause, "a row that was read long ago raises nothing" },
+  { step::read, fault::death, "the next run takes the share over" },
+  { step::lower, fault::answer_lost, "the local share stays low until the row's revision moves" },
+  { step::lower, fault::conflict, "the share that the row still holds is restored" },
+  { step::lower, fault::outage, "the share stays low, whether the write took effect or not" },
+  { step::lower, fault::pause, "the lowered share does not rise on wake-up" },
+  { step::lower, fault::death, "the part that was given up is free or still the next run's" },
+  { step::write, fault::answer_lost, "the higher share counts once a read shows it" },
+  { step::write, fault::conflict, "nothing is raised" },
+  { step::write, fault::outage, "nothing is raised until a read shows the share" },
+  { step::write, fault::pause, "the share expired while the answer waited" },
+  { step::write, fault::death, "the next run takes the written share over" },
+  { step::confirm, fault::answer_lost, "the next cycle's read confirms" },
+  { step::confirm, fault::conflict, "the row changed again and still holds the share" },
+  { step::confirm, fault::outage, "the higher share waits for the platform" },
+  { step::confirm, fault::pause, "a late confirmation does not revive an expired share" },
+  { step::confirm, fault::death, "the next run takes the confirmed share over" },
+  { step::raise, fault::answer_lost, "the confirmation never arrives, the call times out" },
+  { step::raise, fault::conflict, "the row changes between the confirmation and the raise" },
+  { step::raise, fault::outage, "the raised extra expires, the base stays" },
+  { step::raise, fault::pause, "the raised extra is reclaimed during the pause" },
+  { step::raise, fault::death, "the raised share is taken over" },
+};
+
+std::int64_t
+share_in(const std::string& text, const instance_id& instance)
+{
+  const auto row = share_table::parse(text);
+  const auto* entry = row ? row.value().find(instance) : nullptr;
+  return entry == nullptr ? 0 : entry->total();
+}
+
+// Drives one holder into a cycle that gives or takes, and applies the fault at the chosen step.
+class matrix_run
+{
+public:
+  explicit matrix_run(const matrix_case& chosen)
+    : case_(chosen)
+    , sut_(3, 3, settings(), { 60'000, 30'000 }, 7)
+    , self_(*sut_.nodes[0])
+  {
+  }
+
+  void run()
+  {
+    sut_.run(20s);
+    // The subject is idle and gives in the case of `lower`, else it is busy and takes.
+    const bool gives = case_.at == step::lower;
+    sut_.load(70, { gives ? 0.0 : 8.0, gives ? 8.0 : 1.0, 1.0 }, sut_.loop.now() + 60s);
+    sut_.inject = [this](auto& node, call_kind kind, const auto& key, const auto& value) {
+      return intercept(node, kind, key, value);
+    };
+    sut_.run(25s);
+    CHECK_MESSAGE(fired_, "the fault was not reached");
+    if (!self_.run->alive) {
+      sut_.start(self_);
+    }
+    sut_.run(40s);
+    CHECK(sut_.violation == "");
+    // The holder works again: it holds what the row says.
+    const auto stored = share_in(sut_.table.read(key_).value, self_.self.instance);
+    CHECK(stored > 0);
+    CHECK(self_.holder->share_ppm(workspace, sut_.local(self_)) == stored);
+    CHECK(sut_.usable_ppm() > 900'000);
+  }
+
+private:
+  static share_settings settings()
+  {
+    share_settings made;
+    made.extra_lease = 3s;
+    made.base_lease = 60s;
+    made.renew_interval = 500ms;
+    made.retry_interval = 200ms;
+    made.move_interval = 500ms;
+    made.watch_interval = 500ms;
+    made.call_timeout = 700ms;
+    made.read_budget = 1'000'000;
+    made.base_limit_ppm = 500'000;
+    return made;
+  }
+
+  // The step that the present call of the subject belongs to.
+  step step_of(call_kind kind, const std::string& value)
+  {
+    if (kind == call_kind::get) {
+      return std::exchange(raised_, false) ? step::confirm : step::read;
+    }
+    const auto present = share_in(sut_.table.read(key_).value, self_.self.instance);
+    const auto wanted = share_in(value, self_.self.instance);
+    raised_ = wanted > present;
+    if (wanted == present) {
+      return step::count;
+    }
+    return wanted < present ? step::lower : step::write;
+  }
+
+  std::optional<call_fate> intercept(fleet::node& node,
+                                     call_kind kind,
+                                     const std::string& key,
+                                     const std::string& value)
+  {
+    if (&node != &self_ || key != key_) {
+      return std::nullopt;
+    }
+    auto found = step_of(kind, value);
+    const bool raising = case_.at == step::raise && found == step::confirm;
+    if (fired_ || (found != case_.at && !raising)) {
+      return std::nullopt;
+    }
+    fired_ = true;
+    return apply(raising);
+  }
+
+  call_fate apply(bool raising)
+  {
+    call_fate fate;
+    const auto length = 8s;
+    // After the call was served; a raise follows the delivery of the answer, 4 ms after the call.
+    const auto when = raising ? 3ms : case_.at == step::read ? 3ms : 1ms;
+    switch (case_.what) {
+      case fault::answer_lost:
+        fate.fails = !raising;
+        fate.answered = !raising;
+        break;
+      case fault::conflict:
+        sut_.loop.after(when, [this] {
+          const auto row = sut_.table.read(key_);
+          sut_.table.write(key_, row.value, row.revision);
+        });
+        break;
+      case fault::outage:
+        sut_.loop.after(raising ? 5ms : 0ms, [this] { sut_.outage = true; });
+        sut_.loop.after(length, [this] { sut_.outage = false; });
+        fate.answered = raising;
+        break;
+      case fault::pause:
+        sut_.loop.after(raising ? 5ms : 1ms, [=, this] { sut_.pause(self_, length); });
+        break;
+      case fault::death:
+        sut_.loop.after(raising ? 5ms : 1ms, [this] { sut_.kill(self_); });
+        break;
+      case fault::count:
+        break;
+    }
+    return fate;
+  }
+
+  matrix_case case_;
+  fleet sut_;
+  fleet::node& self_;
+  std::string key_ = share_table::key(workspace);
+  bool raised_ = false;
+  bool fired_ = false;
+};
+
+}
+
+// Guards against a step of the share row that a fault turns into a share beyond the row's, or that
+// never ends. Each step and fault must have a case.
+TEST_CASE("each step of the share row survives each fault")
+{
+  std::map<std::pair<step, fault>, int> covered;
+  for (const auto& each : cases) {
+    CAPTURE(static_cast<int>(each.at));
+    CAPTURE(static_cast<int>(each.what));
+    CAPTURE(each.meaning);
+    ++covered[{ each.at, each.what }];
+    matrix_run(each).run();
+  }
+  for (int at = 0; at < static_cast<int>(step::count); ++at) {
+    for (int what = 0; what < static_cast<int>(fault::count); ++what) {
+      CAPTURE(at);
+      CAPTURE(what);
+      CHECK(covered[{ static_cast<step>(at), static_cast<fault>(what) }] == 1);
+    }
+  }
+}
--- a/Tests/Limits/fleet.h
+++ b/Tests/Limits/fleet.h
@@ -94,6 +94,8 @@
   // Overrides the fate of a call, for single faults.
   std::function<std::optional<call_fate>(node&, call_kind, const std::string&, const std::string&)>
     inject;
+  // Requests per second, for faults that change the demand.
+  double demand = 0;
   // Results.
   std::uint64_t admitted = 0;
   std::string violation;
@@ -204,6 +206,18 @@
     return sum;
   }
 
+  // Sums over the present runs.
+  share_holder::counters fleet_counts() const
+  {
+    share_holder::counters sum;
+    for (const auto& each : nodes) {
+      const auto part = each->holder->totals();
+      sum.borrowed += part.borrowed;
+      sum.row_writes += part.row_writes;
+    }
+    return sum;
+  }
+
   std::string time() const
   {
     return std::to_string(loop.now().time_since_epoch().count() / 1000) + " ms";
