--- /dev/null
+++ b/Source/Programs/persimmonshelf.cxx
@@ -0,0 +1,243 @@
+#include "Adapters/operator_client.h"
+#include "Base/digest.h"
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace persimmonshelf;
+
+constexpr const char* usage =
+  R"(Controls a fleet of persimmonshelf instances through any one of them.
+
+Usage:
+  persimmonshelf [options] config show
+  persimmonshelf [options] config diff FILE
+  persimmonshelf [options] config dry-run FILE
+  persimmonshelf [options] config set FILE [--expect=VERSION]
+  persimmonshelf [options] key give WORKSPACE [--note=TEXT]
+  persimmonshelf [options] key revoke DIGEST
+  persimmonshelf [options] key revoke --key-file=FILE
+  persimmonshelf [options] key list
+  persimmonshelf [options] status [fleet]
+  persimmonshelf [options] status database NAME
+  persimmonshelf [options] status workspace NAME
+  persimmonshelf [options] account MONTH
+  persimmonshelf [options] trace REQUEST
+  persimmonshelf [options] drain
+  persimmonshelf (-h | --help)
+
+Commands:
+  config show     Print the configuration text that is in force.
+  config diff     Print what FILE would change, without checking who edits at the same time.
+  config dry-run  Check FILE as "set" does, and change nothing.
+  config set      Put FILE in force. With --expect the edit is refused if another version is in
+                  force; the answer then tells what was changed meanwhile.
+  key give        Create a key for a workspace. It is printed once and cannot be shown again.
+  key revoke      Revoke a key by the start of its DIGEST, as "key list" shows it, or by the key
+                  itself, which is read from a file.
+  key list        Print digests, workspaces and states of all keys; keys themselves are not stored.
+  status          Print the state of the fleet, a database or a workspace.
+  account         Print what each workspace used in a month, such as 2026-11.
+  trace           Print the steps of one REQUEST, given by the id that every answer has.
+  drain           Stop the instance at --at after it has finished its requests.
+
+Options:
+  --at=IP:PORT       Operator address of an instance; else taken from PERSIMMONSHELF_AT.
+  --author=NAME      Name that a change of the configuration is recorded with; else USER.
+  --edit-id=ID       Id of a change. A change that is repeated with its id is made once; use it when
+                     no answer came. Without it a random id is taken.
+  --timeout-ms=MS    Time to wait for the connection and for the answer [default: 10000].
+  --json             Print the answer as JSON.
+  --expect=VERSION   Version that FILE is based on.
+  --note=TEXT        Note that "key list" shows.
+  --key-file=FILE    File that holds the key.
+  -h --help          Show this text.
+
+FILE may be "-" for standard input. Keys are not taken from the command line, where other users of
+the machine could see them.
+
+Example, an edit that is safe against other operators:
+  persimmonshelf config show > text.json        # prints "version: 41" as a note
+  persimmonshelf config diff text.json          # after editing
+  persimmonshelf config set text.json --expect 41
+
+Exit codes:
+  0  done
+  1  refused; the numbered code is printed and explained in docs/result-codes.md
+  2  wrong command line or unreadable file
+  3  no answer from the instance; after a change, repeat it with its --edit-id
+)";
+
+using arguments = std::map<std::string, docopt::value>;
+
+// A wrong command line; the text never contains an argument that may be a key.
+struct usage_failure : std::runtime_error
+{
+  using std::runtime_error::runtime_error;
+};
+
+std::string
+text_or(const arguments& given, const char* name, const std::string& fallback)
+{
+  const auto& value = given.at(name);
+  return value ? value.asString() : fallback;
+}
+
+std::string
+environment(const char* name)
+{
+  const auto* value = std::getenv(name);
+  return value == nullptr ? std::string() : std::string(value);
+}
+
+std::string
+read_file(const std::string& name)
+{
+  if (name == "-") {
+    return { std::istreambuf_iterator<char>(std::cin), {} };
+  }
+  std::ifstream file(name, std::ios::binary);
+  if (!file) {
+    throw usage_failure(name + ": cannot be read");
+  }
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+std::uint64_t
+number_of(const arguments& given, const char* name)
+{
+  const auto text = given.at(name).asString();
+  if (text.empty() || text.size() > 18 ||
+      text.find_first_not_of("0123456789") != std::string::npos) {
+    throw usage_failure(std::string(name) + ": expected a number");
+  }
+  return std::stoull(text);
+}
+
+operator_request
+build_config(const arguments& given, const std::string& edit_id)
+{
+  const auto is = [&](const char* word) { return given.at(word).asBool(); };
+  if (is("show")) {
+    return show_config();
+  }
+  config_edit edit;
+  edit.content = read_file(given.at("FILE").asString());
+  if (is("diff")) {
+    return diff_config(edit.content);
+  }
+  const auto user = environment("USER");
+  edit.author = text_or(given, "--author", user.empty() ? "unknown" : user);
+  edit.edit_id = edit_id;
+  edit.dry_run = is("dry-run");
+  if (given.at("--expect")) {
+    edit.expect = number_of(given, "--expect");
+  }
+  return set_config(edit);
+}
+
+operator_request
+build_key(const arguments& given, const std::string& edit_id)
+{
+  if (given.at("list").asBool()) {
+    return list_keys();
+  }
+  if (given.at("give").asBool()) {
+    return give_key(given.at("WORKSPACE").asString(), text_or(given, "--note", {}), edit_id);
+  }
+  if (given.at("--key-file")) {
+    return revoke_key_text(read_file(given.at("--key-file").asString()), edit_id);
+  }
+  return revoke_key(given.at("DIGEST").asString(), edit_id);
+}
+
+operator_request
+build(const arguments& given)
+{
+  const auto is = [&](const char* word) { return given.at(word).asBool(); };
+  std::ostringstream random_id;
+  random_id << std::hex << random_bits();
+  const auto edit_id = text_or(given, "--edit-id", random_id.str());
+  if (is("config")) {
+    return build_config(given, edit_id);
+  }
+  if (is("key")) {
+    return build_key(given, edit_id);
+  }
+  if (is("status")) {
+    if (is("database") || is("workspace")) {
+      return show_status(is("database") ? "database" : "workspace", given.at("NAME").asString());
+    }
+    return show_status();
+  }
+  if (is("account")) {
+    return show_account(given.at("MONTH").asString());
+  }
+  if (is("trace")) {
+    return show_trace(given.at("REQUEST").asString());
+  }
+  return drain_instance();
+}
+
+arguments
+parse(const std::vector<std::string>& words)
+{
+  for (const auto& word : words) {
+    if (word.find("pskey_") != std::string::npos) {
+      throw usage_failure(
+        "an argument contains a workspace key; revoke that key and use --key-file");
+    }
+  }
+  try {
+    return docopt::docopt_parse(usage, words, true, false);
+  } catch (const docopt::DocoptArgumentError&) {
+    throw usage_failure("unknown command or option; see persimmonshelf --help");
+  }
+}
+
+int
+run(const std::vector<std::string>& words)
+{
+  const auto given = parse(words);
+  const auto at = text_or(given, "--at", environment("PERSIMMONSHELF_AT"));
+  tcp_address address;
+  if (!parse_address(at, address)) {
+    throw usage_failure(at.empty() ? "give an operator address with --at or PERSIMMONSHELF_AT"
+                                   : "--at: expected IP:PORT, found " + at);
+  }
+  const std::chrono::milliseconds timeout(number_of(given, "--timeout-ms"));
+  const operator_client client(address, timeout, given.at("--json").asBool());
+  const auto report = client.run(build(given));
+  std::cout << report.output;
+  std::cerr << report.notes;
+  return static_cast<int>(report.exit);
+}
+
+}
+
+int
+main(int argc, char** argv)
+{
+  try {
+    return run({ argv + 1, argv + argc });
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << usage;
+    return static_cast<int>(operator_exit::ok);
+  } catch (const std::exception& failure) {
+    std::cerr << "persimmonshelf: " << failure.what() << "\n";
+    return static_cast<int>(operator_exit::usage);
+  }
+}
