--- a/Tests/Limits/fleet.h
+++ b/Tests/Limits/fleet.h
@@ -94,6 +94,8 @@
   // Overrides the fate of a call, for single faults.
   std::function<std::optional<call_fate>(node&, call_kind, const std::string&, const std::string&)>
     inject;
+  // Requests per second, for faults that change the demand.
+  double demand = 0;
   // Results.
   std::uint64_t admitted = 0;
   std::string violation;
@@ -101,7 +103,7 @@
   instant local(const node& self) const
   {
     const auto count = loop.now().time_since_epoch().count();
-    return instant(duration(count + count / 1'000'000 * self.drift_ppm + 1'000'000));
+    return instant(duration(count + count * self.drift_ppm / 1'000'000 + 1'000'000));
   }
 
   bool reaches(const node& from, const node& to) const
@@ -204,6 +206,18 @@
     return sum;
   }
 
+  // Sums over the present runs.
+  share_holder::counters fleet_counts() const
+  {
+    share_holder::counters sum;
+    for (const auto& each : nodes) {
+      const auto part = each->holder->totals();
+      sum.borrowed += part.borrowed;
+      sum.row_writes += part.row_writes;
+    }
+    return sum;
+  }
+
   std::string time() const
   {
     return std::to_string(loop.now().time_since_epoch().count() / 1000) + " ms";
