--- a/Tests/StandIns/server_test.cxx
+++ b/Tests/StandIns/server_test.cxx
@@ -190,6 +190,25 @@
   CHECK_FALSE(backend->member().runs().contains("r1"));
 }
 
+// Guards against a crash that keeps the role or an open transaction, or that loses the log or the
+// promise, which a database keeps on disk.
+TEST_CASE_FIXTURE(backend_fixture, "a member that went down comes back as a replica")
+{
+  const auto client = open();
+  CHECK(call(client, "POST", "/v1/statement", write_of("r1", "PUT k v")).status == 200);
+  CHECK(call(client, "POST", "/v1/begin", write_of("r2", "")).status == 200);
+  control(R"({"down":true})");
+  REQUIRE(run_until([&] { return !client->is_open(); }));
+  const auto refused = open();
+  REQUIRE(run_until([&] { return !refused->is_open(); }));
+  control(R"({"down":false})");
+  const auto status = call(open(), "GET", "/v1/status").body;
+  CHECK(status.at("role").as_string() == "replica");
+  CHECK(status.at("term") == 1);
+  CHECK(status.at("position") == 2);
+  CHECK(backend->member().free_slots() == 1);
+}
+
 // Guards against a workspace key that reaches a backend server unnoticed.
 TEST_CASE_FIXTURE(backend_fixture, "text of workspace keys is recorded")
 {
--- a/Utilities/StandIns/standin_listener.cxx
+++ b/Utilities/StandIns/standin_listener.cxx
@@ -274,11 +274,12 @@
       };
       session_hooks.connect_delay = self->options.connect_delay;
       const auto number = self->next_number++;
-      const auto accepted = std::make_shared<session>(self->context,
-                                                      std::move(socket),
-                                                      number,
-                                                      clients >= self->options.connection_limit,
-                                                      std::move(session_hooks));
+      const auto accepted =
+        std::make_shared<session>(self->context,
+                                  std::move(socket),
+                                  number,
+                                  self->refusing || clients >= self->options.connection_limit,
+                                  std::move(session_hooks));
       self->sessions.emplace(number, accepted);
       accepted->start();
     }
--- a/Utilities/StandIns/standin_listener.h
+++ b/Utilities/StandIns/standin_listener.h
@@ -73,7 +73,7 @@
   // Client connections that are open.
   std::vector<connection_number> clients() const;
 
-  // While true, every connection is closed at its first request unless that request is exempt.
+  // While true, connections are closed as if they were over the limit.
   void refuse_clients(bool refuse);
   void close(connection_number number);
 
