net: Notice callers that close while their request runs

The wait for an error condition on the socket does not end on an ordinary close, so the close was noticed only when the answer was written. The server now waits for readability and peeks.

--- a/Source/Base/strong.h
+++ b/Source/Base/strong.h
@@ -24,7 +24,8 @@
 
   const rep& get() const { return value_; }
 
-  friend auto operator<=>(const strong&, const strong&) = default;
+  // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+  friend auto operator<=>(const strong&, const strong&) = default; // NOLINT(modernize-use-nullptr)
   friend bool operator==(const strong&, const strong&) = default;
 
   friend std::ostream& operator<<(std::ostream& out, const strong& value)
--- a/Source/Control/key_set.cxx
+++ b/Source/Control/key_set.cxx
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::string_view key_marker = "psk_";
+constexpr std::string_view key_marker = "pskey_";
 constexpr std::string_view hex_digits = "0123456789abcdef";
 constexpr std::size_t digest_hex_length = 64;
 // 32 bits make an accidental match of two keys unlikely and are short enough to type.
--- a/Source/Control/key_set.h
+++ b/Source/Control/key_set.h
@@ -41,8 +41,8 @@
   std::string text(config_version version) const;
   config_version version() const { return version_; }
 
-  // A new key: "psk_" and 256 random bits in hexadecimal digits. The caller shows it once and keeps
-  // only its digest.
+  // A new key: "pskey_" and 256 random bits in hexadecimal digits. The caller shows it once and
+  // keeps only its digest.
   static std::string generate_key();
 
   // The active key that was presented, or null. Candidates share the first two bytes of the digest
--- a/Source/Engine/operator_service.cxx
+++ b/Source/Engine/operator_service.cxx
@@ -293,7 +293,7 @@
 {
   // A command that is repeated with its edit id after a lost answer prints the same key again.
   const auto text = "workspace key\n" + workspace + "\n" + edit_id;
-  return "psk_" + to_hex(hmac_sha256(engine_.settings().session_secret, text));
+  return "pskey_" + to_hex(hmac_sha256(engine_.settings().session_secret, text));
 }
 
 void
--- a/Source/Net/http_server.cxx
+++ b/Source/Net/http_server.cxx
@@ -9,6 +9,7 @@
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace persimmonshelf {
 
@@ -167,11 +168,18 @@
       });
   }
 
-  // Notices a caller that goes away while its request runs.
+  // Notices a caller that closes its connection while its request runs. Bytes that wait to be read
+  // belong to its next request.
   void watch_for_close()
   {
-    socket_.async_wait(tcp::socket::wait_error, [self = shared_from_this()](error_code failure) {
-      if (!failure && self->awaiting_response_) {
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code failure) {
+      if (failure || !self->awaiting_response_) {
+        return;
+      }
+      char next = 0;
+      error_code ended;
+      self->socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, ended);
+      if (ended && ended != asio::error::would_block) {
         self->close();
       }
     });
@@ -179,6 +187,9 @@
 
   void respond(http_response response)
   {
+    // Ends the watch for a close, so that the idle connection keeps one wait only.
+    error_code ignored;
+    socket_.cancel(ignored);
     auto& message = exchange_->response;
     message = {};
     message.result(response.status);
--- a/Utilities/StandIns/standin_backend_member.cxx
+++ b/Utilities/StandIns/standin_backend_member.cxx
@@ -311,7 +311,7 @@
 }
 
 void
-standin_member::connection_closed(connection_number number)
+standin_member::connection_closed(accepted_number number)
 {
   const auto open = transactions_.find(number);
   if (open == transactions_.end()) {
--- a/Utilities/StandIns/standin_backend_member.h
+++ b/Utilities/StandIns/standin_backend_member.h
@@ -45,7 +45,7 @@
 // One call of a client. `admit` fills in_transaction.
 struct standin_call
 {
-  connection_number connection = 0;
+  accepted_number connection = 0;
   standin_operation operation = standin_operation::statement;
   std::string request_id;
   term in_term;
@@ -117,7 +117,7 @@
   standin_outcome execute(const standin_call& call);
 
   // Rolls back the connection's transaction.
-  void connection_closed(connection_number number);
+  void connection_closed(accepted_number number);
 
   // Loses what a restarted server loses: role, transactions. Log and promise are durable.
   void restart();
@@ -167,7 +167,7 @@
   bool leaving_ = false;
   bool refuse_new_work_ = false;
   std::size_t slots_used_ = 0;
-  std::unordered_map<connection_number, transaction> transactions_;
+  std::unordered_map<accepted_number, transaction> transactions_;
   std::map<std::string, std::uint64_t> runs_;
 };
 
--- a/Utilities/StandIns/standin_backend_server.cxx
+++ b/Utilities/StandIns/standin_backend_server.cxx
@@ -89,7 +89,7 @@
   hooks.request = [self](const standin_request& request, const responder& respond) {
     self->handle(request, respond);
   };
-  hooks.closed = [self](connection_number number) { self->connection_closed(number); };
+  hooks.closed = [self](accepted_number number) { self->connection_closed(number); };
   hooks.exempt = [](std::string_view target) {
     return target.starts_with("/control") || target.starts_with("/replication/");
   };
@@ -180,7 +180,7 @@
 }
 
 void
-standin_backend::connection_closed(connection_number number)
+standin_backend::connection_closed(accepted_number number)
 {
   std::erase_if(watches_, [&](const auto& item) {
     if (item.second.connection != number) {
--- a/Utilities/StandIns/standin_backend_server.h
+++ b/Utilities/StandIns/standin_backend_server.h
@@ -55,7 +55,7 @@
   // A long poll that has not been answered yet.
   struct watch
   {
-    connection_number connection = 0;
+    accepted_number connection = 0;
     std::shared_ptr<boost::asio::steady_timer> timer;
     std::string request_id;
     responder respond;
@@ -76,7 +76,7 @@
   void answer_call(boost::json::object body, unsigned status, const responder& respond);
   void start_watch(const standin_request& request, const responder& respond);
   void member_changed();
-  void connection_closed(connection_number number);
+  void connection_closed(accepted_number number);
   void after(std::chrono::milliseconds delay, std::function<void()> run);
   void record_key_text(const standin_request& request);
   boost::json::object status(const std::string& request_id) const;
@@ -91,10 +91,10 @@
   std::map<std::uint64_t, watch> watches_;
   std::uint64_t next_watch_ = 1;
   // Connections that went silent for good.
-  std::set<connection_number> silent_;
+  std::set<accepted_number> silent_;
   bool silent_new_ = false;
   bool down_ = false;
-  std::set<connection_number> known_;
+  std::set<accepted_number> known_;
   std::int64_t drop_answers_ = 0;
   std::int64_t truncate_answers_ = 0;
   std::int64_t wrong_ids_ = 0;
--- a/Utilities/StandIns/standin_listener.cxx
+++ b/Utilities/StandIns/standin_listener.cxx
@@ -45,8 +45,8 @@
   tcp::acceptor acceptor;
   standin_listener_options options;
   hooks handlers;
-  std::unordered_map<connection_number, std::shared_ptr<session>> sessions;
-  connection_number next_number = 1;
+  std::unordered_map<accepted_number, std::shared_ptr<session>> sessions;
+  accepted_number next_number = 1;
   bool refusing = false;
   bool stopped = false;
 };
@@ -60,7 +60,7 @@
   struct hooks
   {
     std::function<void(standin_request, standin_listener::responder)> request;
-    std::function<void(connection_number)> closed;
+    std::function<void(accepted_number)> closed;
     std::function<bool(std::string_view)> exempt;
     std::function<bool()> refusing;
     duration connect_delay{ 0 };
@@ -68,7 +68,7 @@
 
   session(asio::io_context& context,
           tcp::socket socket,
-          connection_number number,
+          accepted_number number,
           bool over_limit,
           hooks handlers)
     : socket_(std::move(socket))
@@ -224,7 +224,7 @@
 
   tcp::socket socket_;
   asio::steady_timer timer_;
-  connection_number number_;
+  accepted_number number_;
   bool over_limit_;
   std::chrono::steady_clock::time_point accepted_;
   hooks hooks_;
@@ -260,7 +260,7 @@
           owner->handlers.request(std::move(request), std::move(respond));
         }
       };
-      session_hooks.closed = [weak](connection_number number) {
+      session_hooks.closed = [weak](accepted_number number) {
         const auto owner = weak.lock();
         if (owner && owner->sessions.erase(number) > 0 && !owner->stopped &&
             owner->handlers.closed) {
@@ -341,10 +341,10 @@
   return state_->acceptor.local_endpoint(ignored).port();
 }
 
-std::vector<connection_number>
+std::vector<accepted_number>
 standin_listener::clients() const
 {
-  std::vector<connection_number> numbers;
+  std::vector<accepted_number> numbers;
   for (const auto& [number, open] : state_->sessions) {
     if (!open->exempt()) {
       numbers.push_back(number);
@@ -360,7 +360,7 @@
 }
 
 void
-standin_listener::close(connection_number number)
+standin_listener::close(accepted_number number)
 {
   const auto found = state_->sessions.find(number);
   if (found == state_->sessions.end()) {
--- a/Utilities/StandIns/standin_listener.h
+++ b/Utilities/StandIns/standin_listener.h
@@ -20,7 +20,7 @@
 // not have sent.
 struct standin_request
 {
-  connection_number connection = 0;
+  accepted_number connection = 0;
   http_request http;
   // Every header as "name: value\n".
   std::string headers;
@@ -55,7 +55,7 @@
   struct hooks
   {
     std::function<void(standin_request, responder)> request;
-    std::function<void(connection_number)> closed;
+    std::function<void(accepted_number)> closed;
     // True for targets that are no client work.
     std::function<bool(std::string_view target)> exempt;
   };
@@ -71,11 +71,11 @@
   std::uint16_t port() const;
 
   // Client connections that are open.
-  std::vector<connection_number> clients() const;
+  std::vector<accepted_number> clients() const;
 
   // While true, connections are closed as if they were over the limit.
   void refuse_clients(bool refuse);
-  void close(connection_number number);
+  void close(accepted_number number);
 
 private:
   struct state;
