limits: Ask lenders with large shares first and keep 95% as base

In the measurement, instances that had just started refused because they knew no lender before their first cycle, and random lenders were often dry while the demand moved. An instance now knows the chosen holders at once, and of four candidates the two with the largest shares are asked. The base part is 95% instead of 90%: during an outage only the base is usable.

--- a/Source/Limits/share_settings.h
+++ b/Source/Limits/share_settings.h
@@ -43,7 +43,7 @@
   duration borrow_try = std::chrono::milliseconds(30);
 
   // Part of all shares that is base. The rest is extra and returns soon from a crashed instance.
-  std::int64_t base_limit_ppm = 900'000;
+  std::int64_t base_limit_ppm = 950'000;
   std::int64_t tokens_per_holder = 4;
 
   // A lease as judged from outside, with the margin.
--- a/Source/Limits/token_borrower.cxx
+++ b/Source/Limits/token_borrower.cxx
@@ -10,6 +10,8 @@
 constexpr std::size_t peers_per_request = 2;
 // Number of peers that are looked at to find some that may have tokens.
 constexpr int samples = 16;
+// Of this many such peers the ones with the largest shares are asked.
+constexpr std::size_t considered = 4;
 constexpr duration shortest_dry = std::chrono::milliseconds(5);
 constexpr duration longest_dry = std::chrono::seconds(1);
 constexpr duration silent_dry = std::chrono::seconds(2);
@@ -35,7 +37,7 @@
   waiter entry;
   entry.workspace = workspace;
   entry.done = std::move(done);
-  for (int i = 0; i < samples && !lenders.empty() && entry.next.size() < peers_per_request; ++i) {
+  for (int i = 0; i < samples && !lenders.empty() && entry.next.size() < considered; ++i) {
     const auto& peer = lenders[random_.below(lenders.size())];
     const auto known = dry_.find(std::pair(workspace, peer.instance));
     if (known != dry_.end() && now < known->second.until) {
@@ -47,6 +49,13 @@
       entry.next.push_back(peer);
     }
   }
+  // The richest of those is asked first, that is, stands last.
+  std::sort(entry.next.begin(), entry.next.end(), [](const lender& left, const lender& right) {
+    return left.earns_token > right.earns_token;
+  });
+  if (entry.next.size() > peers_per_request) {
+    entry.next.erase(entry.next.begin(), entry.next.end() - peers_per_request);
+  }
   const auto number = next_waiter_++;
   auto& stored = waiters_.emplace(number, std::move(entry)).first->second;
   if (!ask(number, stored, now)) {
--- a/Source/Limits/workspace_share.cxx
+++ b/Source/Limits/workspace_share.cxx
@@ -51,6 +51,8 @@
   refresh(now);
   limit_ = limit;
   refresh(now);
+  // Requests that come before the first cycle can already borrow.
+  update_role(now);
 }
 
 void
