--- a/Source/Control/document.cxx
+++ b/Source/Control/document.cxx
@@ -148,6 +148,10 @@
 void
 document::read_for_poll(instant now)
 {
+  // Asked last, because choosing the pollers visits all instances.
+  if (read_sent_at_ && now - *read_sent_at_ < poll_interval) {
+    return;
+  }
   const bool poller = hooks_.is_poller();
   const bool fresh = fresh_at_ && now - *fresh_at_ <= fresh_limit;
   if (!poller && fresh) {
--- a/Source/Control/membership.cxx
+++ b/Source/Control/membership.cxx
@@ -94,17 +94,24 @@
            (!record.stated_at || now - *record.stated_at > forget_leaving_after);
   });
   std::vector<const instance_record*> near;
-  std::vector<const instance_record*> far;
+  std::map<zone_id, std::vector<const instance_record*>> far;
   for (const auto& [name, record] : records_) {
     const bool gone =
       record.entry.leaving && (!record.stated_at || now - *record.stated_at > live_limit);
-    if (name != self_.instance && !gone) {
-      (record.entry.zone == self_.zone ? near : far).push_back(&record);
+    if (name == self_.instance || gone) {
+      continue;
     }
+    auto& zone = record.entry.zone == self_.zone ? near : far[record.entry.zone];
+    zone.push_back(&record);
   }
   auto chosen = choose(std::move(near), own_zone_targets);
-  const auto other_zone = choose(std::move(far), 1);
-  chosen.insert(chosen.end(), other_zone.begin(), other_zone.end());
+  if (!far.empty()) {
+    // Zones take turns: a random choice now and then misses a zone for longer than its statements
+    // last, which refused keys during a mere outage of the platform.
+    next_zone_ = (next_zone_ + 1) % far.size();
+    const auto zone = std::next(far.begin(), static_cast<std::ptrdiff_t>(next_zone_));
+    chosen.push_back(choose(std::move(zone->second), 1).front());
+  }
   std::vector<peer> targets;
   targets.reserve(chosen.size());
   for (const auto* record : chosen) {
@@ -201,25 +208,19 @@
 }
 
 bool
-membership::receive(const instance_id& sender,
-                    incarnation_id incarnation,
-                    const heartbeat& beat,
-                    instant now)
+membership::receive(const instance_id& sender, const heartbeat& beat, instant now)
 {
   if (sender == self_.instance) {
     return false;
   }
-  echoes_[sender] = { incarnation, beat.clock, now };
+  auto& last = echoes_[sender];
+  last.clock = beat.clock;
+  last.received_at = now;
   notice_versions(beat);
   const auto transit = transit_bound(beat, now);
   if (!transit) {
-    const auto own = std::find_if(beat.entries.begin(), beat.entries.end(), [&](const auto& entry) {
-      return entry.instance == sender;
-    });
-    if (own != beat.entries.end() && records_.count(sender) == 0) {
-      add_record({ .instance = sender, .zone = own->zone, .address = own->address });
-    }
-    return true;
+    note_unproven(sender, beat);
+    return answer_due(last, now);
   }
   for (const auto& entry : beat.entries) {
     merge_entry(entry, *transit, now);
@@ -227,7 +228,39 @@
   for (const auto& summary : beat.zones) {
     merge_summary(summary, *transit, now);
   }
-  return false;
+  // Between zones each exchange goes both ways, because there are few of them. A sender that has
+  // heard from here lately needs no answer; this also ends the exchange at the answer itself.
+  const auto* record = find(sender);
+  const bool other_zone = record != nullptr && record->entry.zone != self_.zone;
+  const bool heard_here = now - *beat.echo_clock < heartbeat_interval;
+  return other_zone && !heard_here && answer_due(last, now);
+}
+
+// Keeps a sender as a peer to send to, although none of its statements counts yet.
+void
+membership::note_unproven(const instance_id& sender, const heartbeat& beat)
+{
+  const auto own = std::find_if(beat.entries.begin(), beat.entries.end(), [&](const auto& entry) {
+    return entry.instance == sender;
+  });
+  if (own != beat.entries.end() && records_.count(sender) == 0) {
+    instance_entry seed;
+    seed.instance = sender;
+    seed.zone = own->zone;
+    seed.address = own->address;
+    add_record(seed);
+  }
+}
+
+// At most one answer a second to each sender, so that slow links do not build up exchanges.
+bool
+membership::answer_due(echo& heard, instant now)
+{
+  if (heard.answered_at && now - *heard.answered_at < heartbeat_interval) {
+    return false;
+  }
+  heard.answered_at = now;
+  return true;
 }
 
 void
--- a/Source/Control/membership.h
+++ b/Source/Control/membership.h
@@ -101,17 +101,15 @@
   // by one hop in each 50 ms instead of one in each second.
   bool heartbeat_due(instant now) const;
 
-  // Starts a round: up to 3 peers of the own zone and 1 of another zone, chosen at random among all
-  // known instances, including silent ones, so that the sides of a healed partition meet again.
+  // Starts a round: up to 3 peers of the own zone and 1 of another zone, where the zones take
+  // turns. They are chosen at random among all known instances, including silent ones, so that the
+  // sides of a healed partition meet again.
   std::vector<peer> heartbeat_targets(instant now);
 
   heartbeat make_heartbeat(const instance_id& target, instant now);
 
   // Merges a heartbeat. True if the sender should be answered with make_heartbeat at once.
-  bool receive(const instance_id& sender,
-               incarnation_id incarnation,
-               const heartbeat& beat,
-               instant now);
+  bool receive(const instance_id& sender, const heartbeat& beat, instant now);
 
   // Seeds unknown instances and drops those that are silent for 30 s and not listed. The list lags,
   // so a listed instance replaces nothing that was heard, and one heard lately is never dropped.
@@ -149,9 +147,9 @@
 private:
   struct echo
   {
-    incarnation_id incarnation;
     instant clock;
     instant received_at;
+    std::optional<instant> answered_at;
   };
   struct stored_summary
   {
@@ -164,6 +162,8 @@
   void merge_entry(const instance_entry& entry, duration transit, instant now);
   void merge_summary(const zone_summary& summary, duration transit, instant now);
   void notice_versions(const heartbeat& beat);
+  void note_unproven(const instance_id& sender, const heartbeat& beat);
+  static bool answer_due(echo& heard, instant now);
   instance_record& add_record(const instance_entry& entry);
   void start_statement(instant now);
   instance_entry aged_entry(const instance_record& record, instant now) const;
@@ -187,6 +187,7 @@
   std::deque<instant> sent_clocks_;
   std::optional<instant> last_round_;
   bool changed_ = false;
+  std::size_t next_zone_ = 0;
   config_version newest_key_version_;
 };
 
