--- a/Tests/Control/fleet_test.cxx
+++ b/Tests/Control/fleet_test.cxx
@@ -152,6 +152,7 @@
   stall_connections,
   lose_list,
   outage_alone,
+  split_and_revoke,
   count
 };
 
@@ -173,10 +174,48 @@
 {
   fleet.cuts.clear();
   fleet.platform_cuts.clear();
+  fleet.group.clear();
+  fleet.group_delay = 0s;
   fleet.list_available = true;
   fleet.faulty_calls = 0;
 }
 
+// The dangerous case: a part of the fleet, in any zones, loses the platform and the other instances
+// (or hears of them late) while a key is revoked on the other side. Instances that acknowledged may
+// then restart into that part.
+void
+split_and_revoke(simulated_fleet& fleet, oracle& told, const fuzz_step& step)
+{
+  const auto check = [&] { told.check(); };
+  std::vector<simulated_fleet::instance*> outside;
+  for (std::size_t i = 0; i < fleet.instances.size(); ++i) {
+    auto& one = *fleet.instances[i];
+    if ((step.first >> i & 1U) != 0) {
+      fleet.group.insert(one.id);
+    } else {
+      outside.push_back(&one);
+    }
+  }
+  fleet.group_delay = step.second % 4 == 0 ? 8s : 0s;
+  fleet.run(std::chrono::milliseconds(step.second % 2000), check);
+  if (outside.empty()) {
+    return;
+  }
+  if (!told.given().empty()) {
+    told.revoke_key(*outside[step.second % outside.size()], told.given().back());
+  }
+  fleet.run(3s, check);
+  if (step.second % 4 == 1) {
+    for (std::size_t i = 0; i < outside.size(); ++i) {
+      if ((step.second >> (2 + i) & 1U) != 0) {
+        fleet.group.insert(outside[i]->id);
+        fleet.start(*outside[i]);
+      }
+    }
+  }
+  fleet.run(12s, check);
+}
+
 void
 perform(simulated_fleet& fleet, oracle& told, const fuzz_step& step)
 {
@@ -243,6 +282,8 @@
         }
       });
       break;
+    case operation::split_and_revoke:
+      return split_and_revoke(fleet, told, step);
     case operation::count:
       break;
   }
@@ -261,10 +302,13 @@
   const auto passed = rc::check("fleet", [&] {
     const auto per_zone = *rc::gen::inRange<std::size_t>(2, 4);
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-    const auto steps = *rc::gen::container<std::vector<fuzz_step>>(
-      rc::gen::construct<fuzz_step>(rc::gen::inRange(0, static_cast<int>(operation::count)),
-                                    rc::gen::inRange(0U, 1000U),
-                                    rc::gen::inRange(0U, 1000U)));
+    const auto steps = *rc::gen::container<std::vector<fuzz_step>>(rc::gen::construct<fuzz_step>(
+      rc::gen::weightedOneOf<int>(
+        { { 3, rc::gen::inRange(0, static_cast<int>(operation::count)) },
+          { 1, rc::gen::just(static_cast<int>(operation::give_key)) },
+          { 1, rc::gen::just(static_cast<int>(operation::split_and_revoke)) } }),
+      rc::gen::inRange(0U, 4096U),
+      rc::gen::inRange(0U, 4096U)));
     simulated_fleet fleet(3, per_zone, seed);
     oracle told(fleet);
     fleet.run(8s);
--- a/Tests/Control/simulated_fleet.h
+++ b/Tests/Control/simulated_fleet.h
@@ -78,7 +78,7 @@
     one.evidence->set_zones(zones);
     one.config = std::make_unique<document>("config", hooks_for(one, false));
     one.keys = std::make_unique<document>("keys", hooks_for(one, true));
-    if (list_available && platform_reachable(one.zone)) {
+    if (list_available && platform_reachable(one)) {
       one.members->apply_platform_list(list(), now);
     }
   }
@@ -126,13 +126,15 @@
     return lines;
   }
 
-  bool connected(const persimmonshelf::zone_id& left, const persimmonshelf::zone_id& right) const
+  bool connected(const instance& left, const instance& right) const
   {
-    return left == right || cuts.count(std::minmax(left, right)) == 0;
+    const bool split = group.count(left.id) != group.count(right.id) && group_delay == duration(0);
+    return !split &&
+           (left.zone == right.zone || cuts.count(std::minmax(left.zone, right.zone)) == 0);
   }
-  bool platform_reachable(const persimmonshelf::zone_id& zone) const
+  bool platform_reachable(const instance& one) const
   {
-    return platform_cuts.count(zone) == 0;
+    return platform_cuts.count(one.zone) == 0 && group.count(one.id) == 0;
   }
   void cut_off(const persimmonshelf::zone_id& zone)
   {
@@ -150,6 +152,10 @@
   std::vector<std::unique_ptr<instance>> instances;
   std::set<std::pair<persimmonshelf::zone_id, persimmonshelf::zone_id>> cuts;
   std::set<persimmonshelf::zone_id> platform_cuts;
+  // Instances without the platform, and without the other instances unless messages to and from
+  // them only take `group_delay`.
+  std::set<persimmonshelf::instance_id> group;
+  duration group_delay{ 0 };
   bool list_available = true;
   // Table calls still to go wrong, and how.
   int faulty_calls = 0;
@@ -160,7 +166,7 @@
 private:
   fake_table::course course_for(const std::string& client)
   {
-    if (!platform_reachable(by_name_[persimmonshelf::instance_id(client)]->zone)) {
+    if (!platform_reachable(*by_name_[persimmonshelf::instance_id(client)])) {
       return fake_table::course::down;
     }
     if (faulty_calls > 0) {
@@ -231,7 +237,7 @@
     update(one);
     fetch(one);
     if (now.time_since_epoch() % std::chrono::seconds(5) < tick && list_available &&
-        platform_reachable(one.zone)) {
+        platform_reachable(one)) {
       one.members->apply_platform_list(list(), now);
     }
     if (now.time_since_epoch() > one.phase && one.members->heartbeat_due(now)) {
@@ -288,12 +294,15 @@
 
   void send(const instance& from, const instance& to, std::function<void()> deliver)
   {
-    if (!connected(from.zone, to.zone)) {
+    if (!connected(from, to)) {
       return;
     }
-    const auto delay = std::chrono::microseconds(500 + random_() % 2500);
+    duration delay = std::chrono::microseconds(500 + random_() % 2500);
+    if (group.count(from.id) + group.count(to.id) > 0) {
+      delay += group_delay;
+    }
     mail_.emplace(std::max(now + delay, stalled_until), [this, &from, &to, deliver] {
-      if (connected(from.zone, to.zone)) {
+      if (connected(from, to)) {
         deliver();
       }
     });
