--- a/Source/Engine/account_service.cxx
+++ b/Source/Engine/account_service.cxx
@@ -17,6 +17,7 @@
 constexpr std::size_t mirror_count = 2;
 // A run is taken for ended when its instance was silent for this long.
 constexpr duration silence_limit = std::chrono::seconds(30);
+constexpr duration replaced_limit = std::chrono::seconds(5);
 constexpr std::uint64_t stagger_range = 1000;
 
 }
@@ -158,7 +159,11 @@
       continue;
     }
     const auto* record = members.find(run.instance);
-    const bool replaced = record != nullptr && record->entry.incarnation != incarnation;
+    // A view that still shows the former run, or only the platform's list, is no proof of a restart;
+    // a run that goes on sends its next mirror within the limit.
+    const bool replaced = record != nullptr && record->stated_at &&
+                          record->entry.incarnation != incarnation &&
+                          now - run.mirrored_at >= replaced_limit;
     const bool silent =
       !members.is_live(run.instance, now) && now - run.mirrored_at >= silence_limit;
     if (!replaced && !silent) {
--- a/Source/Programs/persimmonshelf.cxx
+++ b/Source/Programs/persimmonshelf.cxx
@@ -1,5 +1,6 @@
 #include "Adapters/operator_client.h"
 #include "Base/digest.h"
+#include "Control/configuration.h"
 
 #include <docopt/docopt.h>
 
@@ -23,6 +24,7 @@
   R"(Controls a fleet of persimmonshelf instances through any one of them.
 
 Usage:
+  persimmonshelf check-config FILE
   persimmonshelf [options] config show
   persimmonshelf [options] config diff FILE
   persimmonshelf [options] config dry-run FILE
@@ -40,6 +42,7 @@
   persimmonshelf (-h | --help)
 
 Commands:
+  check-config    Check FILE on this machine, without an instance; print each fault with its line.
   config show     Print the configuration text that is in force.
   config diff     Print what FILE would change, without checking who edits at the same time.
   config dry-run  Check FILE as "set" does, and change nothing.
@@ -127,6 +130,24 @@
   return std::stoull(text);
 }
 
+// Exit code of "check-config": the text is valid, or it has faults, which are printed.
+operator_exit
+check_config(const std::string& file)
+{
+  const auto parsed = configuration::parse(read_file(file));
+  if (!parsed) {
+    std::cerr << "600 config_invalid: " << file << "\n" << parsed.error().message << "\n";
+    return operator_exit::refused;
+  }
+  for (const auto& warning : parsed.value().warnings()) {
+    std::cerr << "warning: " << warning << "\n";
+  }
+  std::cout << file << ": valid; " << parsed.value().routes().size() << " routes, "
+            << parsed.value().databases().size() << " databases, "
+            << parsed.value().workspaces().size() << " workspaces\n";
+  return operator_exit::ok;
+}
+
 operator_request
 build_config(const arguments& given, const std::string& edit_id)
 {
@@ -212,6 +233,9 @@
 run(const std::vector<std::string>& words)
 {
   const auto given = parse(words);
+  if (given.at("check-config").asBool()) {
+    return static_cast<int>(check_config(given.at("FILE").asString()));
+  }
   const auto at = text_or(given, "--at", environment("PERSIMMONSHELF_AT"));
   tcp_address address;
   if (!parse_address(at, address)) {
--- a/Utilities/check.sh
+++ b/Utilities/check.sh
@@ -7,3 +7,4 @@
 cmake --build --preset release
 bash Utilities/lint.sh build
 ctest --preset release
+bash Utilities/end-to-end.sh
--- a/Utilities/fleet.sh
+++ b/Utilities/fleet.sh
@@ -151,3 +151,11 @@
   curl -sS -m 30 -X POST -H "Authorization: Bearer $2" -d "$3" \
     "http://$(caller_address "$1")/v1/routes/shop/statement"
 }
+
+# give_key NUMBER WORKSPACE: gives a key through instance NUMBER and keeps it in WORKSPACE.key.
+give_key() {
+  local answer
+  answer=$(post "$(operator_address "$1")/v1/keys" "{\"workspace\":\"$2\"}")
+  echo "$answer" | grep -q '"code":0' || return 1
+  echo "$answer" | sed 's/.*"key":"\([^"]*\)".*/\1/' >"$FLEET_DIR/$2.key"
+}
