--- a/Source/Adapters/backend_client.cxx
+++ b/Source/Adapters/backend_client.cxx
@@ -73,12 +73,12 @@
     return;
   }
   const auto connection = found->second;
-  connection->send(
-    encode_backend_message(command.message),
-    command.timeout,
-    [this, link, message = command.message](const http_failure* failure, http_response response) {
-      finished(link, message, failure, response);
-    });
+  connection->send(encode_backend_message(command.message),
+                   command.timeout,
+                   [this, link, message = command.message](const http_failure* failure,
+                                                           const http_response& response) {
+                     finished(link, message, failure, response);
+                   });
 }
 
 void
--- a/Source/Adapters/daemon.cxx
+++ b/Source/Adapters/daemon.cxx
@@ -96,8 +96,8 @@
   result<void> open_addresses();
   void make_engine();
   engine_hooks make_hooks();
-  void serve_caller(http_request request, http_server::responder respond);
-  void serve_operator(http_request request, http_server::responder respond);
+  void serve_caller(const http_request& request, http_server::responder respond);
+  void serve_operator(const http_request& request, http_server::responder respond);
   void tick();
   void sample_metrics(instant now);
   void begin_drain();
@@ -170,7 +170,7 @@
                      })
   , engine_to_caller(caller_thread.context(),
                      ring_capacity,
-                     [this](caller_result item) {
+                     [this](const caller_result& item) {
                        const auto found = open_calls.find(item.token);
                        if (found != open_calls.end()) {
                          const auto respond = std::move(found->second);
@@ -249,8 +249,8 @@
     http_server::create(
       caller_thread.context(),
       options,
-      [this](accepted_number, http_request request, http_server::responder respond) {
-        serve_caller(std::move(request), std::move(respond));
+      [this](accepted_number, const http_request& request, http_server::responder respond) {
+        serve_caller(request, std::move(respond));
       }));
   http_server_options operator_options;
   operator_options.address = settings.operator_address.address;
@@ -260,8 +260,8 @@
     http_server::create(
       operator_thread.context(),
       operator_options,
-      [this](accepted_number, http_request request, http_server::responder respond) {
-        serve_operator(std::move(request), std::move(respond));
+      [this](accepted_number, const http_request& request, http_server::responder respond) {
+        serve_operator(request, std::move(respond));
       }));
   const auto peer_place =
     settings.peer_address.address + ":" + std::to_string(settings.peer_address.port);
@@ -332,7 +332,7 @@
 }
 
 void
-daemon::state::serve_caller(http_request request, http_server::responder respond)
+daemon::state::serve_caller(const http_request& request, http_server::responder respond)
 {
   caller_connections.store(callers->connection_count());
   auto decoded = decode_caller_request(request);
@@ -353,7 +353,7 @@
 }
 
 void
-daemon::state::serve_operator(http_request request, http_server::responder respond)
+daemon::state::serve_operator(const http_request& request, http_server::responder respond)
 {
   const auto token = next_command++;
   open_commands.emplace(token, std::move(respond));
--- a/Source/Adapters/platform_client.cxx
+++ b/Source/Adapters/platform_client.cxx
@@ -53,7 +53,7 @@
     }
     auto connection = std::move(idle_.front());
     idle_.pop_front();
-    run(std::move(connection), std::move(call));
+    run(std::move(connection), call);
   }
 }
 
@@ -73,7 +73,7 @@
 }
 
 void
-platform_client::run(std::shared_ptr<http_connection> connection, platform_call call)
+platform_client::run(std::shared_ptr<http_connection> connection, const platform_call& call)
 {
   http_request request;
   request.method = call.method;
--- a/Source/Adapters/platform_client.h
+++ b/Source/Adapters/platform_client.h
@@ -44,7 +44,7 @@
 
 private:
   void start_waiting();
-  void run(std::shared_ptr<http_connection> connection, platform_call call);
+  void run(std::shared_ptr<http_connection> connection, const platform_call& call);
   void connect(platform_call call);
   void finished(std::shared_ptr<http_connection> connection, platform_reply reply);
 
--- a/Source/Base/ring.h
+++ b/Source/Base/ring.h
@@ -42,7 +42,11 @@
     if (items_.write_available() == 0) {
       return false;
     }
-    items_.push(new item(std::move(value)));
+    auto owned = std::make_unique<item>(std::move(value));
+    if (items_.push(owned.get())) {
+      // The consumer deletes it.
+      static_cast<void>(owned.release());
+    }
     if (!wake_pending_.exchange(true)) {
       boost::asio::post(consumer_, [this] { drain(); });
     }
--- a/Source/Base/strong.h
+++ b/Source/Base/strong.h
@@ -24,8 +24,7 @@
 
   const rep& get() const { return value_; }
 
-  // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
-  friend auto operator<=>(const strong&, const strong&) = default; // NOLINT(modernize-use-nullptr)
+  friend auto operator<=>(const strong&, const strong&) = default;
   friend bool operator==(const strong&, const strong&) = default;
 
   friend std::ostream& operator<<(std::ostream& out, const strong& value)
--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -239,7 +239,7 @@
   note_clock(sender, incarnation, from_wire(message.clock_us()), now);
   switch (message.body_case()) {
     case wire::envelope::kBeat:
-      control_->on_heartbeat(message.sender(), incarnation, message.beat(), now);
+      control_->on_heartbeat(message.sender(), message.beat(), now);
       break;
     case wire::envelope::kForward: {
       const auto* record = control_->members().find(sender);
--- a/Source/Engine/entry_service.cxx
+++ b/Source/Engine/entry_service.cxx
@@ -103,7 +103,7 @@
       members.push_back({ member.id, member.zone });
     }
   }
-  router_.configure(std::move(databases));
+  router_.configure(databases);
 }
 
 void
--- a/Source/Engine/home_service.cxx
+++ b/Source/Engine/home_service.cxx
@@ -114,7 +114,7 @@
       target.links.erase(link);
     }
   };
-  calls.answer = [this, &target](home_answer answer) { answered(target, std::move(answer)); };
+  calls.answer = [this, &target](const home_answer& answer) { answered(target, answer); };
   calls.current_term = [this, &target]() -> std::optional<term> {
     const auto claim = groups_.confirmed_primary(target.database, now_);
     if (!claim || claim->member != target.id) {
@@ -187,8 +187,8 @@
       home.connected(number, true, now);
       return;
     case happening::answered:
-      if (auto* answer = std::get_if<backend_answer>(&event.reply)) {
-        home.backend_answered(number, std::move(*answer), now);
+      if (const auto* answer = std::get_if<backend_answer>(&event.reply)) {
+        home.backend_answered(number, *answer, now);
       } else {
         home.backend_failed(number, true, result_code::malformed_answer, now);
       }
@@ -278,7 +278,7 @@
 }
 
 void
-home_service::answered(served_member& target, home_answer answer)
+home_service::answered(served_member& target, const home_answer& answer)
 {
   const auto found = open_.find(answer.id);
   if (found == open_.end()) {
--- a/Source/Engine/home_service.h
+++ b/Source/Engine/home_service.h
@@ -73,7 +73,7 @@
                   connection_number number,
                   backend_event& event,
                   instant now);
-  void answered(served_member& target, home_answer answer);
+  void answered(served_member& target, const home_answer& answer);
   void refuse(const requester& to,
               const wire::forward_request& request,
               result_code code,
--- a/Source/Engine/operator_service.cxx
+++ b/Source/Engine/operator_service.cxx
@@ -81,7 +81,7 @@
 }
 
 void
-operator_service::handle(const operator_request& request, respond reply, instant now)
+operator_service::handle(const operator_request& request, const respond& reply, instant now)
 {
   constexpr std::string_view prefix = "/v1/";
   const std::string_view target(request.target);
@@ -371,7 +371,7 @@
 void
 operator_service::publish_keys(const key_set& changed,
                                const std::string& edit_id,
-                               json::object body,
+                               const json::object& body,
                                const respond& reply,
                                instant now)
 {
--- a/Source/Engine/operator_service.h
+++ b/Source/Engine/operator_service.h
@@ -34,7 +34,7 @@
   // `drain` starts the planned stop of this instance.
   operator_service(engine& target, std::function<void()> drain);
 
-  void handle(const operator_request& request, respond reply, instant now);
+  void handle(const operator_request& request, const respond& reply, instant now);
 
   // Ends the waits for a key set that is to come into force.
   void tick(instant now);
@@ -57,7 +57,7 @@
   void revoke_key(const boost::json::value& body, const respond& reply, instant now);
   void publish_keys(const key_set& changed,
                     const std::string& edit_id,
-                    boost::json::object body,
+                    const boost::json::object& body,
                     const respond& reply,
                     instant now);
   std::string derive_key(const std::string& workspace, const std::string& edit_id) const;
--- a/Source/Entry/request_table.cxx
+++ b/Source/Entry/request_table.cxx
@@ -284,17 +284,15 @@
                       const std::string& message,
                       const attempt_answer* answer)
 {
-  // Erased first: the hook may start other requests or destroy what `message` refers to.
-  const std::string text = message;
-  const request_id id = request;
-  const auto found = requests_.find(id);
-  const auto unknown_code = found->second.unknown_code;
-  requests_.erase(found);
+  // Taken out first, because the hook may start other requests. `request` and `message` may refer
+  // to the entry, so it stays alive until the end.
+  const auto taken = requests_.extract(request);
+  const auto& unknown_code = taken.mapped().unknown_code;
   if (outcome == run_outcome::not_run && unknown_code) {
     code = *unknown_code;
     outcome = run_outcome::unknown;
   }
-  hooks_.finish(id, code, outcome, text, answer);
+  hooks_.finish(taken.key(), code, outcome, message, answer);
 }
 
 }
--- a/Source/Entry/router.cxx
+++ b/Source/Entry/router.cxx
@@ -20,16 +20,16 @@
 }
 
 void
-router::configure(std::map<database_id, std::vector<route_member>> databases)
+router::configure(const std::map<database_id, std::vector<route_member>>& databases)
 {
   std::map<database_id, database_state> next;
-  for (auto& [database, members] : databases) {
+  for (const auto& [database, members] : databases) {
     auto& state = next[database];
     const auto known = databases_.find(database);
     if (known != databases_.end()) {
       state = std::move(known->second);
     }
-    state.members = std::move(members);
+    state.members = members;
   }
   databases_ = std::move(next);
 }
--- a/Source/Entry/router.h
+++ b/Source/Entry/router.h
@@ -25,7 +25,7 @@
   explicit router(zone_id own_zone);
 
   // Replaces the known databases; hints of databases that stay are kept.
-  void configure(std::map<database_id, std::vector<route_member>> databases);
+  void configure(const std::map<database_id, std::vector<route_member>>& databases);
 
   // Takes the primary that a home named; an older term than the known one is ignored.
   void learn_primary(const database_id& database, const member_id& member, term in_term);
--- a/Utilities/Checks/session_check.cxx
+++ b/Utilities/Checks/session_check.cxx
@@ -133,7 +133,7 @@
 private:
   using handler = std::function<void(const json::object*)>;
 
-  void call(const std::string& operation, json::object body, handler done)
+  void call(const std::string& operation, json::object body, const handler& done)
   {
     const auto& address = settings_.callers[random_() % settings_.callers.size()];
     auto connection = http_connection::create(context_);
@@ -158,7 +158,7 @@
         connection->send(
           request,
           std::chrono::seconds(15),
-          [self, connection, done](const http_failure* failure, http_response response) {
+          [self, connection, done](const http_failure* failure, const http_response& response) {
             connection->close();
             self->answered(failure, response, done);
           });
@@ -400,18 +400,19 @@
     http_request request;
     request.method = "GET";
     request.target = target;
-    connection->send(
-      request, std::chrono::seconds(20), [&](const http_failure* failure, http_response response) {
-        if (failure == nullptr) {
-          boost::system::error_code ignored;
-          const auto value = json::parse(response.body, ignored);
-          if (value.is_object()) {
-            body = value.as_object();
-            got = true;
-          }
-        }
-        connection->close();
-      });
+    connection->send(request,
+                     std::chrono::seconds(20),
+                     [&](const http_failure* failure, const http_response& response) {
+                       if (failure == nullptr) {
+                         boost::system::error_code ignored;
+                         const auto value = json::parse(response.body, ignored);
+                         if (value.is_object()) {
+                           body = value.as_object();
+                           got = true;
+                         }
+                       }
+                       connection->close();
+                     });
   });
   context.run();
   return got;
