--- /dev/null
+++ b/Tests/Group/state_chart_test.cxx
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include "Group/state_chart.h"
+
+using namespace persimmonshelf;
+
+namespace {
+
+// A chart of two states with one part exchanged.
+std::string
+chart_with(const std::string& part, const std::string& replacement)
+{
+  std::string text = R"({"name": "door", "initial": "closed", "events": ["open", "close"],
+    "states": [
+      {"name": "closed", "on": [{"event": "open", "target": "opened", "actions": ["ring"]}],
+       "ignore": ["close"]},
+      {"name": "opened", "on": [{"event": "close", "target": "closed"},
+                                {"event": "open", "actions": ["ring"]}]}]})";
+  const auto at = text.find(part);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, part.size(), replacement);
+}
+
+}
+
+// Guards against a chart with a gap that shows only when the event arrives in production.
+TEST_CASE("faulty charts are refused with the place")
+{
+  const struct
+  {
+    std::string part;
+    std::string replacement;
+    std::string message;
+  } cases[] = {
+    { R"("target": "opened", )", "", "door.opened: the state is unreachable" },
+    { R"(,
+       "ignore": ["close"])",
+      "",
+      "door.closed: event close is neither handled nor ignored" },
+    { R"("ring")", R"("rung")", "door.closed.open: unknown action rung" },
+    { R"("target": "closed")",
+      R"("target": "ajar")",
+      "door.opened.close: unknown target state ajar" },
+    { R"("initial": "closed")", R"("initial": "ajar")", "door.initial: unknown state ajar" },
+    { R"(["close"])", R"(["close", "lock"])", "door.closed: unknown event lock" },
+    { R"(["close"])",
+      R"(["close", "open"])",
+      "door.closed: event open is both handled and ignored" },
+    { R"(["close"])", R"(["close", "close"])", "door.states[0]: event close is ignored twice" },
+    { R"("event": "close")",
+      R"("event": "open")",
+      "door.states[1].on[1]: event open is handled twice" },
+    { R"("event": "close")",
+      R"("event": "lock")",
+      "door.opened: event close is neither handled nor ignored" },
+    { R"("name": "opened")",
+      R"("name": "closed")",
+      "door.states[1]: state closed is listed twice" },
+    { R"(["open", "close"])", R"(["open", "open"])", "door.events: event open is listed twice" },
+    { R"("target": "opened")", R"("goto": "opened")", "door.states[0].on[0].goto: unknown name" },
+    { R"("states": [)", R"("states": [7, )", "" },
+    { R"("events")", R"(events)", "" },
+  };
+  for (const auto& each : cases) {
+    const auto made =
+      state_chart::create(chart_with(each.part, each.replacement), { { "ring", [] {} } });
+    REQUIRE_MESSAGE(!made, each.message);
+    CHECK(made.error().code == result_code::chart_invalid);
+    if (!each.message.empty()) {
+      CHECK(made.error().message == each.message);
+    }
+  }
+}
+
+// Guards against actions that run in the wrong state and events lost when an action raises one.
+TEST_CASE("events run to completion in order")
+{
+  int rings = 0;
+  state_chart* chart = nullptr;
+  auto made =
+    state_chart::create(chart_with("door", "door"), { { "ring", [&] {
+                                                         if (++rings == 1) {
+                                                           CHECK(chart->handle("open"));
+                                                           CHECK(chart->handle("close"));
+                                                           CHECK(chart->state() == "closed");
+                                                         }
+                                                       } } });
+  REQUIRE(made);
+  chart = &made.value();
+  CHECK(chart->handle("close"));
+  CHECK(rings == 0);
+  CHECK(chart->handle("open"));
+  CHECK(rings == 2);
+  CHECK(chart->state() == "closed");
+  CHECK(chart->handle("lock").error().message == "door.closed: unknown event lock");
+}
