--- a/Source/Group/state_chart.cxx
+++ b/Source/Group/state_chart.cxx
@@ -170,13 +170,15 @@
       if (!chart_.events_.contains(event)) {
         return invalid(place, "unknown event " + event);
       }
+      auto where = place;
+      where.append(".").append(event);
       if (next.target && !chart_.states_.contains(*next.target)) {
-        return invalid(place + "." + event, "unknown target state " + *next.target);
+        return invalid(where, "unknown target state " + *next.target);
       }
       for (const auto& action : next.actions) {
         const auto found = chart_.actions_.find(action);
         if (found == chart_.actions_.end() || !found->second) {
-          return invalid(place + "." + event, "unknown action " + action);
+          return invalid(where, "unknown action " + action);
         }
       }
     }
--- a/Tests/Group/group_model.h
+++ b/Tests/Group/group_model.h
@@ -2,6 +2,7 @@
 
 #include "Group/promotion.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <functional>
@@ -14,25 +15,27 @@
 
 namespace persimmonshelf {
 
-// One member with asynchronous replication. Its log is the list of the terms that wrote its
-// entries.
-struct model_member
-{
-  std::vector<std::uint64_t> log;
-  std::uint64_t promised = 0;
-  std::string granted_to;
-  std::size_t source = 0;
-  bool primary = false;
-  bool up = true;
-  bool leaving = false;
-};
+inline const std::vector<member_id> model_ids = { member_id("a"), member_id("b"), member_id("c") };
 
-// Three members, their candidates and the messages between them, against an oracle: a write that a
-// candidate's view calls held by a majority is then in the newest primary's log and in the log of
-// every newer one, and a term has one primary.
+// Three members with asynchronous replication, their candidates and the messages between them,
+// against an oracle: a write that a candidate's view calls held by a majority is then in the newest
+// primary's log and in the log of every newer one, and a term has one primary.
 class group_model
 {
 public:
+  // The log is the list of the terms that wrote its entries.
+  struct member
+  {
+    std::vector<std::uint64_t> log = { 3, 3, 4 };
+    std::uint64_t promised = 4;
+    std::string granted_to;
+    std::size_t source = 0;
+    bool primary = false;
+    bool up = true;
+    bool leaving = false;
+
+    log_point last() const { return { term(log.back()), log_position(log.size()) }; }
+  };
   struct candidate
   {
     std::unique_ptr<promotion> logic;
@@ -46,10 +49,11 @@
   {
     std::string kind;
     std::size_t from;
-    std::size_t member;
+    std::size_t to;
     std::function<void()> run;
-  };
 
+    bool is_answer() const { return kind.ends_with("answer"); }
+  };
   // A write that a view said a majority holds, and the newest primary's term at that time.
   struct acknowledgement
   {
@@ -57,47 +61,266 @@
     std::uint64_t newest_term;
   };
 
-  explicit group_model(std::size_t candidates);
+  explicit group_model(std::size_t count)
+  {
+    members[0].primary = true;
+    for (std::size_t i = 0; i < count; ++i) {
+      candidates.push_back({ nullptr, group_view::create(model_ids).value(), {}, false, {}, {} });
+      candidates[i].logic = promotion::create(model_ids, {}, hooks(i)).value();
+    }
+  }
   group_model(const group_model&) = delete;
 
-  void report(std::size_t index, std::size_t member, int age_ms = 1);
-  bool write(std::size_t member);
-  void replicate(std::size_t member, std::size_t entries);
-  // Runs the message unless it is lost; answers to a paused candidate stay queued.
-  void deliver(std::size_t index);
+  bool reachable(std::size_t from, std::size_t to) const
+  {
+    return members[to].up && !candidates[from].cut.contains(to);
+  }
+
+  // Cuts a member off from everything but callers.
+  void isolate(std::size_t index)
+  {
+    detached.insert(index);
+    std::for_each(
+      candidates.begin(), candidates.end(), [&](auto& each) { each.cut.insert(index); });
+  }
+
+  void rejoin(std::size_t index)
+  {
+    detached.erase(index);
+    std::for_each(candidates.begin(), candidates.end(), [&](auto& each) { each.cut.erase(index); });
+  }
+
+  void report(candidate& to, std::size_t index)
+  {
+    const auto& from = members[index];
+    const auto sent = now - std::chrono::milliseconds(1);
+    member_report made{
+      model_ids[index], term(from.promised), from.last(), from.primary, from.leaving, {}, sent, now
+    };
+    for (std::size_t i = 0; i < from.log.size(); ++i) {
+      if (i == 0 || from.log[i] != from.log[i - 1]) {
+        made.history.push_back({ term(from.log[i]), log_position(i + 1) });
+      }
+    }
+    if (!to.view.apply(made)) {
+      violations.emplace_back("a report was refused");
+    }
+  }
+
+  void write(std::size_t index)
+  {
+    auto& target = members[index];
+    if (target.up && target.primary) {
+      target.log.push_back(target.promised);
+      open_writes.push_back(target.last());
+    }
+  }
+
+  void replicate(std::size_t index, std::size_t entries)
+  {
+    auto& target = members[index];
+    const auto& source = members[target.source];
+    if (target.source == index || !target.up || !source.up || !source.primary ||
+        source.promised != target.promised || detached.contains(index) ||
+        detached.contains(target.source)) {
+      return;
+    }
+    const auto shared =
+      std::mismatch(target.log.begin(), target.log.end(), source.log.begin(), source.log.end());
+    target.log.erase(shared.first, target.log.end());
+    while (entries-- > 0 && target.log.size() < source.log.size()) {
+      target.log.push_back(source.log[target.log.size()]);
+    }
+  }
+
+  // Runs a message unless it is lost. False if it stays queued, as answers to a paused candidate
+  // do.
+  bool deliver(std::size_t index)
+  {
+    const auto next = in_flight[index];
+    if (next.is_answer() && candidates[next.from].paused) {
+      return false;
+    }
+    in_flight.erase(in_flight.begin() + static_cast<std::ptrdiff_t>(index));
+    if (reachable(next.from, next.to) && next.kind != lost_kind) {
+      next.run();
+    }
+    return true;
+  }
+
   // Lets time pass in steps of 50 ms with reports, ticks, messages and replication.
-  void run(int milliseconds, const std::function<bool()>& until = nullptr);
-  void check_acknowledged();
+  void run(
+    int milliseconds,
+    const std::function<bool()>& until = [] { return false; })
+  {
+    for (int passed = 0; passed < milliseconds && !until(); passed += 50) {
+      now += std::chrono::milliseconds(50);
+      for (std::size_t i = 0; i < candidates.size(); ++i) {
+        for (std::size_t m = 0; m < members.size() && !candidates[i].paused; ++m) {
+          if (reachable(i, m)) {
+            report(candidates[i], m);
+          }
+        }
+        if (!candidates[i].paused) {
+          candidates[i].logic->tick(now, candidates[i].view);
+        }
+      }
+      check_acknowledged();
+      std::size_t at = 0;
+      for (std::size_t left = hold_messages ? 0 : in_flight.size(); left > 0; --left) {
+        at += deliver(at) ? 0 : 1;
+      }
+      for (std::size_t m = 0; m < members.size(); ++m) {
+        replicate(m, 2);
+      }
+    }
+  }
+
   // Fences and promotes at once, as a candidate does that this model does not hold.
-  void rival_round();
-  // The member that claims the highest term.
-  std::optional<std::size_t> primary() const;
+  void rival_round()
+  {
+    std::uint64_t in_term = 0;
+    for (const auto& each : members) {
+      in_term = std::max(in_term, each.promised + 1);
+    }
+    std::map<log_point, std::size_t> fenced;
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      if (members[i].up && !detached.contains(i) && fence(i, in_term, "rival")) {
+        fenced[members[i].last()] = i;
+      }
+    }
+    promote(fenced.rbegin()->second, in_term, "rival");
+  }
+
+  bool fence(std::size_t index, std::uint64_t in_term, const std::string& by)
+  {
+    auto& target = members[index];
+    if (in_term > target.promised) {
+      target.promised = in_term;
+      target.granted_to = by;
+      target.primary = false;
+      target.source = index;
+    }
+    return in_term == target.promised && target.granted_to == by;
+  }
+
+  bool promote(std::size_t index, std::uint64_t in_term, const std::string& by)
+  {
+    auto& target = members[index];
+    if (in_term != target.promised || target.granted_to != by) {
+      return false;
+    }
+    target.primary = true;
+    if (primaries.try_emplace(in_term, index).first->second != index) {
+      violations.push_back("two primaries in term " + std::to_string(in_term));
+    }
+    for (const auto& each : acknowledged) {
+      if (in_term > each.newest_term) {
+        check_contains(each, in_term);
+      }
+    }
+    return true;
+  }
+
+  bool follow(std::size_t index, std::uint64_t in_term, std::size_t primary)
+  {
+    auto& target = members[index];
+    if (in_term < target.promised || index == primary) {
+      return false;
+    }
+    target.primary = false;
+    target.promised = in_term;
+    target.source = primary;
+    return true;
+  }
 
   instant now{ std::chrono::seconds(100) };
-  std::array<model_member, 3> members;
+  std::array<member, 3> members;
   std::vector<candidate> candidates;
   std::deque<message> in_flight;
-  std::function<bool(const message&)> loses = [](const message&) { return false; };
+  // Messages of this kind are lost.
+  std::string lost_kind;
   // Members without replication to or from others.
   std::set<std::size_t> detached;
   bool hold_messages = false;
   std::vector<log_point> open_writes;
   std::vector<acknowledgement> acknowledged;
   // By term.
-  std::map<std::uint64_t, std::size_t> primaries;
+  std::map<std::uint64_t, std::size_t> primaries = { { 4, 0 } };
   std::vector<std::string> violations;
-  std::vector<std::string> notes;
 
 private:
-  promotion_hooks hooks(std::size_t index);
-  void fence(std::size_t from, std::size_t member, term in_term);
-  void promote(std::size_t from, std::size_t member, term in_term);
-  bool promote_member(std::size_t member, std::uint64_t in_term, const std::string& by);
-  bool fence_member(std::size_t member, std::uint64_t in_term, const std::string& by);
-  void follow(std::size_t from, std::size_t member, term in_term, std::size_t primary);
-  void check_contains(const acknowledgement& write, std::uint64_t in_term);
-};
+  // Queues an order; the answer is queued when it was carried out.
+  void order(std::string kind,
+             std::size_t from,
+             const member_id& to,
+             std::function<std::function<void()>()> run)
+  {
+    const auto index = static_cast<std::size_t>(to.get().front() - 'a');
+    in_flight.push_back({ kind, from, index, [=, this] {
+                           in_flight.push_back({ kind + " answer", from, index, run() });
+                         } });
+  }
+
+  promotion_hooks hooks(std::size_t from)
+  {
+    const auto name = std::to_string(from);
+    const auto index = [](const member_id& id) {
+      return static_cast<std::size_t>(id.get().front() - 'a');
+    };
+    promotion_hooks made;
+    made.send_fence = [=, this](const member_id& to, term in_term) {
+      order("fence", from, to, [=, this]() -> std::function<void()> {
+        const bool granted = fence(index(to), in_term.get(), name);
+        const auto& target = members[index(to)];
+        return [=, this, promised = term(target.promised), last = target.last()] {
+          candidates[from].logic->fence_answer(now, to, in_term, granted, promised, last);
+        };
+      });
+    };
+    made.send_promote = [=, this](const member_id& to, term in_term) {
+      order("promote", from, to, [=, this]() -> std::function<void()> {
+        const bool accepted = promote(index(to), in_term.get(), name);
+        return [=, this, promised = term(members[index(to)].promised)] {
+          candidates[from].logic->promote_answer(now, to, in_term, accepted, promised);
+        };
+      });
+    };
+    made.send_follow = [=, this](const member_id& to, term in_term, const member_id& primary) {
+      order("follow", from, to, [=, this]() -> std::function<void()> {
+        const bool accepted = follow(index(to), in_term.get(), index(primary));
+        return [=, this] { candidates[from].logic->follow_answer(to, in_term, accepted); };
+      });
+    };
+    made.random_delay = [=, this](duration max) { return std::min(max, candidates[from].delay); };
+    made.notify = [](const std::string&) {};
+    made.report = [=, this](const auto& each) { candidates[from].reports.push_back(each); };
+    return made;
+  }
 
-extern const std::array<member_id, 3> model_ids;
+  void check_contains(const acknowledgement& each, std::uint64_t in_term)
+  {
+    const auto& log = members[primaries.at(in_term)].log;
+    const auto position = each.point.position.get();
+    if (position > log.size() || log[position - 1] != each.point.in_term.get()) {
+      violations.push_back("the primary of term " + std::to_string(in_term) +
+                           " lacks acknowledged write " + std::to_string(position));
+    }
+  }
+
+  void check_acknowledged()
+  {
+    std::erase_if(open_writes, [this](const auto& point) {
+      const bool held = std::any_of(candidates.begin(), candidates.end(), [&](const auto& each) {
+        return each.view.majority_holds(point);
+      });
+      if (held) {
+        acknowledged.push_back({ point, primaries.rbegin()->first });
+        check_contains(acknowledged.back(), primaries.rbegin()->first);
+      }
+      return held;
+    });
+  }
+};
 
 }
--- a/Tests/Group/promotion_test.cxx
+++ b/Tests/Group/promotion_test.cxx
@@ -2,7 +2,6 @@
 
 #include "group_model.h"
 
-#include <iterator>
 #include <sstream>
 
 using namespace persimmonshelf;
@@ -34,7 +33,6 @@
 {
   group_model model{ 2 };
   instant lost_at;
-  // When the fault ends.
   instant heals_at = instant::max();
 
   // Primary a is isolated from everything but its callers, with a write that only it holds. C lags.
@@ -47,39 +45,12 @@
       model.replicate(1, 1);
     }
     model.run(1000, [&] { return model.open_writes.empty(); });
-    isolate(0);
+    model.isolate(0);
     model.write(0);
     lost_at = model.now;
   }
 
-  void isolate(std::size_t member)
-  {
-    model.detached.insert(member);
-    model.candidates[0].cut.insert(member);
-    model.candidates[1].cut.insert(member);
-  }
-
-  void rejoin(std::size_t member)
-  {
-    model.detached.erase(member);
-    model.candidates[0].cut.erase(member);
-    model.candidates[1].cut.erase(member);
-  }
-
-  void lose(const std::string& kind)
-  {
-    model.loses = [kind](const auto& each) { return each.kind == kind; };
-    heals_at = model.now + std::chrono::milliseconds(1200);
-  }
-
-  void pause()
-  {
-    model.candidates[0].paused = true;
-    model.candidates[1].paused = false;
-    heals_at = model.now + std::chrono::seconds(5);
-  }
-
-  bool reached(const std::string& step)
+  bool reached(const std::string& step) const
   {
     const auto& state = model.candidates[0].logic->state();
     return step == "detect" || (step == "fence" && state == "fencing") ||
@@ -90,47 +61,45 @@
 
   void apply(const std::string& fault, bool promoted)
   {
-    // From "promote" on, the new primary b is the one that fails, and a comes back.
+    // Once b is promoted, it is the primary that fails, and a comes back.
     if (fault.starts_with("primary") && promoted) {
-      rejoin(0);
-      isolate(1);
+      model.rejoin(0);
+      model.isolate(1);
     }
+    int lasts_ms = 4000;
     if (fault == "primary killed") {
       model.members[promoted ? 1 : 0].up = false;
-    } else if (fault == "fence answer lost") {
-      lose("fence answer");
+    } else if (fault.ends_with("lost")) {
+      model.lost_kind = fault.substr(0, fault.size() - 5);
+      lasts_ms = 1200;
       // A late answer must not change a choice that was made.
       auto& logic = *model.candidates[0].logic;
-      const auto in_term = logic.current_term();
+      const auto now = logic.current_term();
       if (logic.state() == "promoting") {
-        logic.fence_answer(
-          model.now, model_ids[2], in_term, true, in_term, { in_term, log_position(99) });
+        logic.fence_answer(model.now, model_ids[2], now, true, now, { now, log_position(99) });
       }
-    } else if (fault == "promote answer lost") {
-      lose("promote answer");
     } else if (fault == "rival candidate") {
       model.rival_round();
-    } else if (fault == "candidate paused") {
-      pause();
     } else if (fault == "replica far behind") {
       model.detached.insert(2);
-      heals_at = model.now + std::chrono::seconds(4);
     } else if (fault == "member unreachable") {
       model.members[2].up = false;
-      heals_at = model.now + std::chrono::seconds(4);
-    } else if (fault == "double fault") {
-      lose("promote answer");
-      pause();
+    } else if (fault == "candidate paused" || fault == "double fault") {
+      model.lost_kind = fault == "double fault" ? "promote answer" : "";
+      model.candidates[0].paused = true;
+      model.candidates[1].paused = false;
+      lasts_ms = 5000;
     }
+    heals_at = model.now + std::chrono::milliseconds(lasts_ms);
   }
 
+  // What else failed, such as a killed primary, stays so.
   void heal()
   {
-    model.loses = [](const auto&) { return false; };
-    for (std::size_t i = 0; i < 3; ++i) {
-      rejoin(i);
-      model.members[i].up = true;
-    }
+    heals_at = instant::max();
+    model.lost_kind.clear();
+    model.detached.erase(2);
+    model.members[2].up = true;
     model.candidates[0].paused = false;
   }
 };
@@ -139,11 +108,11 @@
 check_cell(const std::string& fault, const std::string& step, const std::string& expected)
 {
   INFO(fault << " x " << step << ": " << expected);
-  std::string winner;
-  int longest_gap = 0;
+  char winner = 0;
+  int longest_gap_ms = 0;
   std::uint64_t highest_term = 0;
   std::istringstream values(expected);
-  values >> winner >> longest_gap >> highest_term;
+  values >> winner >> longest_gap_ms >> highest_term;
   REQUIRE_FALSE(values.fail());
   scenario run;
   auto& model = run.model;
@@ -158,30 +127,29 @@
     }
     model.run(100);
     if (model.now >= run.heals_at) {
-      run.heals_at = instant::max();
-      model.loses = [](const auto&) { return false; };
-      model.detached.erase(2);
-      model.members[2].up = true;
-      model.candidates[0].paused = false;
+      run.heal();
     }
     if (!resumed && model.acknowledged.back().point.in_term > term(4)) {
       resumed = model.now;
     }
   }
-  CHECK(model.violations.empty());
   REQUIRE(resumed);
-  const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(*resumed - run.lost_at);
-  CHECK(gap.count() <= longest_gap);
+  CHECK(*resumed - run.lost_at <= std::chrono::milliseconds(longest_gap_ms));
 
   // Once everything is back, all members follow one primary and none is left fenced.
   run.heal();
+  for (std::size_t m = 0; m < 3; ++m) {
+    model.rejoin(m);
+    model.members[m].up = true;
+  }
   model.run(12000);
-  CHECK(model.violations.empty());
-  REQUIRE(model.primary());
-  CHECK(model_ids[*model.primary()].get() == winner);
+  CHECK(model.violations == std::vector<std::string>{});
+  const auto& primary = model.members[static_cast<std::size_t>(winner - 'a')];
+  CHECK(primary.primary);
   for (const auto& member : model.members) {
-    CHECK(member.promised <= highest_term);
-    CHECK(member.log == model.members[*model.primary()].log);
+    CHECK(member.promised == highest_term);
+    CHECK(member.log == primary.log);
+    CHECK(member.primary == (&member == &primary));
   }
 }
 
@@ -192,23 +160,23 @@
 {
   std::set<std::string> covered;
   std::istringstream lines{ std::string(cells) };
-  for (std::string line; std::getline(lines, line);) {
-    std::istringstream fields(line);
-    std::string fault;
-    std::getline(fields, fault, '|');
+  std::string fault;
+  while (std::getline(lines >> std::ws, fault, '|')) {
     fault.erase(fault.find_last_not_of(' ') + 1);
+    std::string line;
+    std::getline(lines, line);
+    std::istringstream fields(line);
     for (const auto& step : steps) {
       std::string expected;
-      if (!fault.empty() && std::getline(fields, expected, '|')) {
+      if (std::getline(fields, expected, '|')) {
         check_cell(fault, step, expected);
         covered.insert(fault + " x " + step);
       }
     }
   }
-  for (const auto& fault : faults) {
+  for (const auto& each : faults) {
     for (const auto& step : steps) {
-      CHECK_MESSAGE(covered.contains(fault + " x " + step),
-                    fault << " x " << step << " is missing");
+      CHECK_MESSAGE(covered.contains(each + " x " + step), each << " x " << step << " is missing");
     }
   }
 }
--- a/Tests/Group/state_chart_test.cxx
+++ b/Tests/Group/state_chart_test.cxx
@@ -26,50 +26,30 @@
 // Guards against a chart with a gap that shows only when the event arrives in production.
 TEST_CASE("faulty charts are refused with the place")
 {
-  const struct
-  {
-    std::string part;
-    std::string replacement;
-    std::string message;
-  } cases[] = {
-    { R"("target": "opened", )", "", "door.opened: the state is unreachable" },
-    { R"(,
-       "ignore": ["close"])",
-      "",
-      "door.closed: event close is neither handled nor ignored" },
-    { R"("ring")", R"("rung")", "door.closed.open: unknown action rung" },
-    { R"("target": "closed")",
-      R"("target": "ajar")",
-      "door.opened.close: unknown target state ajar" },
-    { R"("initial": "closed")", R"("initial": "ajar")", "door.initial: unknown state ajar" },
-    { R"(["close"])", R"(["close", "lock"])", "door.closed: unknown event lock" },
-    { R"(["close"])",
-      R"(["close", "open"])",
-      "door.closed: event open is both handled and ignored" },
-    { R"(["close"])", R"(["close", "close"])", "door.states[0]: event close is ignored twice" },
-    { R"("event": "close")",
-      R"("event": "open")",
-      "door.states[1].on[1]: event open is handled twice" },
-    { R"("event": "close")",
-      R"("event": "lock")",
-      "door.opened: event close is neither handled nor ignored" },
-    { R"("name": "opened")",
-      R"("name": "closed")",
-      "door.states[1]: state closed is listed twice" },
-    { R"(["open", "close"])", R"(["open", "open"])", "door.events: event open is listed twice" },
-    { R"("target": "opened")", R"("goto": "opened")", "door.states[0].on[0].goto: unknown name" },
-    { R"("states": [)", R"("states": [7, )", "" },
-    { R"("events")", R"(events)", "" },
-  };
-  for (const auto& each : cases) {
-    const auto made =
-      state_chart::create(chart_with(each.part, each.replacement), { { "ring", [] {} } });
-    REQUIRE_MESSAGE(!made, each.message);
+  const auto check = [](const char* part, const char* replacement, const std::string& message) {
+    const auto made = state_chart::create(chart_with(part, replacement), { { "ring", [] {} } });
+    REQUIRE_MESSAGE(!made, message);
     CHECK(made.error().code == result_code::chart_invalid);
-    if (!each.message.empty()) {
-      CHECK(made.error().message == each.message);
-    }
-  }
+    CHECK(made.error().message == message);
+  };
+  check(R"("target": "opened", )", "", "door.opened: the state is unreachable");
+  check(R"("close"]},)", "]},", "door.closed: event close is neither handled nor ignored");
+  check("ring", "rung", "door.closed.open: unknown action rung");
+  check(R"("target": "closed")", R"("target": "x")", "door.opened.close: unknown target state x");
+  check(R"("initial": "closed")", R"("initial": "ajar")", "door.initial: unknown state ajar");
+  check(R"(["close"])", R"(["close", "lock"])", "door.closed: unknown event lock");
+  check(R"("close"]},)", R"("open"]},)", "door.closed: event close is neither handled nor ignored");
+  check(R"("close"]},)",
+        R"("close", "open"]},)",
+        "door.closed: event open is both handled and ignored");
+  check(R"("close"]},)", R"("close", "close"]},)", "door.states[0]: event close is ignored twice");
+  check(R"("event": "close")",
+        R"("event": "open")",
+        "door.states[1].on[1]: event open is handled twice");
+  check(
+    R"("name": "opened")", R"("name": "closed")", "door.states[1]: state closed is listed twice");
+  check(R"(["open", "close"])", R"(["open", "open"])", "door.events: event open is listed twice");
+  check(R"("target": "opened")", R"("goto": "opened")", "door.states[0].on[0].goto: unknown name");
 }
 
 // Guards against actions that run in the wrong state and events lost when an action raises one.
@@ -77,14 +57,14 @@
 {
   int rings = 0;
   state_chart* chart = nullptr;
-  auto made =
-    state_chart::create(chart_with("door", "door"), { { "ring", [&] {
-                                                         if (++rings == 1) {
-                                                           CHECK(chart->handle("open"));
-                                                           CHECK(chart->handle("close"));
-                                                           CHECK(chart->state() == "closed");
-                                                         }
-                                                       } } });
+  const auto ring = [&] {
+    if (++rings == 1) {
+      CHECK(chart->handle("open"));
+      CHECK(chart->handle("close"));
+      CHECK(chart->state() == "closed");
+    }
+  };
+  auto made = state_chart::create(chart_with("door", "door"), { { "ring", ring } });
   REQUIRE(made);
   chart = &made.value();
   CHECK(chart->handle("close"));
