account: Test the ledger and fuzz the account of a month

The bound of an ended run now reaches each month that its gap touches, and the ledger tells whether the rows of failed peers are written, which a planned stop has to wait for.

--- a/Source/Account/usage_ledger.cxx
+++ b/Source/Account/usage_ledger.cxx
@@ -36,6 +36,7 @@
   , settings_(settings)
   , table_(std::move(table))
   , now_(std::move(now))
+  , utc_(utc)
   , month_(calendar_month::at(utc))
 {
 }
@@ -60,6 +61,7 @@
 void
 usage_ledger::tick(instant now, std::int64_t utc)
 {
+  utc_ = std::max(utc_, utc);
   // A wall clock that is set back doesn't reopen a closed month.
   month_ = std::max(month_, calendar_month::at(utc));
   for (auto& [month, writer] : own_) {
@@ -149,7 +151,11 @@
 {
   auto& known = peers_[peer];
   known.failed = true;
-  open(known.months, month_, peer);
+  // The run may have counted in each month that the gap reaches into.
+  const auto began = utc_ - gap.count() / us_per_s - 1;
+  for (auto month = calendar_month::at(began); month <= month_; month = month.plus(1)) {
+    open(known.months, month, peer);
+  }
   for (const auto& share : shares) {
     std::uint64_t admitted = 0;
     std::uint64_t ended = 0;
@@ -158,7 +164,6 @@
       ended += writer->row().value(share.workspace, usage_counter::ended);
     }
     const auto open_requests = admitted > ended ? admitted - ended : 0;
-    // The gap may reach into each month that the run did not close.
     for (auto& [month, writer] : known.months) {
       writer->row().add_bound({ share.workspace, bound_of(share, gap) + open_requests, cause });
     }
@@ -187,4 +192,15 @@
     own_.begin(), own_.end(), [](const auto& item) { return item.second->written(); });
 }
 
+bool
+usage_ledger::peers_written() const
+{
+  return std::all_of(peers_.begin(), peers_.end(), [](const auto& item) {
+    const auto& months = item.second.months;
+    return !item.second.failed || std::all_of(months.begin(), months.end(), [](const auto& entry) {
+      return entry.second->written();
+    });
+  });
+}
+
 }
--- a/Source/Account/usage_ledger.h
+++ b/Source/Account/usage_ledger.h
@@ -72,6 +72,8 @@
   void close();
   // True if the table confirmed all own rows.
   bool written() const;
+  // True if the table confirmed the rows of all failed peers; a planned stop waits for it too.
+  bool peers_written() const;
 
   // Requests that a run with this share may have admitted within the gap, rounded up.
   static std::uint64_t bound_of(const usage_share& share, duration gap);
@@ -90,6 +92,7 @@
   usage_settings settings_;
   table_hooks table_;
   std::function<instant()> now_;
+  std::int64_t utc_;
   calendar_month month_;
   rows own_;
   std::map<incarnation_id, peer_rows> peers_;
--- /dev/null
+++ b/Tests/Account/account_test.cxx
@@ -0,0 +1,187 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "../Support/fake_table.h"
+
+#include "Account/month_closer.h"
+#include "Account/usage_ledger.h"
+
+using namespace persimmonshelf;
+using namespace persimmonshelf::testing;
+
+namespace {
+
+const workspace_id first{ "w1" };
+const std::string answered(usage_counter::answered);
+
+calendar_month
+month(const char* text)
+{
+  return calendar_month::parse(text).value();
+}
+
+table_row
+row_of(const char* in_month, std::uint64_t incarnation, std::uint64_t value, bool closed)
+{
+  usage_row row;
+  row.add(first, answered, value);
+  if (closed) {
+    row.close();
+  }
+  return { usage_row::key(month(in_month), incarnation_id(incarnation)), row.to_json(), 1 };
+}
+
+}
+
+// Guards against wrong month borders, leap years and malformed months.
+TEST_CASE("months are computed in UTC")
+{
+  const struct
+  {
+    std::int64_t utc;
+    const char* text;
+    std::int64_t begin;
+  } cases[] = { { 0, "1970-01", 0 },
+                { 951'782'400, "2000-02", 949'363'200 },
+                { 1'709'251'199, "2024-02", 1'706'745'600 },
+                { 1'709'251'200, "2024-03", 1'709'251'200 },
+                { 1'798'761'599, "2026-12", 1'796'083'200 },
+                { -5, "1970-01", 0 } };
+  for (const auto& each : cases) {
+    const auto found = calendar_month::at(each.utc);
+    CHECK(found.text() == each.text);
+    CHECK(found.begin() == each.begin);
+    CHECK(calendar_month::parse(each.text).value() == found);
+  }
+  CHECK(month("2026-12").plus(1).text() == "2027-01");
+  CHECK(month("2026-12").end() == month("2027-01").begin());
+  for (const auto* text : { "2026-13", "2026-00", "26-01", "2026-1", "1969-12", "2026-+1", "" }) {
+    CHECK(calendar_month::parse(text).error().code == result_code::bad_request);
+  }
+}
+
+// Guards against merges that lower a value, count twice or keep the bound of a closed run.
+TEST_CASE("usage rows merge by maximum in any order")
+{
+  usage_row left;
+  left.add(first, answered, 5);
+  left.add_bound({ first, 10, "killed" });
+  usage_row right;
+  right.add(first, answered, 7);
+  right.add_bound({ first, 4, "killed" });
+  auto both = left;
+  both.merge(right);
+  both.merge(left);
+  CHECK(both.value(first, answered) == 7);
+  CHECK(both.bounds() == std::vector<usage_bound>{ { first, 10, "killed" } });
+  CHECK(usage_row::parse(both.to_json()).value() == both);
+  usage_row closed;
+  closed.close();
+  both.merge(closed);
+  CHECK(both.bounds().empty());
+  both.merge(left);
+  CHECK(both.bounds().empty());
+  for (const auto* text :
+       { "[]", R"({"closed":true})", R"({"workspaces":{"w":{"a":-1}},"bounds":[]})" }) {
+    CHECK(usage_row::parse(text).error().code == result_code::malformed_answer);
+  }
+}
+
+// Guards against a bound that rounds down or overflows.
+TEST_CASE("the bound of an unfinished run covers rate, burst and borrowed tokens")
+{
+  CHECK(usage_ledger::bound_of({ first, 1'000, 0, 0 }, 1us) == 1);
+  CHECK(usage_ledger::bound_of({ first, 1'500, 2'000, 1'000 }, 2s) == 6);
+  CHECK(usage_ledger::bound_of({ first, 1'000'000'000'000, 0, 0 }, 24h) == 86'400'000'000'000);
+}
+
+// Guards against a write on behalf of a failed peer that replaces its newer row.
+TEST_CASE("a late write for a peer keeps the peer's newer values")
+{
+  event_loop loop;
+  fake_table table(loop);
+  auto run = std::make_shared<process>();
+  const auto normal = [](call_kind, const auto&, const auto&) { return call_fate{}; };
+  const auto now = [&] { return loop.now(); };
+  const std::int64_t utc = month("2026-12").begin();
+  usage_ledger ledger(incarnation_id(1), {}, table.hooks(run, normal), now, utc);
+  ledger.on_mirror(incarnation_id(2), { { "2026-12", first, answered, 5 } }, false);
+  const auto stored = row_of("2026-12", 2, 8, false);
+  table.write(stored.key, stored.value, 0);
+  ledger.peer_failed(incarnation_id(2), { { first, 1'000, 0, 0 } }, 3s, "lease ended");
+  for (int i = 0; i < 100; ++i) {
+    ledger.tick(loop.now(), utc);
+    loop.run_until(loop.now() + 100ms);
+  }
+  const auto row = usage_row::parse(table.read(stored.key).value).value();
+  CHECK(row.value(first, answered) == 8);
+  CHECK(row.bounds() == std::vector<usage_bound>{ { first, 3, "lease ended" } });
+}
+
+// Guards against late counters that are lost or listed in more than one account.
+TEST_CASE("late counters are adjusted once and a closed month stays as it is")
+{
+  const auto october = month("2026-10");
+  const auto closed = account_month::build(october, { row_of("2026-10", 1, 10, true) }, {}).value();
+  const std::vector<table_row> late{ row_of("2026-10", 1, 10, true),
+                                     row_of("2026-10", 2, 4, false) };
+  const auto next =
+    account_month::build(month("2026-11"), {}, { { october, late, { closed } } }).value();
+  REQUIRE(next.adjustments().size() == 1);
+  CHECK(next.adjustments()[0].counters == usage_counters{ { first, { { answered, 4 } } } });
+  CHECK(account_month::parse(next.to_json()).value() == next);
+  const auto third =
+    account_month::build(month("2026-12"), {}, { { october, late, { closed, next } } }).value();
+  CHECK(third.adjustments().empty());
+  const auto open = account_month::build(october, late, {}).value();
+  CHECK(open.unfinished() == std::vector<std::string>{ "2" });
+}
+
+// Guards against two accounts of one month when several instances close at once, one of them with a
+// lost answer and one that read the rows earlier.
+TEST_CASE("several instances close a month with one document")
+{
+  event_loop loop;
+  fake_table table(loop);
+  const std::int64_t begin = month("2026-12").begin();
+  for (int i = 0; i < 3; ++i) {
+    const auto row = row_of("2026-11", static_cast<std::uint64_t>(i + 1), 10, true);
+    table.write(row.key, row.value, 0);
+  }
+  int puts = 0;
+  std::vector<std::unique_ptr<month_closer>> closers;
+  auto run = std::make_shared<process>();
+  for (int i = 0; i < 5; ++i) {
+    const auto fate = [&puts, i](call_kind kind, const auto&, const auto&) {
+      call_fate made;
+      made.out = made.back = std::chrono::milliseconds(i + 1);
+      made.answered = kind != call_kind::put || ++puts > 1;
+      return made;
+    };
+    closers.push_back(std::make_unique<month_closer>(
+      usage_settings{}, table.hooks(run, fate), [&] { return loop.now(); }, 0));
+  }
+  const auto tick_until = [&](std::int64_t from, std::int64_t to) {
+    for (auto utc = from; utc < to; ++utc) {
+      for (auto& closer : closers) {
+        closer->tick(loop.now(), utc);
+      }
+      loop.run_until(loop.now() + 1s);
+    }
+  };
+  tick_until(begin + 3'500, begin + 3'600);
+  CHECK(table.list("account/").empty());
+  tick_until(begin + 3'600, begin + 3'630);
+  const auto stored = table.read("account/2026-11");
+  const auto late = row_of("2026-11", 9, 5, true);
+  table.write(late.key, late.value, 0);
+  tick_until(begin + 3'630, begin + 3'700);
+  CHECK(table.read("account/2026-11").revision == stored.revision);
+  CHECK(table.list("account/").size() == 1);
+  CHECK(puts > 1);
+  for (const auto& closer : closers) {
+    REQUIRE(closer->closed(month("2026-11")) != nullptr);
+    CHECK(closer->closed(month("2026-11"))->to_json() == stored.value);
+    CHECK(closer->closed(month("2026-11"))->counters().at(first).at(answered) == 30);
+  }
+}
--- /dev/null
+++ b/Tests/Account/fuzz_test.cxx
@@ -0,0 +1,284 @@
+#include <doctest/doctest.h>
+
+#include <rapidcheck.h>
+
+#include "../Support/fake_table.h"
+
+#include "Account/month_closer.h"
+#include "Account/usage_ledger.h"
+
+#include <iostream>
+#include <set>
+
+using namespace persimmonshelf;
+using namespace persimmonshelf::testing;
+
+namespace {
+
+const workspace_id only{ "w" };
+constexpr std::int64_t rate_milli = 20'000;
+constexpr std::int64_t burst_milli = 10'000;
+
+// Some ledgers over one table that mirror to each other. The oracle counts what each run counted.
+class usage_fleet
+{
+public:
+  struct node
+  {
+    std::shared_ptr<process> run = std::make_shared<process>();
+    std::unique_ptr<usage_ledger> ledger;
+    incarnation_id incarnation;
+    instant started{};
+    // Times of the last mirrors that were received from other runs.
+    std::map<incarnation_id, instant> mirrors;
+  };
+
+  explicit usage_fleet(std::uint64_t seed)
+    : table(loop)
+    , random(seed)
+    , nodes(4)
+    , utc_start(calendar_month::parse("2026-12").value().begin() - 40)
+  {
+    for (auto& each : nodes) {
+      start(each);
+    }
+    tick();
+  }
+
+  event_loop loop;
+  fake_table table;
+  std::mt19937_64 random;
+  std::vector<node> nodes;
+  std::int64_t utc_start;
+  int lost_percent = 0;
+  bool outage = false;
+  bool demand = true;
+  bool orphaned = false;
+  // Who still has to write the rows of an ended run.
+  std::map<incarnation_id, std::set<incarnation_id>> holders;
+  std::map<std::string, std::uint64_t> counted;
+
+  std::int64_t utc() const { return utc_start + loop.now().time_since_epoch().count() / 1'000'000; }
+
+  table_hooks hooks(const std::shared_ptr<process>& run)
+  {
+    return table.hooks(run, [this](call_kind, const auto&, const auto&) {
+      call_fate fate;
+      fate.out = duration(random() % 20'000);
+      const bool bad = outage || static_cast<int>(random() % 100) < lost_percent;
+      fate.takes_effect = !bad || random() % 3 == 0;
+      fate.answered = !bad || random() % 2 == 0;
+      fate.fails = bad;
+      return fate;
+    });
+  }
+
+  void start(node& self)
+  {
+    self.run = std::make_shared<process>();
+    self.incarnation = incarnation_id(random());
+    self.started = loop.now();
+    self.mirrors.clear();
+    usage_settings settings;
+    settings.write_interval = 500ms;
+    settings.call_timeout = 300ms;
+    self.ledger = std::make_unique<usage_ledger>(
+      self.incarnation, settings, hooks(self.run), [this] { return loop.now(); }, utc());
+  }
+
+  // A run ends; those who hold a mirror of it learn when.
+  void kill(node& self)
+  {
+    // What only this run held about other runs is lost with it.
+    const bool written = self.ledger->peers_written();
+    for (auto& [ended, keepers] : holders) {
+      const bool last = keepers.erase(self.incarnation) > 0 && keepers.empty();
+      orphaned = orphaned || (last && !written);
+    }
+    const auto incarnation = self.incarnation;
+    bool known = false;
+    const auto fail = [&](node& peer, instant since) {
+      known = true;
+      holders[incarnation].insert(peer.incarnation);
+      peer.ledger->peer_failed(
+        incarnation, { { only, rate_milli, burst_milli, 0 } }, loop.now() - since, "killed");
+    };
+    for (auto& peer : nodes) {
+      const auto mirror = peer.mirrors.find(incarnation);
+      if (&peer != &self && mirror != peer.mirrors.end()) {
+        fail(peer, mirror->second);
+      }
+    }
+    if (!known) {
+      fail(&self == &nodes[0] ? nodes[1] : nodes[0], self.started);
+    }
+    self.run->alive = false;
+    start(self);
+  }
+
+  void stop(node& self)
+  {
+    self.ledger->close();
+    if (!self.ledger->peers_written() || mirror(self, true) == 0) {
+      kill(self);
+      return;
+    }
+    start(self);
+  }
+
+  // One request; at most the share's rate and burst are admitted.
+  void request(node& self)
+  {
+    auto& level = tokens_[self.incarnation];
+    const auto elapsed = (loop.now() - level.first).count();
+    const auto filled = std::min(burst_milli, level.second + elapsed * rate_milli / 1'000'000);
+    level = { loop.now(), level.first == instant{} ? burst_milli : filled };
+    if (level.second < 1'000) {
+      return;
+    }
+    level.second -= 1'000;
+    const auto name = calendar_month::at(last_tick_utc_).text();
+    self.ledger->count(only, usage_counter::admitted, 1);
+    self.ledger->count(only, usage_counter::answered, 1);
+    self.ledger->count(only, usage_counter::ended, 1);
+    ++counted[name];
+  }
+
+  int mirror(node& self, bool closed)
+  {
+    int received = 0;
+    const auto values = self.ledger->all();
+    for (int i = 0; i < 2; ++i) {
+      auto& peer = nodes[random() % nodes.size()];
+      if (&peer == &self || static_cast<int>(random() % 100) < lost_percent) {
+        continue;
+      }
+      ++received;
+      peer.ledger->on_mirror(self.incarnation, values, closed);
+      peer.mirrors[self.incarnation] = loop.now();
+      if (closed) {
+        holders[self.incarnation].insert(peer.incarnation);
+      }
+      // The same mirror once more, and an earlier one that comes late, change nothing.
+      peer.ledger->on_mirror(self.incarnation, values, false);
+      peer.ledger->on_mirror(self.incarnation, { { "2026-12", only, "answered", 0 } }, false);
+    }
+    return received;
+  }
+
+  void run(duration length) { loop.run_until(loop.now() + length); }
+
+private:
+  void tick()
+  {
+    last_tick_utc_ = utc();
+    for (auto& each : nodes) {
+      each.ledger->tick(loop.now(), utc());
+      for (auto n = random() % 4; demand && n > 0; --n) {
+        request(each);
+      }
+      if (random() % 10 == 0) {
+        mirror(each, false);
+      }
+    }
+    loop.after(100ms, [this] { tick(); });
+  }
+
+  std::map<incarnation_id, std::pair<instant, std::int64_t>> tokens_;
+  std::int64_t last_tick_utc_ = 0;
+};
+
+void
+act(usage_fleet& sut, int what, int which)
+{
+  auto& node = sut.nodes[static_cast<std::size_t>(which) % sut.nodes.size()];
+  switch (what) {
+    case 0:
+      sut.kill(node);
+      break;
+    case 1:
+      sut.stop(node);
+      break;
+    case 2:
+      sut.outage = true;
+      sut.loop.after(std::chrono::seconds(which), [&sut] { sut.outage = false; });
+      break;
+    case 3:
+      sut.lost_percent = which * 4;
+      break;
+    default:
+      break;
+  }
+}
+
+std::uint64_t
+answered_in(const usage_counters& counters)
+{
+  const auto found = counters.find(only);
+  if (found == counters.end()) {
+    return 0;
+  }
+  const auto value = found->second.find(std::string(usage_counter::answered));
+  return value == found->second.end() ? 0 : value->second;
+}
+
+}
+
+// Guards against usage that is lost, counted twice or outside its bounds when instances die, writes
+// are repeated or lost and the platform is out around the end of a month.
+TEST_CASE("the accounts equal the counts or their bounds contain them")
+{
+  int exact = 0;
+  int bounded = 0;
+  int orphaned = 0;
+  auto params = rc::detail::configuration().testParams;
+  params.maxSuccess = 300;
+  const auto result = rc::detail::checkTestable(
+    [&] {
+      const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+      const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+        rc::gen::tuple(rc::gen::inRange(0, 12), rc::gen::inRange(0, 16), rc::gen::inRange(0, 3000)));
+      usage_fleet sut(seed);
+      for (const auto& [what, which, ms] : steps) {
+        act(sut, what, which);
+        sut.run(std::chrono::milliseconds(ms));
+      }
+      sut.outage = false;
+      sut.lost_percent = 0;
+      // Past the end of the first month, then a graceful stop of all.
+      sut.run(std::max<duration>(10s, 50s - sut.loop.now().time_since_epoch()));
+      for (auto& node : sut.nodes) {
+        node.ledger->close();
+      }
+      sut.demand = false;
+      sut.run(5s);
+      for (const auto& [name, truth] : sut.counted) {
+        const auto month = calendar_month::parse(name).value();
+        const auto account =
+          account_month::build(month, sut.table.list(usage_row::prefix(month)), {});
+        RC_ASSERT(static_cast<bool>(account));
+        const auto found = answered_in(account.value().counters());
+        std::uint64_t slack = 0;
+        for (const auto& bound : account.value().bounds()) {
+          slack += bound.bound.amount;
+        }
+        RC_ASSERT(found <= truth);
+        RC_ASSERT(sut.orphaned || truth <= found + slack);
+        orphaned += sut.orphaned;
+        (slack == 0 ? exact : bounded) += !sut.orphaned;
+      }
+    },
+    rc::detail::TestMetadata{ "account", "account" },
+    params);
+  rc::detail::printResultMessage(result, std::cout);
+  CHECK(result.is<rc::detail::SuccessResult>());
+  MESSAGE("fuzz: ",
+          exact,
+          " months exact, ",
+          bounded,
+          " within bounds, ",
+          orphaned,
+          " with a run whose mirrors all died");
+  CHECK(exact > 50);
+  CHECK(bounded > 50);
+}
