--- /dev/null
+++ b/Tests/Limits/editor_test.cxx
@@ -0,0 +1,167 @@
+#include <doctest/doctest.h>
+
+#include "fleet.h"
+
+using namespace persimmonshelf;
+using namespace persimmonshelf::testing;
+
+namespace {
+
+// A table whose calls the test answers one by one.
+struct manual_table
+{
+  std::vector<std::function<void(result<table_row>)>> gets;
+  std::vector<std::function<void(result<table_write>)>> puts;
+  std::string put_value;
+
+  table_hooks hooks()
+  {
+    table_hooks made;
+    made.get = [this](const auto&, auto done) { gets.push_back(std::move(done)); };
+    made.put = [this](const auto&, auto value, auto, auto done) {
+      put_value = value;
+      puts.push_back(std::move(done));
+    };
+    return made;
+  }
+  void answer_get(const std::string& value, std::uint64_t revision)
+  {
+    gets.back()(table_row{ "", value, revision });
+  }
+  void answer_put(bool written, const std::string& value, std::uint64_t revision)
+  {
+    puts.back()(table_write{ written, { "", value, revision } });
+  }
+};
+
+const share_owner self{ instance_id("a"), incarnation_id(1) };
+
+// One editor with a valid lease; the test decides what it plans.
+struct editor_setup
+{
+  instant now{};
+  manual_table lease_table;
+  manual_table table;
+  share_settings settings;
+  std::function<share_table(const share_table&)> plan = [](const auto& row) { return row; };
+  bool settled = true;
+  own_lease lease{ self.instance, self.incarnation, settings, lease_table.hooks(), [this] {
+                    return now;
+                  } };
+  lease_watch watch{ settings, table.hooks(), [this] { return now; } };
+  share_editor editor{ workspace,
+                       self,
+                       settings,
+                       lease,
+                       watch,
+                       { table.hooks(),
+                         [this] { return now; },
+                         [this](const share_table& row, instant) { return plan(row); },
+                         [](instant) {},
+                         [this](instant) { return settled; } } };
+
+  editor_setup()
+  {
+    lease.tick(now);
+    lease_table.answer_get("", 0);
+    lease_table.answer_put(true, "", 1);
+  }
+  std::int64_t usable() const { return editor.usable_ppm(now); }
+  // Joins with 500,000 ppm; the row then has revision 1.
+  void join()
+  {
+    plan = [](const share_table& row) { return row.join(self, 500'000, ppm_total); };
+    editor.start(now);
+    table.answer_get("", 0);
+    CHECK(usable() == 0);
+    table.answer_put(true, "", 1);
+    CHECK(usable() == 0);
+    table.answer_get(table.put_value, 1);
+    CHECK(usable() == 500'000);
+  }
+};
+
+}
+
+// Guards against a lease that counts from its confirmation, and against a run that goes on after a
+// later run of the same instance began.
+TEST_CASE("a lease counts from before the renewal was sent and ends with a later run")
+{
+  editor_setup setup;
+  setup.join();
+  setup.now = instant(5s);
+  setup.lease.tick(setup.now);
+  setup.now = instant(8s);
+  setup.lease_table.answer_put(true, "", 2);
+  CHECK(setup.lease.extra_until() == instant(35s));
+  CHECK(setup.lease.base_until() == instant(24h + 5s));
+  CHECK_FALSE(setup.lease.valid(instant(35s)));
+  setup.now = instant(10s);
+  setup.lease.tick(setup.now);
+  setup.lease_table.answer_put(false, R"({"incarnation":"2","counter":1})", 3);
+  CHECK(setup.lease.superseded());
+  CHECK(setup.usable() == 0);
+}
+
+// Guards against a local share that rises again while a lowering whose answer was lost may still
+// take effect.
+TEST_CASE("a lowering with a lost answer keeps the share low until the row changed")
+{
+  editor_setup setup;
+  setup.join();
+  const auto joined = setup.table.put_value;
+  setup.plan = [](const share_table& row) { return row.shrink(self, 300'000); };
+  setup.editor.start(setup.now);
+  setup.table.answer_get(joined, 1);
+  CHECK(setup.usable() == 200'000);
+  REQUIRE(setup.table.puts.size() == 2);
+  setup.now += setup.settings.call_timeout;
+  setup.editor.tick(setup.now);
+  CHECK(setup.editor.current() == share_editor::step::idle);
+  setup.plan = [](const share_table& row) { return row; };
+  setup.editor.start(setup.now);
+  setup.table.answer_get(joined, 1);
+  CHECK(setup.usable() == 200'000);
+  REQUIRE(setup.table.puts.size() == 3);
+  // The late write took effect first; the present one conflicts and shows it.
+  const auto lowered = share_table::parse(joined).value().shrink(self, 300'000).to_json();
+  setup.table.answer_put(false, lowered, 2);
+  CHECK(setup.usable() == 200'000);
+}
+
+// Guards against a share that another holder takes while tokens lent under it are still in use.
+TEST_CASE("a lower share is written only when lent tokens fit it")
+{
+  editor_setup setup;
+  setup.join();
+  const auto joined = setup.table.put_value;
+  setup.settled = false;
+  setup.plan = [](const share_table& row) { return row.leave(self); };
+  setup.editor.start(setup.now);
+  setup.table.answer_get(joined, 1);
+  CHECK(setup.usable() == 0);
+  CHECK(setup.table.puts.size() == 1);
+  setup.settled = true;
+  setup.editor.tick(setup.now);
+  CHECK(setup.table.puts.size() == 2);
+}
+
+// Guards against a bucket that fills on with an expired share while the process is paused.
+TEST_CASE("a paused holder earns only what its leases allow")
+{
+  share_settings settings;
+  settings.base_limit_ppm = 500'000;
+  fleet one(1, 1, settings, { 1'000, 400'000 }, 1);
+  one.run(60s);
+  auto& node = *one.nodes[0];
+  for (int i = 0; i < 400; ++i) {
+    one.request(node);
+  }
+  one.run(100ms);
+  one.pause(node, 40s);
+  one.run(40s);
+  // The extra half ends 25 to 30 s into the pause: at most 30 s at the full rate, the rest at half.
+  const auto earned = node.holder->surplus(workspace, one.local(node));
+  CHECK(earned > 32'000);
+  CHECK(earned < 35'200);
+}
