home: Space out connection attempts and bound the answer store

A connection that failed while it opened was replaced at once and without a pause, and 65536 stored answers could take some 30 MB per member.

Counts such a failure as a failed attempt, lowers the store to 16384 answers and 4 MB of rows, and looks for queued requests that can no longer run every 100 ms instead of at every tick.

--- a/Source/Home/answer_store.h
+++ b/Source/Home/answer_store.h
@@ -16,9 +16,11 @@
   struct limits
   {
     duration kept = std::chrono::seconds(60);
-    std::size_t answers = 65'536;
+    // About 8 MB without rows; a member that answers more than 270 requests a second keeps its
+    // answers for less than a minute.
+    std::size_t answers = 16'384;
     // Rows of older answers are dropped first; their outcome is kept.
-    std::size_t row_bytes = 8U << 20U;
+    std::size_t row_bytes = 4U << 20U;
   };
 
   explicit answer_store(limits bounds);
--- a/Source/Home/backend_pool.cxx
+++ b/Source/Home/backend_pool.cxx
@@ -66,6 +66,10 @@
   if (found == connections_.end()) {
     return;
   }
+  if (found->second.now == state::opening) {
+    // Counted as a failed attempt; otherwise it would be repeated at once and without end.
+    return connected(number, false, now);
+  }
   connections_.erase(found);
   hooks_.close(number);
   if (reason == fault::silent) {
--- a/Source/Home/member_home.cxx
+++ b/Source/Home/member_home.cxx
@@ -129,7 +129,7 @@
 member_home::dispatch(instant now)
 {
   expire_queued(now);
-  while (!leaving_ && slots_used_ < options_.slots && queue_.size() > 0 && pool_.has_idle()) {
+  while (slots_used_ < options_.slots && queue_.size() > 0 && pool_.has_idle()) {
     const auto entry = queue_.pop(now, [&](const queue_entry& candidate) {
       return ready(work_.find(candidate.id)->request, now);
     });
@@ -252,7 +252,10 @@
   transactions_.expire(now);
   std::erase_if(revoked_,
                 [&](const auto& item) { return now - item.second >= options_.revoked_kept; });
-  refuse_queued(now);
+  if (now >= next_sweep_) {
+    refuse_queued(now);
+    next_sweep_ = now + options_.sweep_interval;
+  }
   dispatch(now);
 }
 
@@ -299,6 +302,7 @@
 member_home::set_leaving(bool leaving)
 {
   leaving_ = leaving;
+  next_sweep_ = instant();
   pool_.set_leaving(leaving);
 }
 
--- a/Source/Home/member_home.h
+++ b/Source/Home/member_home.h
@@ -66,6 +66,9 @@
   duration rollback_timeout = std::chrono::seconds(1);
   // Writes that may wait for a majority at a time; further writes stay queued, not run.
   std::size_t replicating = 4096;
+  // Interval at which `tick` looks for queued requests that can no longer run here. Every other
+  // event that can change this looks at once; the interval covers reads that become too old.
+  duration sweep_interval = std::chrono::milliseconds(100);
   // How long revoked keys are remembered, for requests forwarded before the revocation was known.
   duration revoked_kept = std::chrono::minutes(10);
 };
@@ -195,6 +198,7 @@
   std::uint64_t last_own_id_ = 0;
   term refused_term_;
   instant refused_until_;
+  instant next_sweep_;
   bool leaving_ = false;
   bool draining_ = false;
 };
--- a/Tests/Home/home_bench.h
+++ b/Tests/Home/home_bench.h
@@ -92,6 +92,11 @@
     return made;
   }
 
+  void submit(const std::string& id, operation kind, std::int64_t milliseconds)
+  {
+    home.submit(request(id, kind, now + ms(milliseconds)), now);
+  }
+
   // Completes the connection attempts.
   void connect()
   {
