home: Bound the time a transaction stays open, show workspaces

A caller that sends a statement every few seconds could keep one of two or three slots for ever, and an operator could not see which workspace uses the slots.

Rolls a transaction back after 5 minutes before its next request, and adds figures by workspace.

--- a/Source/Home/fair_queue.cxx
+++ b/Source/Home/fair_queue.cxx
@@ -166,6 +166,7 @@
     slot = state.slots.begin();
   }
   const double used = microseconds(slot_time);
+  state.consumed += slot_time;
   state.tag += used - slot->charged;
   if (ran) {
     state.average += average_weight * (used - state.average);
@@ -204,28 +205,21 @@
   return removed;
 }
 
-std::size_t
-fair_queue::size(const workspace_id& workspace) const
+std::vector<workspace_figures>
+fair_queue::workspaces() const
 {
-  const auto found = flows_.find(workspace);
-  return found == flows_.end() ? 0 : found->second.entries.size();
-}
-
-std::size_t
-fair_queue::held(const workspace_id& workspace) const
-{
-  const auto found = flows_.find(workspace);
-  return found == flows_.end() ? 0 : found->second.slots.size();
-}
-
-duration
-fair_queue::estimate(const workspace_id& workspace) const
-{
-  const auto found = flows_.find(workspace);
-  if (found == flows_.end()) {
-    return bounds_.first_estimate;
-  }
-  return duration(static_cast<duration::rep>(found->second.average));
+  std::vector<workspace_figures> all;
+  all.reserve(flows_.size());
+  for (const auto& [workspace, state] : flows_) {
+    workspace_figures item;
+    item.workspace = workspace;
+    item.queued = state.entries.size();
+    item.slots_held = state.slots.size();
+    item.average = duration(static_cast<duration::rep>(state.average));
+    item.consumed = state.consumed;
+    all.push_back(item);
+  }
+  return all;
 }
 
 }
--- a/Source/Home/fair_queue.h
+++ b/Source/Home/fair_queue.h
@@ -23,6 +23,18 @@
   instant not_before;
 };
 
+// What an operator sees of one workspace at a member.
+struct workspace_figures
+{
+  workspace_id workspace;
+  std::size_t queued = 0;
+  std::size_t slots_held = 0;
+  // Moving average of the slot time of one statement or transaction.
+  duration average{ 0 };
+  // Slot time of all that has ended here.
+  duration consumed{ 0 };
+};
+
 // Orders the requests of one member by workspace with start-time fair queueing on consumed slot
 // time. A slot is handed to the workspace that has consumed the least, not to the oldest request.
 class fair_queue
@@ -64,10 +76,8 @@
 
   void set_slots(std::size_t slots) { slots_ = slots; }
   std::size_t size() const { return size_; }
-  std::size_t size(const workspace_id& workspace) const;
-  std::size_t held(const workspace_id& workspace) const;
-  // Moving average of the workspace's slot time per statement.
-  duration estimate(const workspace_id& workspace) const;
+  // Figures of the workspaces that ran or queued something lately, in order of their names.
+  std::vector<workspace_figures> workspaces() const;
 
 private:
   // A statement in a slot, with the time charged for it so far.
@@ -84,6 +94,7 @@
     std::vector<running> slots;
     double tag = 0;
     double average = 0;
+    duration consumed{ 0 };
   };
 
   flow& flow_of(const workspace_id& workspace);
--- a/Source/Home/member_home.h
+++ b/Source/Home/member_home.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmonshelf {
 
@@ -126,6 +127,8 @@
   // True after a fresh connection failed and none answered since.
   bool member_down() const { return pool_.down(); }
   home_figures figures() const;
+  // Figures by workspace; docs/fairness.md says how to read them.
+  std::vector<workspace_figures> workspaces() const { return queue_.workspaces(); }
 
 private:
   // A request that was sent on a connection and has no answer yet.
--- a/Source/Home/member_home_transactions.cxx
+++ b/Source/Home/member_home_transactions.cxx
@@ -43,6 +43,9 @@
 member_home::run_next(transaction& target, instant now)
 {
   expire_waiting(target, now);
+  if (transactions_.past_limit(target, now)) {
+    return roll_back_idle(target, now);
+  }
   while (target.state == transaction_state::idle && !target.waiting.empty() &&
          target.not_before <= now) {
     auto& item = *work_.find(target.waiting.front());
@@ -224,9 +227,6 @@
     }
     run_next(owner, now);
   }
-  for (const auto& id : transactions_.past_idle_limit(now)) {
-    roll_back_idle(*transactions_.find(id), now);
-  }
 }
 
 }
--- a/Source/Home/transactions.cxx
+++ b/Source/Home/transactions.cxx
@@ -203,17 +203,14 @@
   expire(now);
 }
 
-std::vector<transaction_id>
-transactions::past_idle_limit(instant now) const
+bool
+transactions::past_limit(const transaction& target, instant now) const
 {
-  std::vector<transaction_id> found;
-  for (const auto& [id, item] : open_) {
-    if (item.state == state::idle && item.waiting.empty() &&
-        now - item.idle_since >= options_.idle_limit) {
-      found.push_back(id);
-    }
+  if (target.state != state::idle) {
+    return false;
   }
-  return found;
+  const bool unused = target.waiting.empty() && now - target.idle_since >= options_.idle_limit;
+  return unused || now - target.slot_since >= options_.open_limit;
 }
 
 std::vector<transaction_id>
--- a/Source/Home/transactions.h
+++ b/Source/Home/transactions.h
@@ -83,6 +83,9 @@
     instance_id instance;
     incarnation_id incarnation;
     duration idle_limit = std::chrono::seconds(10);
+    // A transaction that is open for longer is rolled back before its next request. It holds one of
+    // a few slots, which a caller could otherwise keep for ever by sending statements in time.
+    duration open_limit = std::chrono::minutes(5);
     // Most requests of one transaction that wait for their turn.
     std::size_t waiting = 16;
     // How long the end of a transaction is remembered, and of how many.
@@ -119,7 +122,8 @@
   // Forgets the transaction, except for its last state.
   void close(const transaction_id& id, instant now);
 
-  std::vector<transaction_id> past_idle_limit(instant now) const;
+  // True for a transaction between two requests that is past its idle or open limit.
+  bool past_limit(const transaction& target, instant now) const;
   std::vector<transaction_id> ids() const;
   void expire(instant now);
   std::size_t size() const { return open_.size(); }
--- a/Tests/Home/queue_test.cxx
+++ b/Tests/Home/queue_test.cxx
@@ -137,7 +137,12 @@
   queue.finished(workspace_id("a"), one_ms, at(1001));
   fill("b");
   CHECK(queue.pop(at(1001))->workspace.get() == "b");
-  CHECK(queue.held(workspace_id("a")) == 2);
+  const auto seen = queue.workspaces();
+  REQUIRE(seen.size() == 2);
+  CHECK(seen[0].slots_held == 2);
+  CHECK(seen[0].queued == 6);
+  CHECK(seen[1].slots_held == 1);
+  CHECK(seen[1].consumed == 1000 * one_ms);
 
   fair_queue single({}, 1);
   REQUIRE(single.push(entry("a", "1")));
