home: Test the open limit of transactions

The random scenarios did not notice when the open limit was removed.

Adds a test with a transaction that is kept busy for 300 s.

--- a/Tests/Home/pool_test.cxx
+++ b/Tests/Home/pool_test.cxx
@@ -167,6 +167,30 @@
   }
 }
 
+// Guards against a caller that keeps a slot for ever by sending statements in time.
+TEST_CASE("a busy transaction is rolled back after its open limit of 300 s")
+{
+  home_bench bench(1);
+  bench.home.tick(bench.now);
+  bench.connect();
+  bench.submit("begin", operation::begin, 1000);
+  bench.answer("begin");
+  const auto id = bench.answers.back().transaction;
+  for (int i = 0; bench.answers.back().code == result_code::ok && i < 100; ++i) {
+    bench.run(bench.now + ms(5000));
+    auto statement =
+      home_bench::request(std::to_string(i), operation::statement, bench.now + ms(9));
+    statement.transaction = id;
+    bench.home.submit(statement, bench.now);
+    bench.answer(statement.id.get());
+  }
+  // Statement 59 arrives at the limit.
+  CHECK(bench.answers_to("58").at(0).code == result_code::ok);
+  CHECK(bench.answers_to("59").at(0).code == result_code::transaction_lost);
+  CHECK(bench.times_sent("59") == 0);
+  CHECK(bench.home.figures().slots_used == 0);
+}
+
 // Guards against a write of an earlier term, which may never be held, that delays the later ones.
 TEST_CASE("a write of a later term is confirmed without the earlier one")
 {
