--- a/Source/Control/membership.cxx
+++ b/Source/Control/membership.cxx
@@ -154,8 +154,8 @@
   heartbeat beat;
   beat.clock = now;
   beat.entries.push_back(aged_entry(records_[self_.instance], now));
-  std::vector<const instance_record*> others;
-  for (const auto& [name, record] : records_) {
+  std::vector<instance_record*> others;
+  for (auto& [name, record] : records_) {
     if (name != self_.instance && (carries_all() || record.entry.zone == self_.zone)) {
       others.push_back(&record);
     }
@@ -163,14 +163,16 @@
   const auto to_zone = records_.find(target);
   const bool same_zone = to_zone != records_.end() && to_zone->second.entry.zone == self_.zone;
   if (!carries_all()) {
-    // The youngest news first: older entries have reached most instances already. Another zone gets
-    // the summary instead.
+    // News that was passed on least goes first, then the youngest: each statement so reaches some
+    // peers from each instance that hears it. Another zone gets the summary instead.
     std::sort(others.begin(), others.end(), [](const auto* left, const auto* right) {
-      return left->stated_at > right->stated_at;
+      return left->times_sent != right->times_sent ? left->times_sent < right->times_sent
+                                                   : left->stated_at > right->stated_at;
     });
     others.resize(same_zone ? std::min(others.size(), entries_per_heartbeat) : 0);
   }
-  for (const auto* record : others) {
+  for (auto* record : others) {
+    ++record->times_sent;
     beat.entries.push_back(aged_entry(*record, now));
   }
   for (const auto& zone : zones()) {
@@ -282,6 +284,7 @@
     const auto listed_at = known == records_.end() ? std::nullopt : known->second.listed_at;
     auto& record = add_record(entry);
     record.listed_at = listed_at;
+    record.times_sent = 0;
     record.stated_at.reset();
     record.table_read_at.reset();
     if (entry.sequence > 0) {
--- a/Source/Control/membership.h
+++ b/Source/Control/membership.h
@@ -31,6 +31,8 @@
   std::optional<instant> listed_at;
   // Rendezvous hash of the name, kept because each forwarded statement needs it.
   std::uint64_t name_hash = 0;
+  // Heartbeats that carried the current statement on.
+  std::uint32_t times_sent = 0;
 };
 
 // A peer that holds a newer version of a document.
@@ -91,7 +93,7 @@
   static constexpr duration live_limit = std::chrono::seconds(5);
   static constexpr duration heartbeat_interval = std::chrono::seconds(1);
   static constexpr std::size_t full_view_limit = 64;
-  static constexpr std::size_t entries_per_heartbeat = 24;
+  static constexpr std::size_t entries_per_heartbeat = 36;
 
   membership(identity self, random_hook random);
 
--- a/Tests/Control/simulated_fleet.h
+++ b/Tests/Control/simulated_fleet.h
@@ -145,7 +145,8 @@
     }
   }
 
-  static constexpr duration tick = std::chrono::milliseconds(50);
+  // Time between two steps of an instance.
+  duration tick = std::chrono::milliseconds(50);
   instant now{ std::chrono::hours(1) };
   fake_table table;
   std::vector<persimmonshelf::zone_id> zones;
