--- a/Source/Control/membership.cxx
+++ b/Source/Control/membership.cxx
@@ -11,6 +11,7 @@
 
 constexpr std::size_t own_zone_targets = 3;
 constexpr duration push_interval = std::chrono::milliseconds(50);
+constexpr duration news_interval = std::chrono::milliseconds(250);
 // Older clocks bound too little: at 530 instances a pair of zones exchanges heartbeats within this
 // time, and the allowance for clock drift grows with it.
 constexpr duration echo_limit = std::chrono::minutes(10);
@@ -56,6 +57,7 @@
   auto& own = records_[self_.instance];
   changed_ = changed_ || state.config_version > own.entry.config_version ||
              state.key_version > own.entry.key_version || state.leaving != own.entry.leaving;
+  wants_news_ = state.wants_news;
   own.entry.leaving = state.leaving;
   own.entry.config_version = state.config_version;
   own.entry.key_version = state.key_version;
@@ -68,7 +70,7 @@
 bool
 membership::heartbeat_due(instant now) const
 {
-  const auto interval = changed_ ? push_interval : heartbeat_interval;
+  const auto interval = changed_ ? push_interval : wants_news_ ? news_interval : heartbeat_interval;
   return !last_round_ || now - *last_round_ >= interval;
 }
 
@@ -179,7 +181,10 @@
     beat.zones.push_back(zone == self_.zone ? summarise(zone, now) : zone_view(zone, now));
   }
   const auto heard = echoes_.find(target);
-  if (heard != echoes_.end()) {
+  // An answer always carries the echo: it follows the heartbeat that it answers at once.
+  const bool asks =
+    wants_news_ && heard != echoes_.end() && now - heard->second.received_at >= news_interval;
+  if (heard != echoes_.end() && !asks) {
     beat.echo_clock = heard->second.clock;
     beat.echo_age = now - heard->second.received_at;
   }
--- a/Source/Control/membership.h
+++ b/Source/Control/membership.h
@@ -79,6 +79,9 @@
     // From key_evidence: asserted_version and table_read_at.
     persimmonshelf::config_version key_version;
     std::optional<instant> table_read_at;
+    // From key_evidence: wants_news. Rounds then come four times a second, and their heartbeats ask
+    // for an answer by carrying no echo.
+    bool wants_news = false;
   };
 
   struct peer
@@ -189,6 +192,7 @@
   std::deque<instant> sent_clocks_;
   std::optional<instant> last_round_;
   bool changed_ = false;
+  bool wants_news_ = false;
   std::size_t next_zone_ = 0;
   config_version newest_key_version_;
 };
--- a/Tests/Control/membership_test.cxx
+++ b/Tests/Control/membership_test.cxx
@@ -93,6 +93,8 @@
 {
   simulated_fleet fleet(zones, per_zone, 1);
   fleet.tick = tick;
+  fleet.instances[0]->keys->publish(
+    { key_set().text(config_version(1)), {}, "o", "e", fleet.now + 5s }, fleet.now, [](auto) {});
   fleet.run(15s);
   std::size_t table_calls = 0;
   const auto course = fleet.table.fault;
@@ -140,6 +142,15 @@
           views,
           " views of the own zone");
   CHECK(times.longest <= 4s);
+
+  fleet.platform_cuts.insert(fleet.zones.begin(), fleet.zones.end());
+  std::size_t refused = 0;
+  fleet.run(12s, [&] {
+    for (auto& one : fleet.instances) {
+      refused += one->evidence->may_accept(fleet.now) ? 0 : 1;
+    }
+  });
+  CHECK(refused == 0);
 }
 
 }
@@ -152,7 +163,7 @@
   exchange(first, second, start);
   CHECK(first.is_live(b, start));
   const auto old_beat = second.make_heartbeat(a, start + 1s);
-  second.set_own_state({ false, config_version(5), {}, {} }, start + 2s);
+  second.set_own_state({ false, config_version(5), {}, {}, false }, start + 2s);
   const auto new_beat = second.make_heartbeat(a, start + 2s);
   first.receive(b, new_beat, start + 2s);
   first.receive(b, old_beat, start + 3s);
@@ -213,7 +224,7 @@
   CHECK(first.find(b) == nullptr);
 
   exchange(first, second, start + 32s);
-  second.set_own_state({ true, {}, {}, {} }, start + 33s);
+  second.set_own_state({ true, {}, {}, {}, false }, start + 33s);
   exchange(first, second, start + 33s);
   CHECK_FALSE(first.is_live(b, start + 33s));
   CHECK(first.zone_view(z0, start + 33s).instances == 1);
--- a/Tests/Control/simulated_fleet.h
+++ b/Tests/Control/simulated_fleet.h
@@ -113,7 +113,8 @@
     one.members->set_own_state({ false,
                                  one.config->version(),
                                  one.evidence->asserted_version(now),
-                                 one.evidence->table_read_at(now) },
+                                 one.evidence->table_read_at(now),
+                                 one.evidence->wants_news(now) },
                                now);
   }
 
