--- a/Source/Control/control_plane.cxx
+++ b/Source/Control/control_plane.cxx
@@ -170,7 +170,7 @@
                      const std::string& content,
                      instant now)
 {
-  const auto taken = mutable_copy(name).offer(version, content);
+  auto taken = mutable_copy(name).offer(version, content);
   update_own_state(now);
   return taken;
 }
--- a/Tests/Control/document_test.cxx
+++ b/Tests/Control/document_test.cxx
@@ -3,7 +3,6 @@
 #include "Control/document.h"
 #include "fake_table.h"
 
-#include <array>
 #include <map>
 #include <memory>
 
@@ -222,7 +221,7 @@
   std::string_view name;
   std::function<void(trial&)> inject;
   // What the operator of "a" is told, for each step.
-  std::array<result_code, static_cast<std::size_t>(step::count)> told;
+  std::vector<result_code> told;
 };
 
 constexpr auto ok = result_code::ok;
@@ -261,6 +260,7 @@
 {
   std::size_t cells = 0;
   for (const auto& row : matrix) {
+    REQUIRE(row.told.size() == static_cast<std::size_t>(step::count));
     for (std::size_t i = 0; i < row.told.size(); ++i) {
       CAPTURE(row.name);
       CAPTURE(i);
@@ -290,8 +290,7 @@
       }
     }
   }
-  // 9 faults at 5 steps. A row with fewer outcomes leaves result_code::ok for a step, which fails
-  // if the step is never reached.
+  // 9 faults at 5 steps.
   CHECK(cells == 45);
 }
 
