engine: Run the daemon on the control plane that the fuzz steps

The daemon joined the control parts by itself, beside the class that the fuzz and the fleet tests run. It missed the request for news by which an instance keeps its evidence during an outage. It now uses that class, so that the tested order is the running one. Changes of primary are listed in the status of a database at every home, not only at the candidate.

--- a/Source/Adapters/daemon.cxx
+++ b/Source/Adapters/daemon.cxx
@@ -370,7 +370,7 @@
   figures.open_requests = static_cast<double>(core->entry().open_requests());
   figures.config_version = static_cast<double>(control.config_document().version().get());
   figures.key_version = static_cast<double>(control.key_document().version().get());
-  figures.key_evidence = control.may_accept_keys(now) ? 1 : 0;
+  figures.key_evidence = control.evidence().evaluate(now).reason.empty() ? 1 : 0;
   figures.live_instances = static_cast<double>(control.members().live(now).size());
   for (const auto& [member, home] : core->homes().figures()) {
     ++figures.homes;
--- a/Source/Control/control_plane.cxx
+++ b/Source/Control/control_plane.cxx
@@ -190,6 +190,14 @@
   members_.apply_platform_list(list, now);
 }
 
+void
+control_plane::greet(const instance_id& peer, instant now)
+{
+  if (members_.find(peer) != nullptr) {
+    hooks_.send(peer, members_.make_heartbeat(peer, now));
+  }
+}
+
 void
 control_plane::leave(instant now)
 {
--- a/Source/Control/control_plane.h
+++ b/Source/Control/control_plane.h
@@ -58,6 +58,12 @@
 
   void apply_platform_list(const std::vector<listed_instance>& list, instant now);
 
+  // Sends a heartbeat to one peer at once, for instance because its clock is not known yet.
+  void greet(const instance_id& peer, instant now);
+
+  // A heartbeat for a peer of which only the address is known.
+  heartbeat introduction(instant now) { return members_.make_heartbeat(instance_id(), now); }
+
   // Announces the departure with the next heartbeats.
   void leave(instant now);
 
--- a/Source/Engine/control_service.h
+++ b/Source/Engine/control_service.h
@@ -1,26 +1,22 @@
 #pragma once
 
-#include "Control/configuration.h"
-#include "Control/document.h"
-#include "Control/key_evidence.h"
-#include "Control/key_set.h"
-#include "Control/membership.h"
+#include "Control/control_plane.h"
 #include "Wire/peer.pb.h"
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace persimmonshelf {
 
-// Configuration, keys and membership of one instance: what is in force here, what the peers hold,
-// and whether keys may be accepted.
+// Joins the control logic of one instance to the messages between instances and to the platform's
+// list: configuration, keys, membership and key evidence.
 class control_service
 {
 public:
+  using document_name = control_plane::document_name;
+
   struct hooks
   {
     table_hooks table;
@@ -43,49 +39,45 @@
 
   void tick(instant now);
   void on_heartbeat(const std::string& sender, const wire::heartbeat& message, instant now);
-  void on_fetch(const std::string& sender, const wire::document_request& request, instant now);
+  void on_fetch(const std::string& sender, const wire::document_request& request);
   void on_document(const wire::document_answer& answer, instant now);
-  void set_leaving(instant now);
+  void set_leaving(instant now) { plane_.leave(now); }
 
   // Sends a heartbeat to a peer whose clock is not known yet.
-  void greet(const instance_id& peer, instant now);
+  void greet(const instance_id& peer, instant now) { plane_.greet(peer, now); }
+
+  void publish(document_name name, document_edit edit, instant now, document::published report)
+  {
+    plane_.publish(name, std::move(edit), now, std::move(report));
+  }
 
-  bool configured() const { return config_document_.version().get() > 0; }
-  const configuration& config() const { return config_; }
-  const key_set& keys() const { return keys_; }
-  bool may_accept_keys(instant now) { return evidence_.may_accept(now); }
-  key_evidence::state evidence_state(instant now) const { return evidence_.evaluate(now); }
-  key_evidence::acknowledgement acknowledged(config_version version, instant now) const
+  bool configured() const { return config_document().version().get() > 0; }
+  const configuration& config() const { return plane_.config(); }
+  const key_set& keys() const { return plane_.keys(); }
+  result<const key_entry*> find_key(std::string_view presented, instant now)
   {
-    return evidence_.acknowledged(version, now);
+    return plane_.find_key(presented, now);
   }
-  membership& members() { return membership_; }
-  const membership& members() const { return membership_; }
-  document& config_document() { return config_document_; }
-  document& key_document() { return key_document_; }
+  const key_evidence& evidence() const { return plane_.evidence(); }
+  const membership& members() const { return plane_.members(); }
+  const document& config_document() const { return plane_.copy(document_name::config); }
+  const document& key_document() const { return plane_.copy(document_name::keys); }
 
 private:
-  document::hooks document_hooks(bool for_keys);
-  bool is_poller() const;
-  void config_in_force(config_version version, const std::string& content);
-  void keys_in_force(config_version version, const std::string& content);
-  void send_heartbeat(const membership::peer& peer, instant now);
-  void fetch_newer(instant now);
-  void fetch(const std::string& name, config_version known, const version_holder& holder);
-  void update_own_state(instant now);
+  control_plane::hooks plane_hooks();
+  void keys_in_force(config_version version, const key_set& keys);
+  void send_beat(const std::string& address, const heartbeat& beat);
+  void refresh_list(instant now);
 
   std::vector<std::string> seed_peers_;
   hooks hooks_;
-  membership membership_;
-  key_evidence evidence_;
-  configuration config_;
-  key_set keys_;
-  document config_document_;
-  document key_document_;
-  bool leaving_ = false;
+  // The digests that were accepted before the present key set.
+  std::vector<sha256_digest> active_;
   bool list_pending_ = false;
   std::optional<instant> listed_at_;
-  std::map<std::string, instant> fetched_at_;
+  std::optional<instant> introduced_at_;
+  // Last, because its callbacks use the other members.
+  control_plane plane_;
 };
 
 }
--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -262,7 +262,7 @@
       shares_->on_borrow_answer(sender, message.lent().id(), message.lent().tokens_milli(), now);
       break;
     case wire::envelope::kFetch:
-      control_->on_fetch(message.sender(), message.fetch(), now);
+      control_->on_fetch(message.sender(), message.fetch());
       break;
     case wire::envelope::kUsage:
       account_->on_mirror(sender, message.usage(), now);
--- a/Source/Engine/entry_service.cxx
+++ b/Source/Engine/entry_service.cxx
@@ -186,13 +186,7 @@
   if (entry.request.key.empty()) {
     return fail(result_code::key_missing, "route \"" + route.id.get() + "\" needs a key");
   }
-  const auto* key = control_.keys().find(entry.request.key);
-  if (key == nullptr) {
-    return fail(result_code::key_rejected, "the key is not valid");
-  }
-  if (!control_.may_accept_keys(now)) {
-    return fail(result_code::key_evidence_stale, control_.evidence_state(now).reason);
-  }
+  BOOST_OUTCOME_TRY(const auto* key, control_.find_key(entry.request.key, now));
   if (!route.allows(key->workspace)) {
     return fail(result_code::workspace_not_allowed,
                 "workspace \"" + key->workspace.get() + "\" may not use route \"" + route.id.get() +
--- a/Source/Engine/group_service.cxx
+++ b/Source/Engine/group_service.cxx
@@ -321,11 +321,18 @@
   report.sent = member.sent;
   report.received = now;
   member.known = report.last.position;
+  const auto before = target.view.primary();
   const auto applied = target.view.apply(report);
   if (!applied) {
     hooks_.log("status of member " + member.id.get() + " refused: " + applied.error().message);
     return;
   }
+  const auto primary = target.view.primary();
+  if (primary && primary != before) {
+    note(target,
+         "member " + primary->member.get() + " is the primary of term " +
+           std::to_string(primary->in_term.get()));
+  }
   hooks_.changed(target.id, now);
 }
 
--- a/Source/Engine/operator_service.cxx
+++ b/Source/Engine/operator_service.cxx
@@ -247,27 +247,30 @@
   if (edit.edit_id.empty()) {
     edit.edit_id = random_edit_id(random_bits);
   }
-  control.config_document().publish(
-    std::move(edit), now, [this, before, answer, reply](result<document_version> outcome) {
-      auto fields = answer;
-      if (outcome) {
-        fields["version"] = outcome.value().version.get();
-        fields["edit_id"] = outcome.value().edit_id;
-        reply(encode(result_code::ok, "accepted", std::move(fields)));
-        return;
-      }
-      if (outcome.error().code != result_code::config_conflict) {
-        reply(encode(outcome.error()));
-        return;
-      }
-      // Tells the second of two operators what the first one changed.
-      const auto& current = engine_.control().config();
-      reply(encode(result_code::config_conflict,
-                   outcome.error().message,
-                   { { "version", engine_.control().config_document().version().get() },
-                     { "changes", to_array(describe_difference(before, current)) } },
-                   409));
-    });
+  control.publish(control_service::document_name::config,
+                  std::move(edit),
+                  now,
+                  [this, before, answer, reply](result<document_version> outcome) {
+                    auto fields = answer;
+                    if (outcome) {
+                      fields["version"] = outcome.value().version.get();
+                      fields["edit_id"] = outcome.value().edit_id;
+                      reply(encode(result_code::ok, "accepted", std::move(fields)));
+                      return;
+                    }
+                    if (outcome.error().code != result_code::config_conflict) {
+                      reply(encode(outcome.error()));
+                      return;
+                    }
+                    // Tells the second of two operators what the first one changed.
+                    const auto& current = engine_.control().config();
+                    reply(
+                      encode(result_code::config_conflict,
+                             outcome.error().message,
+                             { { "version", engine_.control().config_document().version().get() },
+                               { "changes", to_array(describe_difference(before, current)) } },
+                             409));
+                  });
 }
 
 void
@@ -375,27 +378,31 @@
                                const respond& reply,
                                instant now)
 {
-  auto& document = engine_.control().key_document();
+  auto& control = engine_.control();
   document_edit edit;
-  edit.expected_version = document.version();
+  edit.expected_version = control.key_document().version();
   edit.content = changed.text(config_version(edit.expected_version.get() + 1));
   edit.author = default_author;
   edit.edit_id = edit_id;
   edit.deadline = now + edit_limit;
-  document.publish(std::move(edit), now, [this, body, reply](result<document_version> outcome) {
-    if (!outcome) {
-      reply(encode(outcome.error()));
-      return;
-    }
-    waiting_.push_back({ outcome.value().version, body, reply, engine_.now() + force_limit });
-  });
+  control.publish(
+    control_service::document_name::keys,
+    std::move(edit),
+    now,
+    [this, body, reply](result<document_version> outcome) {
+      if (!outcome) {
+        reply(encode(outcome.error()));
+        return;
+      }
+      waiting_.push_back({ outcome.value().version, body, reply, engine_.now() + force_limit });
+    });
 }
 
 void
 operator_service::tick(instant now)
 {
   std::erase_if(waiting_, [&](waiting_change& change) {
-    const auto progress = engine_.control().acknowledged(change.version, now);
+    const auto progress = engine_.control().evidence().acknowledged(change.version, now);
     auto body = change.body;
     body["version"] = change.version.get();
     if (progress.accepted) {
--- a/Source/Engine/status_report.cxx
+++ b/Source/Engine/status_report.cxx
@@ -70,7 +70,7 @@
                                       { "key_version", record.entry.key_version.get() },
                                       { "heard_ms_ago", age_of(record.stated_at, now) } });
   }
-  const auto evidence = control.evidence_state(now);
+  const auto evidence = control.evidence().evaluate(now);
   json::object homes;
   for (const auto& [member, figures] : target.homes().figures()) {
     homes[member.get()] = describe_home(figures);
@@ -83,7 +83,7 @@
            { "config_author", config.in_force.author },
            { "config_refused", config.refused_reason },
            { "key_version", control.key_document().version().get() },
-           { "keys_accepted", control.may_accept_keys(now) },
+           { "keys_accepted", evidence.reason.empty() },
            { "key_evidence_reason", evidence.reason },
            { "open_requests", target.entry().open_requests() },
            { "instances", std::move(instances) },
