--- a/Source/Engine/entry_service.cxx
+++ b/Source/Engine/entry_service.cxx
@@ -334,6 +334,26 @@
   hooks_.send(record->entry.address, std::move(envelope), refused);
 }
 
+void
+entry_service::add_spans(open_request& entry, const wire::forward_answer& answer, instant now)
+{
+  trace_span hop{ "forward", entry.home.get(), entry.sent, now - entry.sent, {} };
+  hop.tags = { { "member", answer.member() },
+               { "code", std::string(name_of(static_cast<result_code>(answer.code()))) } };
+  entry.spans.push_back(std::move(hop));
+  // Clocks of instances are not compared, so the home's spans follow each other from the start of
+  // the hop.
+  auto start = entry.sent;
+  const auto add = [&](const char* operation, std::uint64_t length_us) {
+    const duration length(static_cast<duration::rep>(length_us));
+    entry.spans.push_back({ operation, entry.home.get(), start, length, {} });
+    start += length;
+  };
+  add("home.queue", answer.queue_us());
+  add("home.backend", answer.backend_us());
+  add("home.replication", answer.replication_us());
+}
+
 void
 entry_service::on_answer(const wire::forward_answer& answer, instant now)
 {
@@ -345,13 +365,7 @@
   }
   auto& entry = *found->second;
   entry.answer = answer;
-  trace_span hop{ "forward", entry.home.get(), entry.sent, now - entry.sent, {} };
-  hop.tags = { { "member", answer.member() },
-               { "code", std::to_string(answer.code()) },
-               { "queue_us", std::to_string(answer.queue_us()) },
-               { "backend_us", std::to_string(answer.backend_us()) },
-               { "replication_us", std::to_string(answer.replication_us()) } };
-  entry.spans.push_back(std::move(hop));
+  add_spans(entry, answer, now);
   attempt_answer outcome;
   outcome.id = request_id(answer.request_id());
   outcome.code = static_cast<result_code>(answer.code());
--- a/Source/Engine/entry_service.h
+++ b/Source/Engine/entry_service.h
@@ -88,6 +88,7 @@
               const std::string& message,
               const attempt_answer* answer,
               instant now);
+  static void add_spans(open_request& entry, const wire::forward_answer& answer, instant now);
   void note_session(open_request& entry, result_code code, run_outcome outcome) const;
   void check_homes(instant now);
 
