--- /dev/null
+++ b/Utilities/Benchmarks/engine_tick.cxx
@@ -0,0 +1,125 @@
+// Processor time of a whole idle instance by the size of the fleet, with 930 databases.
+
+#include "Benchmarks/memory_table.h"
+#include "Benchmarks/memory_use.h"
+#include "Benchmarks/synthetic_configuration.h"
+#include "Benchmarks/synthetic_fleet.h"
+#include "Control/document_row.h"
+#include "Engine/engine.h"
+
+#include <benchmark/benchmark.h>
+
+#include <memory>
+#include <random>
+
+namespace {
+
+using namespace persimmonshelf;
+
+// An engine that hears the heartbeats of its fleet; members of databases never answer.
+struct engine_bench
+{
+  explicit engine_bench(std::size_t size)
+    : fleet{ size }
+  {
+    document_row row;
+    row.version = { config_version(1), "operator", "edit" };
+    row.content = synthetic_configuration(930, 8);
+    table.set("config", row.format(), 1);
+    const auto self = synthetic_fleet::identity(0);
+    engine_settings settings;
+    settings.instance = self.instance;
+    settings.incarnation = self.incarnation;
+    settings.zone = self.zone;
+    settings.peer_address = self.address;
+    settings.session_secret = "secret";
+    settings.start_sequence = self.start_sequence;
+    engine_hooks hooks;
+    hooks.backend = [](const auto&) { return true; };
+    hooks.send_peer = [this](const auto&, const wire::envelope& message, auto) {
+      sent_bytes += message.ByteSizeLong();
+      return true;
+    };
+    hooks.table = table.hooks();
+    hooks.list_instances = [this](auto done) {
+      ++lists;
+      done(fleet.list());
+    };
+    hooks.random_bits = [this] { return random(); };
+    hooks.log = [](const auto&) {};
+    hooks.ended = [](const auto&) {};
+    hooks.failed_over = [](const auto&, const auto&) {};
+    hooks.utc = [this] { return 1'790'000'000 + now.time_since_epoch().count() / 1'000'000; };
+    const auto before = heap_bytes();
+    instance = std::make_unique<engine>(std::move(settings), std::move(hooks), now);
+    for (int i = 0; i < 400; ++i) {
+      step();
+    }
+    bytes = heap_bytes() - before;
+  }
+
+  // 5 ms later. The fleet is heard once a second, of which the own part is not measured here.
+  void step()
+  {
+    now += std::chrono::milliseconds(5);
+    if (now >= next_heard) {
+      next_heard = now + std::chrono::seconds(1);
+      hear();
+    }
+    instance->tick(now);
+    table.deliver();
+  }
+
+  void hear()
+  {
+    auto& view = instance->control().members();
+    const auto echo = view.make_heartbeat(synthetic_fleet::name(8), now).clock;
+    const auto beat = fleet.beat_of(8, ++sequence, echo, true);
+    view.receive(synthetic_fleet::name(8), synthetic_fleet::identity(8).incarnation, beat, now);
+  }
+
+  synthetic_fleet fleet;
+  memory_table table;
+  std::mt19937_64 random{ 1 };
+  instant now{ std::chrono::seconds(1000) };
+  instant next_heard;
+  std::uint64_t sequence = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t lists = 0;
+  std::int64_t bytes = 0;
+  std::unique_ptr<engine> instance;
+};
+
+void
+engine_idle_tick(benchmark::State& state)
+{
+  engine_bench bench(static_cast<std::size_t>(state.range(0)));
+  const auto reads = bench.table.reads + bench.lists;
+  const auto writes = bench.table.writes;
+  const auto sent = bench.sent_bytes;
+  for (auto _ : state) {
+    bench.step();
+  }
+  const auto seconds = static_cast<double>(state.iterations()) * 0.005;
+  state.counters["reads_s"] =
+    static_cast<double>(bench.table.reads + bench.lists - reads) / seconds;
+  state.counters["writes_s"] = static_cast<double>(bench.table.writes - writes) / seconds;
+  state.counters["sent_bytes_s"] = static_cast<double>(bench.sent_bytes - sent) / seconds;
+  state.counters["watched"] = static_cast<double>(bench.instance->groups().size());
+  state.counters["members"] = static_cast<double>(bench.instance->homes().figures().size());
+  state.counters["bytes"] = static_cast<double>(bench.bytes);
+}
+
+// A run covers whole seconds, so that the work of each second is in it.
+BENCHMARK(engine_idle_tick)
+  ->Arg(21)
+  ->Arg(66)
+  ->Arg(132)
+  ->Arg(265)
+  ->Arg(530)
+  ->Iterations(2000)
+  ->Unit(benchmark::kMicrosecond);
+
+}
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/Utilities/Benchmarks/limits_scaling.cxx
@@ -0,0 +1,109 @@
+// Cost of the shares of rate and burst by the number of workspaces.
+
+#include "Benchmarks/memory_table.h"
+#include "Benchmarks/memory_use.h"
+#include "Limits/share_holder.h"
+
+#include <benchmark/benchmark.h>
+
+#include <memory>
+
+namespace {
+
+using namespace persimmonshelf;
+
+constexpr std::int64_t holders = 21;
+
+// One holder among 21 equal ones, with the table answering at once.
+struct holder_bench
+{
+  explicit holder_bench(std::int64_t count)
+  {
+    const instance_id self("entry-0");
+    share_table others;
+    for (std::int64_t i = 1; i < holders; ++i) {
+      const share_owner owner{ instance_id("entry-" + std::to_string(i)),
+                               incarnation_id(static_cast<std::uint64_t>(i)) };
+      others = others.join(owner, ppm_total / holders, ppm_total);
+    }
+    share_holder::hooks calls;
+    calls.table = table.hooks();
+    calls.now = [this] { return now; };
+    calls.eligible = [](const workspace_id&) {
+      std::vector<share_candidate> all;
+      for (std::int64_t i = 0; i < holders; ++i) {
+        all.push_back(
+          { instance_id("entry-" + std::to_string(i)), zone_id("z" + std::to_string(i % 3)) });
+      }
+      return all;
+    };
+    calls.send_borrow = [](const auto&, auto, const auto&, auto) {};
+    calls.answer_borrow = [](const auto&, auto, const auto&, auto) {};
+    const auto before = heap_bytes();
+    shares = std::make_unique<share_holder>(
+      share_owner{ self, incarnation_id(77) }, share_settings(), std::move(calls));
+    std::map<workspace_id, workspace_limit> limits;
+    for (std::int64_t i = 0; i < count; ++i) {
+      const workspace_id name("workspace-" + std::to_string(i));
+      table.set(share_table::key(name), others.to_json(), 1);
+      limits[name] = { 1'000'000'000'000, 1'000'000'000'000 };
+    }
+    shares->configure(limits, now);
+    for (int i = 0; i < 4000; ++i) {
+      step();
+    }
+    bytes = heap_bytes() - before;
+  }
+
+  void step()
+  {
+    now += std::chrono::milliseconds(5);
+    shares->tick(now);
+    table.deliver();
+  }
+
+  instant now{ std::chrono::seconds(1000) };
+  memory_table table;
+  std::unique_ptr<share_holder> shares;
+  std::int64_t bytes = 0;
+};
+
+void
+share_admit(benchmark::State& state)
+{
+  holder_bench bench(state.range(0));
+  const workspace_id name("workspace-3");
+  std::uint64_t admitted = 0;
+  for (auto _ : state) {
+    bench.now += std::chrono::microseconds(5);
+    bench.shares->admit(name, bench.now, [&](admission decision) {
+      admitted += decision == admission::admitted ? 1 : 0;
+    });
+  }
+  state.counters["admitted"] =
+    static_cast<double>(admitted) / static_cast<double>(state.iterations());
+  // Table rows and the table's own queue are counted as well.
+  state.counters["bytes"] = static_cast<double>(bench.bytes);
+}
+
+// The usual tick: 5 ms later, with the table's answers to routine calls.
+void
+share_tick(benchmark::State& state)
+{
+  holder_bench bench(state.range(0));
+  const auto reads = bench.table.reads;
+  const auto writes = bench.table.writes;
+  for (auto _ : state) {
+    bench.step();
+  }
+  const auto seconds = static_cast<double>(state.iterations()) * 0.005;
+  state.counters["reads_s"] = static_cast<double>(bench.table.reads - reads) / seconds;
+  state.counters["writes_s"] = static_cast<double>(bench.table.writes - writes) / seconds;
+}
+
+BENCHMARK(share_admit)->Arg(8)->Arg(64)->Arg(512);
+BENCHMARK(share_tick)->Arg(8)->Arg(64)->Arg(512)->Unit(benchmark::kMicrosecond);
+
+}
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/Utilities/Benchmarks/path_latency.cxx
@@ -0,0 +1,199 @@
+// Latency of statements from a number of concurrent callers, through a fleet or at the members
+// themselves. Each caller has one connection and one request at a time.
+
+#include "Net/http_connection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace persimmonshelf;
+namespace asio = boost::asio;
+namespace json = boost::json;
+using wall = std::chrono::steady_clock;
+
+constexpr auto call_timeout = std::chrono::seconds(10);
+
+struct plan
+{
+  bool direct = false;
+  bool write = false;
+  std::vector<tcp_address> targets;
+  std::string key;
+  wall::time_point measured_from;
+  wall::time_point end;
+};
+
+struct totals
+{
+  std::vector<std::int64_t> microseconds;
+  std::map<std::string, std::uint64_t> failures;
+};
+
+class caller : public std::enable_shared_from_this<caller>
+{
+public:
+  caller(asio::io_context& context, const plan& work, std::size_t number, totals& sum)
+    : context_(context)
+    , work_(work)
+    , number_(number)
+    , sum_(sum)
+  {
+  }
+
+  void start()
+  {
+    connection_ = http_connection::create(context_);
+    connection_->connect(work_.targets[number_ % work_.targets.size()],
+                         call_timeout,
+                         [self = shared_from_this()](const std::string& reason) {
+                           if (!reason.empty()) {
+                             ++self->sum_.failures["connect: " + reason];
+                             return;
+                           }
+                           self->next();
+                         });
+  }
+
+private:
+  http_request make()
+  {
+    const auto key = "k" + std::to_string(number_);
+    const auto text =
+      work_.write ? "PUT " + key + " value-" + std::to_string(count_) : "GET " + key;
+    json::object body{ { "statement", text }, { "kind", work_.write ? "write" : "read" } };
+    http_request request;
+    request.method = "POST";
+    if (work_.direct) {
+      request.target = "/v1/statement";
+      body["request_id"] =
+        (work_.write ? "w" : "r") + std::to_string(number_) + "-" + std::to_string(count_);
+      body["term"] = 1;
+    } else {
+      request.target = "/v1/routes/shop/statement";
+      request.authorization = "Bearer " + work_.key;
+      body["database"] = "orders";
+      body["deadline_ms"] = 8000;
+    }
+    ++count_;
+    request.body = json::serialize(body);
+    return request;
+  }
+
+  void next()
+  {
+    const auto sent = wall::now();
+    if (sent >= work_.end) {
+      connection_->close();
+      return;
+    }
+    connection_->send(
+      make(),
+      call_timeout,
+      [self = shared_from_this(), sent](const http_failure* failure, const http_response& answer) {
+        self->answered(sent, failure, answer);
+      });
+  }
+
+  void answered(wall::time_point sent, const http_failure* failure, const http_response& answer)
+  {
+    if (failure != nullptr) {
+      ++sum_.failures[failure->reason];
+      start();
+      return;
+    }
+    const auto now = wall::now();
+    if (answer.status != 200) {
+      ++sum_.failures[std::to_string(answer.status) + " " + answer.body.substr(0, 90)];
+    } else if (sent >= work_.measured_from) {
+      sum_.microseconds.push_back(
+        std::chrono::duration_cast<std::chrono::microseconds>(now - sent).count());
+    }
+    next();
+  }
+
+  asio::io_context& context_;
+  const plan& work_;
+  std::size_t number_;
+  totals& sum_;
+  std::shared_ptr<http_connection> connection_;
+  std::uint64_t count_ = 0;
+};
+
+std::int64_t
+quantile(const std::vector<std::int64_t>& sorted, double part)
+{
+  return sorted.empty()
+           ? -1
+           : sorted[static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1))];
+}
+
+int
+run(plan work, std::size_t callers, int seconds)
+{
+  asio::io_context context;
+  totals sum;
+  // The first fifth opens connections and fills caches; it isn't counted.
+  const auto begin = wall::now();
+  work.measured_from = begin + std::chrono::milliseconds(seconds * 200);
+  work.end = begin + std::chrono::seconds(seconds);
+  for (std::size_t i = 0; i < callers; ++i) {
+    std::make_shared<caller>(context, work, i, sum)->start();
+  }
+  context.run_until(work.end + std::chrono::seconds(12));
+  std::sort(sum.microseconds.begin(), sum.microseconds.end());
+  std::cout << (work.direct ? "direct" : "fleet") << " " << (work.write ? "write" : "read")
+            << " callers " << callers << " done " << sum.microseconds.size() << " per_second "
+            << sum.microseconds.size() * 10 / (static_cast<std::size_t>(seconds) * 8) << " p50_us "
+            << quantile(sum.microseconds, 0.5) << " p99_us " << quantile(sum.microseconds, 0.99);
+  std::uint64_t failed = 0;
+  for (const auto& [reason, count] : sum.failures) {
+    failed += count;
+    std::cerr << "path_latency: " << count << " failed: " << reason << "\n";
+  }
+  std::cout << " failed " << failed << std::endl;
+  return sum.microseconds.empty() ? 1 : 0;
+}
+
+}
+
+int
+main(int argc, char** argv)
+{
+  if (argc != 7) {
+    std::cerr
+      << "usage: path_latency direct|fleet read|write CALLERS SECONDS ADDRESS,... KEY_FILE\n";
+    return 2;
+  }
+  plan work;
+  work.direct = std::string(argv[1]) == "direct";
+  work.write = std::string(argv[2]) == "write";
+  std::istringstream list(argv[5]);
+  for (std::string part; std::getline(list, part, ',');) {
+    tcp_address address;
+    if (!parse_address(part, address)) {
+      std::cerr << "path_latency: expected IP:PORT, found " << part << "\n";
+      return 2;
+    }
+    work.targets.push_back(address);
+  }
+  std::ifstream key(argv[6]);
+  std::getline(key, work.key);
+  return run(std::move(work),
+             std::strtoull(argv[3], nullptr, 10),
+             static_cast<int>(std::strtol(argv[4], nullptr, 10)));
+}
--- /dev/null
+++ b/Utilities/Benchmarks/synthetic_fleet.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "Control/membership.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+// Names, addresses and heartbeats of a fleet of a given size in 8 zones, without processes. The
+// instance numbers go round the zones, so that instance 0 and 8 share one.
+struct synthetic_fleet
+{
+  static constexpr std::size_t zone_count = 8;
+  std::size_t size = 0;
+
+  static zone_id zone(std::size_t number)
+  {
+    return zone_id("region-" + std::to_string(number % zone_count / 4) + "-zone-" +
+                   std::to_string(number % zone_count));
+  }
+
+  static instance_id name(std::size_t number)
+  {
+    return instance_id("entry-" + std::to_string(number));
+  }
+
+  static std::string address(std::size_t number)
+  {
+    return "10.1." + std::to_string(number / 200) + "." + std::to_string(number % 200 + 1) +
+           ":17300";
+  }
+
+  static membership::identity identity(std::size_t number)
+  {
+    membership::identity self;
+    self.instance = name(number);
+    self.incarnation = incarnation_id(0x9e3779b97f4a7c15U * (number + 1));
+    self.zone = zone(number);
+    self.address = address(number);
+    self.start_sequence = 1'790'000'000'000U;
+    return self;
+  }
+
+  static instance_entry entry(std::size_t number, std::uint64_t sequence)
+  {
+    const auto self = identity(number);
+    instance_entry made;
+    made.instance = self.instance;
+    made.incarnation = self.incarnation;
+    made.zone = self.zone;
+    made.address = self.address;
+    made.age = std::chrono::milliseconds(1200);
+    made.config_version = config_version(23'000);
+    made.key_version = config_version(1'200);
+    made.table_read_age = std::chrono::milliseconds(900);
+    made.sequence = self.start_sequence + sequence;
+    return made;
+  }
+
+  std::vector<listed_instance> list() const
+  {
+    std::vector<listed_instance> all;
+    for (std::size_t i = 0; i < size; ++i) {
+      all.push_back({ name(i), zone(i), address(i), false });
+    }
+    return all;
+  }
+
+  // A heartbeat of `sender` with the entries of its zone, or of all zones in a small fleet, and a
+  // summary of each zone. `echo` is a clock that the receiver sent.
+  heartbeat beat_of(std::size_t sender, std::uint64_t sequence, instant echo, bool whole_zone) const
+  {
+    heartbeat beat;
+    beat.clock = instant(std::chrono::seconds(5000));
+    beat.echo_clock = echo;
+    beat.echo_age = std::chrono::milliseconds(1);
+    beat.entries.push_back(entry(sender, sequence));
+    const bool all = size <= membership::full_view_limit;
+    for (std::size_t i = 0; i < size; ++i) {
+      const bool carried = all || (whole_zone && i % zone_count == sender % zone_count);
+      if (i != sender && carried) {
+        beat.entries.push_back(entry(i, sequence));
+      }
+    }
+    for (std::size_t i = 0; i < zone_count; ++i) {
+      zone_summary summary;
+      summary.zone = zone(i);
+      summary.instances = static_cast<std::uint32_t>((size + zone_count - 1 - i) / zone_count);
+      summary.confirming = summary.instances;
+      summary.key_version = config_version(1'200);
+      summary.age = std::chrono::milliseconds(1500);
+      summary.table_read_age = std::chrono::milliseconds(900);
+      summary.table_key_version = config_version(1'200);
+      beat.zones.push_back(summary);
+    }
+    return beat;
+  }
+
+  // Lets a view hear of the whole fleet at `now`.
+  void fill(membership& view, std::size_t self, instant now) const
+  {
+    view.apply_platform_list(list(), now);
+    const auto neighbour = self + zone_count < size ? self + zone_count : (self + 1) % size;
+    const auto echo = view.make_heartbeat(name(neighbour), now).clock;
+    view.receive(name(neighbour),
+                 identity(neighbour).incarnation,
+                 beat_of(neighbour, 1, echo, true),
+                 now + std::chrono::milliseconds(2));
+  }
+};
+
+}
