control: Choose all homes of an instance in one pass over its zones

A view of 66 instances in a zone changes several times a second, and each pass over 930 databases ranked all 530 instances for each of 2790 members.

The choice is compared with membership::home_of in a test.

--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -1,5 +1,6 @@
 #include "Engine/engine.h"
 
+#include "Control/home_chooser.h"
 #include "Control/rendezvous.h"
 #include "Engine/wire_convert.h"
 
@@ -322,12 +323,13 @@
 engine::choose_homes(instant now)
 {
   const auto& members = control_->members();
+  const home_chooser homes(members, now);
   live_mark_ = members.live_mark(now);
   served_.clear();
   watched_.clear();
   for (const auto& database : control_->config().databases()) {
     for (const auto& member : database.members) {
-      if (members.home_of(database.id, member.zone, now) == settings_.instance) {
+      if (homes.home_of(database.id, member.zone) == settings_.instance) {
         served_[member.id] = { &database, &member };
         watched_[database.id] = &database;
       }
--- a/Tests/Control/live_mark_test.cxx
+++ b/Tests/Control/live_mark_test.cxx
@@ -1,3 +1,4 @@
+#include "Control/home_chooser.h"
 #include "Control/membership.h"
 
 #include <doctest/doctest.h>
@@ -59,3 +60,38 @@
   hear(view, 4, "north", true, later);
   CHECK(view.live_mark(later) == alone);
 }
+
+// The engine and the entries choose with different code. If they disagreed, an instance would
+// refuse what all others send to it.
+TEST_CASE("homes chosen together are those that are chosen one by one")
+{
+  auto view = make_view();
+  std::vector<listed_instance> list;
+  for (int i = 0; i < 100; ++i) {
+    const auto number = std::to_string(i);
+    list.push_back({ instance_id("p" + number), zone_id("z" + std::to_string(i % 4)), "", false });
+  }
+  view.apply_platform_list(list, start);
+  heartbeat beat;
+  beat.clock = start;
+  beat.echo_clock = view.make_heartbeat(instance_id("p0"), start).clock;
+  for (int i = 0; i < 60; i += 2) {
+    instance_entry entry;
+    entry.instance = instance_id("p" + std::to_string(i));
+    entry.incarnation = incarnation_id(2);
+    entry.zone = zone_id("z" + std::to_string(i % 4));
+    entry.leaving = i % 10 == 0;
+    entry.sequence = 1;
+    beat.entries.push_back(entry);
+  }
+  view.receive(instance_id("p0"), incarnation_id(2), beat, start);
+  for (const auto age : { 0, 3, 8 }) {
+    const auto now = start + std::chrono::seconds(age);
+    const home_chooser homes(view, now);
+    for (int i = 0; i < 200; ++i) {
+      const database_id database("d" + std::to_string(i));
+      const zone_id zone("z" + std::to_string(i % 5));
+      CHECK(homes.home_of(database, zone) == view.home_of(database, zone, now));
+    }
+  }
+}
--- a/Utilities/Benchmarks/control_scaling.cxx
+++ b/Utilities/Benchmarks/control_scaling.cxx
@@ -4,6 +4,7 @@
 #include "Benchmarks/synthetic_configuration.h"
 #include "Benchmarks/synthetic_fleet.h"
 #include "Control/configuration.h"
+#include "Control/home_chooser.h"
 #include "Control/key_set.h"
 #include "Engine/wire_convert.h"
 
@@ -124,9 +125,10 @@
   std::size_t own = 0;
   for (auto _ : state) {
     own = 0;
+    const home_chooser homes(*view, now);
     for (const auto& database : config.value().databases()) {
       for (const auto& member : database.members) {
-        own += view->home_of(database.id, member.zone, now) == view->self().instance ? 1 : 0;
+        own += homes.home_of(database.id, member.zone) == view->self().instance ? 1 : 0;
       }
     }
   }
--- a/Utilities/Benchmarks/path_latency.cxx
+++ b/Utilities/Benchmarks/path_latency.cxx
@@ -4,6 +4,7 @@
 #include "Net/http_connection.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -34,6 +35,8 @@
   bool write = false;
   std::vector<tcp_address> targets;
   std::string key;
+  // Pause of a caller between an answer and its next request.
+  std::chrono::milliseconds pause{ 0 };
   wall::time_point measured_from;
   wall::time_point end;
 };
@@ -52,6 +55,7 @@
     , work_(work)
     , number_(number)
     , sum_(sum)
+    , timer_(context)
   {
   }
 
@@ -123,13 +127,19 @@
       sum_.microseconds.push_back(
         std::chrono::duration_cast<std::chrono::microseconds>(now - sent).count());
     }
-    next();
+    if (work_.pause.count() == 0) {
+      next();
+      return;
+    }
+    timer_.expires_after(work_.pause);
+    timer_.async_wait([self = shared_from_this()](const auto&) { self->next(); });
   }
 
   asio::io_context& context_;
   const plan& work_;
   std::size_t number_;
   totals& sum_;
+  asio::steady_timer timer_;
   std::shared_ptr<http_connection> connection_;
   std::uint64_t count_ = 0;
 };
@@ -174,9 +184,9 @@
 int
 main(int argc, char** argv)
 {
-  if (argc != 7) {
-    std::cerr
-      << "usage: path_latency direct|fleet read|write CALLERS SECONDS ADDRESS,... KEY_FILE\n";
+  if (argc != 7 && argc != 8) {
+    std::cerr << "usage: path_latency direct|fleet read|write CALLERS SECONDS ADDRESS,... KEY_FILE "
+                 "[PAUSE_MS]\n";
     return 2;
   }
   plan work;
@@ -193,6 +203,9 @@
   }
   std::ifstream key(argv[6]);
   std::getline(key, work.key);
+  if (argc == 8) {
+    work.pause = std::chrono::milliseconds(std::strtol(argv[7], nullptr, 10));
+  }
   return run(std::move(work),
              std::strtoull(argv[3], nullptr, 10),
              static_cast<int>(std::strtol(argv[4], nullptr, 10)));
--- a/Utilities/measure-capacity.sh
+++ b/Utilities/measure-capacity.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures real processes on loopback. Usage: measure-capacity.sh memory|platform N|path
 #   memory      resident memory of one instance by idle caller connections
-#   platform N  calls to the platform, processor time and peer traffic of N instances
+#   platform N  calls to the platform, processor time and traffic of N instances, idle and with 16
+#               callers at each that read every 100 ms
 #   path        latency and processor time of statements with and without the fleet
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -58,14 +59,38 @@
   echo "$list"
 }
 
-# window NAME SECONDS: platform calls and processor time over a period.
+# Bytes sent and received so far on the instances' outgoing connections, by the kind of the other
+# end. Each connection between instances carries one direction.
+socket_bytes() {
+  ss -tinH | awk -v base="$FLEET_PORT" '
+    /^[A-Z]/ { n = split($5, part, ":"); port = part[n] - base; next }
+    { sent = got = 0
+      if (match($0, /bytes_sent:[0-9]+/)) sent = substr($0, RSTART + 11, RLENGTH - 11)
+      if (match($0, /bytes_received:[0-9]+/)) got = substr($0, RSTART + 15, RLENGTH - 15)
+      kind = port == 0 ? "platform" : port >= 300 && port < 400 ? "peer" : \
+             port >= 10 && port < 20 ? "member" : ""
+      if (kind != "") { s[kind] += sent; r[kind] += got } }
+    END { print s["peer"] + 0, r["peer"] + 0, s["member"] + 0, r["member"] + 0,
+                s["platform"] + 0, r["platform"] + 0 }'
+}
+
+# window NAME SECONDS: platform calls, bytes and processor time over a period.
 window() {
-  local before after cpu members
+  local before after cpu members bytes
   before=$(platform_counts)
+  bytes=$(socket_bytes)
   cpu=$(processor_of_instances)
   members=$(processor_of_members)
   sleep "$2"
   after=$(platform_counts)
+  awk -v name="$1" -v n="${#FLEET_INSTANCES[@]}" -v s="$2" -v b="$bytes" -v a="$(socket_bytes)" \
+    'BEGIN {
+      split(b, x, " "); split(a, y, " ")
+      split("peer_sent peer_received member_sent member_received platform_sent platform_received",
+            label, " ")
+      printf "%s bytes_s_instance", name
+      for (i = 1; i <= 6; ++i) printf " %s %.0f", label[i], (y[i] - x[i]) / s / n
+      print "" }'
   cpu=$(($(processor_of_instances) - cpu))
   members=$(($(processor_of_members) - members))
   awk -v name="$1" -v n="${#FLEET_INSTANCES[@]}" -v s="$2" -v cpu="$cpu" -v m="$members" \
@@ -92,8 +117,8 @@
   configure_fleet
   sleep 15
   window idle "${SECONDS_EACH:-60}"
-  "$FLEET_BUILD/Utilities/path_latency" fleet read 2 "$((${SECONDS_EACH:-60} + 2))" \
-    "$(all_callers)" "$FLEET_DIR/key" &
+  "$FLEET_BUILD/Utilities/path_latency" fleet read "$((16 * $1))" \
+    "$((${SECONDS_EACH:-60} + 2))" "$(all_callers)" "$FLEET_DIR/key" 100 &
   local load=$!
   sleep 1
   window load "${SECONDS_EACH:-60}"
@@ -136,6 +161,6 @@
   memory) measure_memory ;;
   platform) measure_platform "${2:-3}" ;;
   path) measure_path ;;
-  *) sed -n 2,5p "$0"; exit 2 ;;
+  *) sed -n 2,6p "$0"; exit 2 ;;
 esac
 uptime
