peer transport: Pack control messages with zlib

Heartbeats, documents and usage mirrors of 256 bytes and more are now packed; messages of statements are not. Unpacked size is bounded by the message limit.

--- a/Source/Adapters/peer_transport.cxx
+++ b/Source/Adapters/peer_transport.cxx
@@ -1,9 +1,12 @@
 #include "Adapters/peer_transport.h"
 
+#include "Adapters/peer_frame.h"
+
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 #include <zmq.hpp>
 
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -123,16 +126,16 @@
       body.copy(part);
     }
   }
-  wire::envelope message;
-  const bool whole = parts == 2 && body.size() <= message_limit_bytes &&
-                     message.ParseFromArray(body.data(), static_cast<int>(body.size())) &&
-                     message.body_case() != wire::envelope::BODY_NOT_SET;
-  if (!whole) {
+  std::optional<wire::envelope> message;
+  if (parts == 2) {
+    message = decode_frame(body.to_string_view(), message_limit_bytes);
+  }
+  if (!message) {
     ++counts.malformed;
     return;
   }
   ++counts.received;
-  receive(std::move(message));
+  receive(std::move(*message));
 }
 
 zmq::socket_t&
@@ -195,15 +198,13 @@
 peer_transport::send(const std::string& peer_address, const wire::envelope& message)
 {
   auto& counts = state_->counts;
-  const auto size = message.ByteSizeLong();
-  if (size > message_limit_bytes) {
+  if (message.ByteSizeLong() > message_limit_bytes) {
     ++counts.refused;
     return false;
   }
   try {
     auto& dealer = state_->dealer_to(peer_address);
-    zmq::message_t body(size);
-    message.SerializeToArray(body.data(), static_cast<int>(size));
+    zmq::message_t body(encode_frame(message));
     auto accepted = dealer.send(body, zmq::send_flags::dontwait);
     if (!accepted) {
       // A send looks at state changes of the connection only from time to time; reading the events
--- a/Utilities/Benchmarks/control_scaling.cxx
+++ b/Utilities/Benchmarks/control_scaling.cxx
@@ -1,5 +1,6 @@
 // Cost of membership, home choice, configuration and keys by the size of the fleet.
 
+#include "Adapters/peer_frame.h"
 #include "Benchmarks/memory_use.h"
 #include "Benchmarks/synthetic_configuration.h"
 #include "Benchmarks/synthetic_fleet.h"
@@ -37,7 +38,7 @@
   message.set_sender_incarnation(1);
   message.set_clock_us(1);
   *message.mutable_beat() = to_wire(beat);
-  return message.SerializeAsString();
+  return encode_frame(message);
 }
 
 // Time to make and encode one heartbeat to an instance of the own zone; sizes of both kinds.
--- a/Utilities/Benchmarks/engine_tick.cxx
+++ b/Utilities/Benchmarks/engine_tick.cxx
@@ -1,5 +1,6 @@
 // Processor time of a whole idle instance by the size of the fleet, with 930 databases.
 
+#include "Adapters/peer_frame.h"
 #include "Benchmarks/memory_table.h"
 #include "Benchmarks/memory_use.h"
 #include "Benchmarks/synthetic_configuration.h"
@@ -37,7 +38,7 @@
     engine_hooks hooks;
     hooks.backend = [](const auto&) { return true; };
     hooks.send_peer = [this](const auto&, const wire::envelope& message, auto) {
-      sent_bytes += message.ByteSizeLong();
+      sent_bytes += encode_frame(message).size();
       return true;
     };
     hooks.table = table.hooks();
--- a/Utilities/Benchmarks/membership_spread.cxx
+++ b/Utilities/Benchmarks/membership_spread.cxx
@@ -1,6 +1,7 @@
 // Steps the membership of a whole fleet in one process and reports how old the view gets and how
 // many bytes each instance sends. Each message takes 2 ms.
 
+#include "Adapters/peer_frame.h"
 #include "Benchmarks/synthetic_fleet.h"
 #include "Engine/wire_convert.h"
 
@@ -104,7 +105,7 @@
     envelope.set_sender_incarnation(synthetic_fleet::identity(from).incarnation.get());
     envelope.set_clock_us(to_wire(now_));
     *envelope.mutable_beat() = to_wire(beat);
-    sent_bytes += envelope.ByteSizeLong();
+    sent_bytes += encode_frame(envelope).size();
     ++sent;
     flying_.push({ now_ + transit, from, to, from_wire(envelope.beat()) });
   }
@@ -155,7 +156,8 @@
     constexpr int seconds = 10;
     fleet.run(std::chrono::seconds(seconds));
     std::cout << "instances " << size << ": " << fleet.sent_bytes / size / seconds
-              << " bytes/s and " << static_cast<double>(fleet.sent) / size / seconds
+              << " bytes/s and "
+              << static_cast<double>(fleet.sent) / static_cast<double>(size * seconds)
               << " messages/s sent by each\n";
     fleet.report();
   }
--- a/Utilities/install-packages.sh
+++ b/Utilities/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build clang-format clang-tidy clang-tools protobuf-compiler
   libboost1.81-dev libboost-json1.81-dev libzmq3-dev cppzmq-dev libprotobuf-dev
   prometheus-cpp-dev libdocopt-dev libgoogle-glog-dev doctest-dev librapidcheck-dev
-  libssl-dev libbenchmark-dev curl)
+  libssl-dev zlib1g-dev libbenchmark-dev curl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
