--- a/Source/Control/membership.cxx
+++ b/Source/Control/membership.cxx
@@ -11,6 +11,7 @@
 
 constexpr std::size_t own_zone_targets = 3;
 constexpr duration push_interval = std::chrono::milliseconds(50);
+constexpr duration news_interval = std::chrono::milliseconds(250);
 // Older clocks bound too little: at 530 instances a pair of zones exchanges heartbeats within this
 // time, and the allowance for clock drift grows with it.
 constexpr duration echo_limit = std::chrono::minutes(10);
@@ -56,6 +57,7 @@
   auto& own = records_[self_.instance];
   changed_ = changed_ || state.config_version > own.entry.config_version ||
              state.key_version > own.entry.key_version || state.leaving != own.entry.leaving;
+  wants_news_ = state.wants_news;
   own.entry.leaving = state.leaving;
   own.entry.config_version = state.config_version;
   own.entry.key_version = state.key_version;
@@ -68,7 +70,7 @@
 bool
 membership::heartbeat_due(instant now) const
 {
-  const auto interval = changed_ ? push_interval : heartbeat_interval;
+  const auto interval = changed_ ? push_interval : wants_news_ ? news_interval : heartbeat_interval;
   return !last_round_ || now - *last_round_ >= interval;
 }
 
@@ -94,17 +96,24 @@
            (!record.stated_at || now - *record.stated_at > forget_leaving_after);
   });
   std::vector<const instance_record*> near;
-  std::vector<const instance_record*> far;
+  std::map<zone_id, std::vector<const instance_record*>> far;
   for (const auto& [name, record] : records_) {
     const bool gone =
       record.entry.leaving && (!record.stated_at || now - *record.stated_at > live_limit);
-    if (name != self_.instance && !gone) {
-      (record.entry.zone == self_.zone ? near : far).push_back(&record);
+    if (name == self_.instance || gone) {
+      continue;
     }
+    auto& zone = record.entry.zone == self_.zone ? near : far[record.entry.zone];
+    zone.push_back(&record);
   }
   auto chosen = choose(std::move(near), own_zone_targets);
-  const auto other_zone = choose(std::move(far), 1);
-  chosen.insert(chosen.end(), other_zone.begin(), other_zone.end());
+  if (!far.empty()) {
+    // Zones take turns: a random choice now and then misses a zone for longer than its statements
+    // last, which refused keys during a mere outage of the platform.
+    next_zone_ = (next_zone_ + 1) % far.size();
+    const auto zone = std::next(far.begin(), static_cast<std::ptrdiff_t>(next_zone_));
+    chosen.push_back(choose(std::move(zone->second), 1).front());
+  }
   std::vector<peer> targets;
   targets.reserve(chosen.size());
   for (const auto* record : chosen) {
@@ -147,8 +156,8 @@
   heartbeat beat;
   beat.clock = now;
   beat.entries.push_back(aged_entry(records_[self_.instance], now));
-  std::vector<const instance_record*> others;
-  for (const auto& [name, record] : records_) {
+  std::vector<instance_record*> others;
+  for (auto& [name, record] : records_) {
     if (name != self_.instance && (carries_all() || record.entry.zone == self_.zone)) {
       others.push_back(&record);
     }
@@ -156,21 +165,26 @@
   const auto to_zone = records_.find(target);
   const bool same_zone = to_zone != records_.end() && to_zone->second.entry.zone == self_.zone;
   if (!carries_all()) {
-    // The youngest news first: older entries have reached most instances already. Another zone gets
-    // the summary instead.
+    // News that was passed on least goes first, then the youngest: each statement so reaches some
+    // peers from each instance that hears it. Another zone gets the summary instead.
     std::sort(others.begin(), others.end(), [](const auto* left, const auto* right) {
-      return left->stated_at > right->stated_at;
+      return left->times_sent != right->times_sent ? left->times_sent < right->times_sent
+                                                   : left->stated_at > right->stated_at;
     });
     others.resize(same_zone ? std::min(others.size(), entries_per_heartbeat) : 0);
   }
-  for (const auto* record : others) {
+  for (auto* record : others) {
+    ++record->times_sent;
     beat.entries.push_back(aged_entry(*record, now));
   }
   for (const auto& zone : zones()) {
     beat.zones.push_back(zone == self_.zone ? summarise(zone, now) : zone_view(zone, now));
   }
   const auto heard = echoes_.find(target);
-  if (heard != echoes_.end()) {
+  // An answer always carries the echo: it follows the heartbeat that it answers at once.
+  const bool asks =
+    wants_news_ && heard != echoes_.end() && now - heard->second.received_at >= news_interval;
+  if (heard != echoes_.end() && !asks) {
     beat.echo_clock = heard->second.clock;
     beat.echo_age = now - heard->second.received_at;
   }
@@ -201,25 +215,19 @@
 }
 
 bool
-membership::receive(const instance_id& sender,
-                    incarnation_id incarnation,
-                    const heartbeat& beat,
-                    instant now)
+membership::receive(const instance_id& sender, const heartbeat& beat, instant now)
 {
   if (sender == self_.instance) {
     return false;
   }
-  echoes_[sender] = { incarnation, beat.clock, now };
+  auto& last = echoes_[sender];
+  last.clock = beat.clock;
+  last.received_at = now;
   notice_versions(beat);
   const auto transit = transit_bound(beat, now);
   if (!transit) {
-    const auto own = std::find_if(beat.entries.begin(), beat.entries.end(), [&](const auto& entry) {
-      return entry.instance == sender;
-    });
-    if (own != beat.entries.end() && records_.count(sender) == 0) {
-      add_record({ .instance = sender, .zone = own->zone, .address = own->address });
-    }
-    return true;
+    note_unproven(sender, beat);
+    return answer_due(last, now);
   }
   for (const auto& entry : beat.entries) {
     merge_entry(entry, *transit, now);
@@ -227,7 +235,39 @@
   for (const auto& summary : beat.zones) {
     merge_summary(summary, *transit, now);
   }
-  return false;
+  // Between zones each exchange goes both ways, because there are few of them. A sender that has
+  // heard from here lately needs no answer; this also ends the exchange at the answer itself.
+  const auto* record = find(sender);
+  const bool other_zone = record != nullptr && record->entry.zone != self_.zone;
+  const bool heard_here = now - *beat.echo_clock < heartbeat_interval;
+  return other_zone && !heard_here && answer_due(last, now);
+}
+
+// Keeps a sender as a peer to send to, although none of its statements counts yet.
+void
+membership::note_unproven(const instance_id& sender, const heartbeat& beat)
+{
+  const auto own = std::find_if(beat.entries.begin(), beat.entries.end(), [&](const auto& entry) {
+    return entry.instance == sender;
+  });
+  if (own != beat.entries.end() && records_.count(sender) == 0) {
+    instance_entry seed;
+    seed.instance = sender;
+    seed.zone = own->zone;
+    seed.address = own->address;
+    add_record(seed);
+  }
+}
+
+// At most one answer a second to each sender, so that slow links do not build up exchanges.
+bool
+membership::answer_due(echo& heard, instant now)
+{
+  if (heard.answered_at && now - *heard.answered_at < heartbeat_interval) {
+    return false;
+  }
+  heard.answered_at = now;
+  return true;
 }
 
 void
@@ -249,6 +289,7 @@
     const auto listed_at = known == records_.end() ? std::nullopt : known->second.listed_at;
     auto& record = add_record(entry);
     record.listed_at = listed_at;
+    record.times_sent = 0;
     record.stated_at.reset();
     record.table_read_at.reset();
     if (entry.sequence > 0) {
--- a/Source/Control/membership.h
+++ b/Source/Control/membership.h
@@ -31,6 +31,8 @@
   std::optional<instant> listed_at;
   // Rendezvous hash of the name, kept because each forwarded statement needs it.
   std::uint64_t name_hash = 0;
+  // Heartbeats that carried the current statement on.
+  std::uint32_t times_sent = 0;
 };
 
 // A peer that holds a newer version of a document.
@@ -77,6 +79,9 @@
     // From key_evidence: asserted_version and table_read_at.
     persimmonshelf::config_version key_version;
     std::optional<instant> table_read_at;
+    // From key_evidence: wants_news. Rounds then come four times a second, and their heartbeats ask
+    // for an answer by carrying no echo.
+    bool wants_news = false;
   };
 
   struct peer
@@ -91,7 +96,7 @@
   static constexpr duration live_limit = std::chrono::seconds(5);
   static constexpr duration heartbeat_interval = std::chrono::seconds(1);
   static constexpr std::size_t full_view_limit = 64;
-  static constexpr std::size_t entries_per_heartbeat = 24;
+  static constexpr std::size_t entries_per_heartbeat = 36;
 
   membership(identity self, random_hook random);
 
@@ -101,17 +106,15 @@
   // by one hop in each 50 ms instead of one in each second.
   bool heartbeat_due(instant now) const;
 
-  // Starts a round: up to 3 peers of the own zone and 1 of another zone, chosen at random among all
-  // known instances, including silent ones, so that the sides of a healed partition meet again.
+  // Starts a round: up to 3 peers of the own zone and 1 of another zone, where the zones take
+  // turns. They are chosen at random among all known instances, including silent ones, so that the
+  // sides of a healed partition meet again.
   std::vector<peer> heartbeat_targets(instant now);
 
   heartbeat make_heartbeat(const instance_id& target, instant now);
 
   // Merges a heartbeat. True if the sender should be answered with make_heartbeat at once.
-  bool receive(const instance_id& sender,
-               incarnation_id incarnation,
-               const heartbeat& beat,
-               instant now);
+  bool receive(const instance_id& sender, const heartbeat& beat, instant now);
 
   // Seeds unknown instances and drops those that are silent for 30 s and not listed. The list lags,
   // so a listed instance replaces nothing that was heard, and one heard lately is never dropped.
@@ -153,9 +156,9 @@
 private:
   struct echo
   {
-    incarnation_id incarnation;
     instant clock;
     instant received_at;
+    std::optional<instant> answered_at;
   };
   struct stored_summary
   {
@@ -168,6 +171,8 @@
   void merge_entry(const instance_entry& entry, duration transit, instant now);
   void merge_summary(const zone_summary& summary, duration transit, instant now);
   void notice_versions(const heartbeat& beat);
+  void note_unproven(const instance_id& sender, const heartbeat& beat);
+  static bool answer_due(echo& heard, instant now);
   instance_record& add_record(const instance_entry& entry);
   void start_statement(instant now);
   instance_entry aged_entry(const instance_record& record, instant now) const;
@@ -191,6 +196,8 @@
   std::deque<instant> sent_clocks_;
   std::optional<instant> last_round_;
   bool changed_ = false;
+  bool wants_news_ = false;
+  std::size_t next_zone_ = 0;
   config_version newest_key_version_;
 };
 
