--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -14,7 +14,6 @@
 // A refusal is reported within milliseconds; after this time the message counts as sent.
 constexpr duration refusal_limit = std::chrono::seconds(2);
 constexpr duration clock_sample_limit = std::chrono::seconds(10);
-constexpr std::int64_t milli_per_token = 1000;
 
 }
 
@@ -311,7 +310,7 @@
 {
   std::map<workspace_id, workspace_limit> limits;
   for (const auto& workspace : control_->config().workspaces()) {
-    limits[workspace.id] = { workspace.rate * milli_per_token, workspace.burst * milli_per_token };
+    limits[workspace.id] = { workspace.rate * token_milli, workspace.burst * token_milli };
   }
   shares_->configure(limits, now);
   entry_->configured();
@@ -322,9 +321,8 @@
 void
 engine::choose_homes(instant now)
 {
-  const auto& members = control_->members();
-  const home_chooser homes(members, now);
-  live_mark_ = members.live_mark(now);
+  const home_chooser homes(control_->members(), now);
+  live_mark_ = control_->members().live_mark(now);
   served_.clear();
   watched_.clear();
   for (const auto& database : control_->config().databases()) {
@@ -352,7 +350,6 @@
   control_->tick(now);
   shares_->tick(now);
   if (control_->configured() && now - assigned_at_ >= assign_interval) {
-    // A pass over 930 databases at 530 instances takes a tenth of a core at this interval.
     if (control_->members().live_mark(now) != live_mark_) {
       choose_homes(now);
     }
--- a/Source/Engine/engine.h
+++ b/Source/Engine/engine.h
@@ -109,7 +109,8 @@
   std::optional<instant> peer_clock(const instance_id& peer, instant now) const;
   void send_to(const instance_id& peer, wire::envelope message);
   void configured(instant now);
-  // Chooses the homes of this instance anew after a change of the configuration or the live view.
+  // Chooses the homes of this instance anew after a change of the configuration or the live view;
+  // the pass over all members is too long for each tick.
   void choose_homes(instant now);
   // Takes over and gives up homes.
   void assign_homes(instant now);
--- a/Tests/Control/live_mark_test.cxx
+++ b/Tests/Control/live_mark_test.cxx
@@ -35,13 +35,13 @@
   entry.leaving = leaving;
   entry.sequence = sequence;
   beat.entries.push_back(entry);
-  view.receive(entry.instance, entry.incarnation, beat, now);
+  view.receive(entry.instance, beat, now);
 }
 
-} // namespace
+}
 
-// Homes are chosen anew only when the mark changes. A mark that misses a change
-// would leave a member without a home, or with one that is gone.
+// Homes are chosen anew only when the mark changes. A mark that misses a change would leave a
+// member without a home, or with one that is gone.
 TEST_CASE("the mark of the live view follows who is live and where")
 {
   auto view = make_view();
@@ -84,7 +84,7 @@
     entry.sequence = 1;
     beat.entries.push_back(entry);
   }
-  view.receive(instance_id("p0"), incarnation_id(2), beat, start);
+  view.receive(instance_id("p0"), beat, start);
   for (const auto age : { 0, 3, 8 }) {
     const auto now = start + std::chrono::seconds(age);
     const home_chooser homes(view, now);
--- a/Tests/Entry/request_table_test.cxx
+++ b/Tests/Entry/request_table_test.cxx
@@ -62,10 +62,10 @@
   request_table table;
 };
 
-} // namespace
+}
 
-// The table walks its requests only when one may be due. A due time that is
-// lost leaves a caller without an answer.
+// The table walks its requests only when one may be due. A due time that is lost leaves a caller
+// without an answer.
 TEST_CASE("requests end at their own deadlines, in any order and after others "
           "ended")
 {
@@ -88,8 +88,8 @@
   CHECK(bench.table.size() == 0);
 }
 
-// A delayed round lowers the due time below the deadlines, and the deadline
-// must be due again after the retry.
+// A delayed round lowers the due time below the deadlines, and the deadline must be due again after
+// the retry.
 TEST_CASE("a delayed round is retried in time and still ends at the deadline")
 {
   table_bench bench;
--- a/Utilities/Benchmarks/control_scaling.cxx
+++ b/Utilities/Benchmarks/control_scaling.cxx
@@ -78,10 +78,8 @@
     const auto text = message.SerializeAsString();
     wire::heartbeat parsed;
     parsed.ParseFromString(text);
-    view->receive(synthetic_fleet::name(8),
-                  synthetic_fleet::identity(8).incarnation,
-                  from_wire(parsed),
-                  start + std::chrono::milliseconds(3));
+    view->receive(
+      synthetic_fleet::name(8), from_wire(parsed), start + std::chrono::milliseconds(3));
   }
 }
 
--- a/Utilities/Benchmarks/engine_tick.cxx
+++ b/Utilities/Benchmarks/engine_tick.cxx
@@ -76,7 +76,7 @@
     auto& view = instance->control().members();
     const auto echo = view.make_heartbeat(synthetic_fleet::name(8), now).clock;
     const auto beat = fleet.beat_of(8, ++sequence, echo, true);
-    view.receive(synthetic_fleet::name(8), synthetic_fleet::identity(8).incarnation, beat, now);
+    view.receive(synthetic_fleet::name(8), beat, now);
   }
 
   synthetic_fleet fleet;
--- a/Utilities/Benchmarks/membership_spread.cxx
+++ b/Utilities/Benchmarks/membership_spread.cxx
@@ -132,10 +132,8 @@
     while (!flying_.empty() && flying_.top().arrives <= now_) {
       const auto next = flying_.top();
       flying_.pop();
-      const bool answer = views_[next.to]->receive(synthetic_fleet::name(next.from),
-                                                   synthetic_fleet::identity(next.from).incarnation,
-                                                   next.beat,
-                                                   next.arrives);
+      const bool answer =
+        views_[next.to]->receive(synthetic_fleet::name(next.from), next.beat, next.arrives);
       if (answer) {
         send(next.to, next.from);
       }
--- a/Utilities/Benchmarks/synthetic_fleet.h
+++ b/Utilities/Benchmarks/synthetic_fleet.h
@@ -105,10 +105,8 @@
     view.apply_platform_list(list(), now);
     const auto neighbour = self + zone_count < size ? self + zone_count : (self + 1) % size;
     const auto echo = view.make_heartbeat(name(neighbour), now).clock;
-    view.receive(name(neighbour),
-                 identity(neighbour).incarnation,
-                 beat_of(neighbour, 1, echo, true),
-                 now + std::chrono::milliseconds(2));
+    view.receive(
+      name(neighbour), beat_of(neighbour, 1, echo, true), now + std::chrono::milliseconds(2));
   }
 };
 
