--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -1,5 +1,6 @@
 #include "Engine/engine.h"
 
+#include "Control/home_chooser.h"
 #include "Control/rendezvous.h"
 #include "Engine/wire_convert.h"
 
@@ -13,7 +14,6 @@
 // A refusal is reported within milliseconds; after this time the message counts as sent.
 constexpr duration refusal_limit = std::chrono::seconds(2);
 constexpr duration clock_sample_limit = std::chrono::seconds(10);
-constexpr std::int64_t milli_per_token = 1000;
 
 }
 
@@ -310,30 +310,37 @@
 {
   std::map<workspace_id, workspace_limit> limits;
   for (const auto& workspace : control_->config().workspaces()) {
-    limits[workspace.id] = { workspace.rate * milli_per_token, workspace.burst * milli_per_token };
+    limits[workspace.id] = { workspace.rate * token_milli, workspace.burst * token_milli };
   }
   shares_->configure(limits, now);
   entry_->configured();
+  choose_homes(now);
   assign_homes(now);
 }
 
 void
-engine::assign_homes(instant now)
+engine::choose_homes(instant now)
 {
-  assigned_at_ = now;
-  const auto& members = control_->members();
-  std::map<member_id, configuration::member_place> served;
-  std::map<database_id, const database_config*> watched;
+  const home_chooser homes(control_->members(), now);
+  live_mark_ = control_->members().live_mark(now);
+  served_.clear();
+  watched_.clear();
   for (const auto& database : control_->config().databases()) {
     for (const auto& member : database.members) {
-      if (members.home_of(database.id, member.zone, now) == settings_.instance) {
-        served[member.id] = { &database, &member };
-        watched[database.id] = &database;
+      if (homes.home_of(database.id, member.zone) == settings_.instance) {
+        served_[member.id] = { &database, &member };
+        watched_[database.id] = &database;
       }
     }
   }
-  groups_->configure(watched, now);
-  homes_->configure(served, control_->config().settings(), now);
+}
+
+void
+engine::assign_homes(instant now)
+{
+  assigned_at_ = now;
+  groups_->configure(watched_, now);
+  homes_->configure(served_, control_->config().settings(), now);
 }
 
 void
@@ -343,6 +350,9 @@
   control_->tick(now);
   shares_->tick(now);
   if (control_->configured() && now - assigned_at_ >= assign_interval) {
+    if (control_->members().live_mark(now) != live_mark_) {
+      choose_homes(now);
+    }
     assign_homes(now);
   }
   groups_->tick(now);
--- /dev/null
+++ b/Tests/Control/live_mark_test.cxx
@@ -0,0 +1,97 @@
+#include "Control/home_chooser.h"
+#include "Control/membership.h"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace persimmonshelf;
+
+constexpr instant start{ std::chrono::seconds(1000) };
+
+membership
+make_view()
+{
+  membership::identity self;
+  self.instance = instance_id("n1");
+  self.incarnation = incarnation_id(1);
+  self.zone = zone_id("north");
+  self.address = "192.0.2.1:1";
+  return { self, [](std::uint64_t) { return std::uint64_t(0); } };
+}
+
+// Lets the view hear of n2 at `now`.
+void
+hear(membership& view, std::uint64_t sequence, const std::string& zone, bool leaving, instant now)
+{
+  heartbeat beat;
+  beat.clock = now;
+  beat.echo_clock = view.make_heartbeat(instance_id("n2"), now).clock;
+  instance_entry entry;
+  entry.instance = instance_id("n2");
+  entry.incarnation = incarnation_id(2);
+  entry.zone = zone_id(zone);
+  entry.address = "192.0.2.2:1";
+  entry.leaving = leaving;
+  entry.sequence = sequence;
+  beat.entries.push_back(entry);
+  view.receive(entry.instance, beat, now);
+}
+
+}
+
+// Homes are chosen anew only when the mark changes. A mark that misses a change would leave a
+// member without a home, or with one that is gone.
+TEST_CASE("the mark of the live view follows who is live and where")
+{
+  auto view = make_view();
+  const auto alone = view.live_mark(start);
+  hear(view, 1, "north", false, start);
+  const auto both = view.live_mark(start);
+  CHECK(both != alone);
+  hear(view, 2, "north", false, start + std::chrono::seconds(1));
+  CHECK(view.live_mark(start + std::chrono::seconds(1)) == both);
+  CHECK(view.live_mark(start + std::chrono::seconds(4)) == both);
+  CHECK(view.live_mark(start + std::chrono::seconds(7)) == alone);
+  const auto later = start + std::chrono::seconds(8);
+  hear(view, 3, "south", false, later);
+  CHECK(view.live_mark(later) != both);
+  CHECK(view.live_mark(later) != alone);
+  hear(view, 4, "north", true, later);
+  CHECK(view.live_mark(later) == alone);
+}
+
+// The engine and the entries choose with different code. If they disagreed, an instance would
+// refuse what all others send to it.
+TEST_CASE("homes chosen together are those that are chosen one by one")
+{
+  auto view = make_view();
+  std::vector<listed_instance> list;
+  for (int i = 0; i < 100; ++i) {
+    const auto number = std::to_string(i);
+    list.push_back({ instance_id("p" + number), zone_id("z" + std::to_string(i % 4)), "", false });
+  }
+  view.apply_platform_list(list, start);
+  heartbeat beat;
+  beat.clock = start;
+  beat.echo_clock = view.make_heartbeat(instance_id("p0"), start).clock;
+  for (int i = 0; i < 60; i += 2) {
+    instance_entry entry;
+    entry.instance = instance_id("p" + std::to_string(i));
+    entry.incarnation = incarnation_id(2);
+    entry.zone = zone_id("z" + std::to_string(i % 4));
+    entry.leaving = i % 10 == 0;
+    entry.sequence = 1;
+    beat.entries.push_back(entry);
+  }
+  view.receive(instance_id("p0"), beat, start);
+  for (const auto age : { 0, 3, 8 }) {
+    const auto now = start + std::chrono::seconds(age);
+    const home_chooser homes(view, now);
+    for (int i = 0; i < 200; ++i) {
+      const database_id database("d" + std::to_string(i));
+      const zone_id zone("z" + std::to_string(i % 5));
+      CHECK(homes.home_of(database, zone) == view.home_of(database, zone, now));
+    }
+  }
+}
