--- a/Source/Entry/retry_budget.cxx
+++ b/Source/Entry/retry_budget.cxx
@@ -49,7 +49,11 @@
   }
   auto& slot = current(now);
   const auto allowed = requests * retries_percent / 100;
-  if (retries >= allowed && slot.retries >= minimum_retries_per_second) {
+  // The minimum counts the retries of the percentage too; added to it, it would raise the share of
+  // an instance with much traffic.
+  const bool minimum_left = slot.retries < minimum_retries_per_second &&
+                            retries < minimum_retries_per_second * buckets_.size();
+  if (retries >= allowed && !minimum_left) {
     return false;
   }
   ++slot.retries;
