engine: Finish the work of homes that were given up and of restarted peers

Four causes, all found by stepping several engines in Tests/Engine:

- A home that lost its member to another instance also lost the view of the database, so its sent writes ended as not_replicated and its queue as deadline_expired 5 s later.
The view now stays while the home has work.
- A home that took a member over again while an old transaction was open kept refusing all its requests (wrong_home) until the transaction ended.
It now resumes.
- A forward to a peer that had restarted carried an expiry on the former run's clock: half of them were refused as past their expiry, half had no expiry to speak of.
The forward now names the run it was made for, another run answers home_unreachable, and the entry takes run and clock from the peer's newest message instead of the view of the fleet, which learns of a restart later.
- A transaction was reported as lost as soon as its live owner could not be reached once, for instance by an instance that did not know its clock yet.
The owner is tried again for 500 ms.

Ruled out for the first: replication and slots of the members, which other homes used at the same time.

--- a/Source/Engine/control_service.cxx
+++ b/Source/Engine/control_service.cxx
@@ -181,12 +181,10 @@
 
 void
 control_service::on_heartbeat(const std::string& sender,
-                              incarnation_id incarnation,
                               const wire::heartbeat& message,
                               instant now)
 {
-  const bool answer =
-    membership_.receive(instance_id(sender), incarnation, from_wire(message), now);
+  const bool answer = membership_.receive(instance_id(sender), from_wire(message), now);
   if (answer) {
     greet(instance_id(sender), now);
   }
--- a/Source/Engine/control_service.h
+++ b/Source/Engine/control_service.h
@@ -42,10 +42,7 @@
                   instant now);
 
   void tick(instant now);
-  void on_heartbeat(const std::string& sender,
-                    incarnation_id incarnation,
-                    const wire::heartbeat& message,
-                    instant now);
+  void on_heartbeat(const std::string& sender, const wire::heartbeat& message, instant now);
   void on_fetch(const std::string& sender, const wire::document_request& request, instant now);
   void on_document(const wire::document_answer& answer, instant now);
   void set_leaving(instant now);
--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -210,16 +210,15 @@
   }
 }
 
-std::optional<instant>
+std::optional<peer_time>
 engine::peer_clock(const instance_id& peer, instant now) const
 {
   const auto found = clocks_.find(peer);
-  const auto* record = control_->members().find(peer);
-  if (found == clocks_.end() || record == nullptr ||
-      record->entry.incarnation != found->second.incarnation) {
+  if (found == clocks_.end()) {
     return std::nullopt;
   }
-  return found->second.clock + (now - found->second.received_at);
+  const auto& sample = found->second;
+  return peer_time{ sample.incarnation, sample.clock + (now - sample.received_at) };
 }
 
 void
@@ -239,10 +238,14 @@
   note_clock(sender, incarnation, from_wire(message.clock_us()), now);
   switch (message.body_case()) {
     case wire::envelope::kBeat:
-      control_->on_heartbeat(message.sender(), incarnation, message.beat(), now);
+      control_->on_heartbeat(message.sender(), message.beat(), now);
       break;
     case wire::envelope::kForward: {
       const auto* record = control_->members().find(sender);
+      if (message.forward().target_incarnation() != settings_.incarnation.get()) {
+        // Tells the sender of this run and its clock.
+        control_->greet(sender, now);
+      }
       if (record != nullptr) {
         homes_->submit({ record->entry.address, false }, message.forward(), now);
       }
@@ -332,6 +335,12 @@
       }
     }
   }
+  // A home that was given up needs the view of its database to acknowledge what it still has.
+  for (const auto& id : homes_->databases()) {
+    if (const auto* database = control_->config().find_database(id)) {
+      watched.emplace(id, database);
+    }
+  }
   groups_->configure(watched, now);
   homes_->configure(served, control_->config().settings(), now);
 }
--- a/Source/Engine/engine.h
+++ b/Source/Engine/engine.h
@@ -106,7 +106,7 @@
             wire::envelope message,
             std::function<void(instant)> refused = {});
   void note_clock(const instance_id& peer, incarnation_id incarnation, instant clock, instant now);
-  std::optional<instant> peer_clock(const instance_id& peer, instant now) const;
+  std::optional<peer_time> peer_clock(const instance_id& peer, instant now) const;
   void send_to(const instance_id& peer, wire::envelope message);
   void configured(instant now);
   // Takes over and gives up homes after a change of the configuration or of the live view.
--- a/Source/Engine/entry_service.cxx
+++ b/Source/Engine/entry_service.cxx
@@ -317,6 +317,7 @@
   if (target == members.self().instance) {
     message.set_expires_at_us(persimmonshelf::to_wire(now + usable));
     entry.home_incarnation = members.self().incarnation;
+    message.set_target_incarnation(entry.home_incarnation.get());
     deferred_.add(
       [this, message = std::move(message)](instant at) { hooks_.submit_local(message, at); });
     return;
@@ -333,8 +334,10 @@
     deferred_.add(refused);
     return;
   }
-  entry.home_incarnation = record->entry.incarnation;
-  message.set_expires_at_us(persimmonshelf::to_wire(*clock + usable));
+  // The view of the fleet learns of a restart later than a message from the new run shows it.
+  entry.home_incarnation = clock->incarnation;
+  message.set_target_incarnation(entry.home_incarnation.get());
+  message.set_expires_at_us(persimmonshelf::to_wire(clock->clock + usable));
   wire::envelope envelope;
   *envelope.mutable_forward() = std::move(message);
   hooks_.send(record->entry.address, std::move(envelope), refused);
@@ -486,7 +489,9 @@
       continue;
     }
     const auto* record = members.find(entry->home);
-    if (record == nullptr || record->entry.incarnation != entry->home_incarnation) {
+    const auto heard = hooks_.peer_clock(entry->home, now);
+    const bool heard_run = heard && heard->incarnation == entry->home_incarnation;
+    if (record == nullptr || (record->entry.incarnation != entry->home_incarnation && !heard_run)) {
       lost.push_back(*entry->attempt);
     }
   }
--- a/Source/Engine/entry_service.h
+++ b/Source/Engine/entry_service.h
@@ -31,6 +31,14 @@
   bool admitted = false;
 };
 
+// The run of a peer that the last message came from, and a time on its clock that is certainly not
+// later than now.
+struct peer_time
+{
+  incarnation_id incarnation;
+  instant clock;
+};
+
 // The requests that this instance takes from callers: admission, forwarding and the answer.
 class entry_service
 {
@@ -49,8 +57,8 @@
     std::function<void(const workspace_id&)> admitted;
     // Counts the end of a request for metrics and the account.
     std::function<void(const request_end&)> ended;
-    // Time on a peer's clock that is certainly not later than now; empty if it is not known.
-    std::function<std::optional<instant>(const instance_id&, instant now)> peer_clock;
+    // Empty if nothing was received from the peer yet.
+    std::function<std::optional<peer_time>(const instance_id&, instant now)> peer_clock;
     std::string session_secret;
   };
 
--- a/Source/Engine/home_service.cxx
+++ b/Source/Engine/home_service.cxx
@@ -65,6 +65,11 @@
       members_[id] = make_member(place, settings);
       continue;
     }
+    if (known->second->retired && !draining_ && known->second->address == place.member->address) {
+      // An open transaction may last long; the member must not be without a home until its end.
+      known->second->retired = false;
+      known->second->home->resume();
+    }
     if (!known->second->retired) {
       known->second->home->resize(
         static_cast<std::size_t>(place.database->slots),
@@ -259,6 +264,11 @@
            now);
     return;
   }
+  if (request.target_incarnation() != hooks_.incarnation.get()) {
+    const std::string reason = "sent to a former run of this instance";
+    refuse(from, request, result_code::home_unreachable, reason, now);
+    return;
+  }
   auto converted = to_home_request(request);
   const auto claim = groups_.confirmed_primary(database, now);
   const auto seen_term = converted.at_least ? converted.at_least->in_term : term();
@@ -388,6 +398,16 @@
   std::erase_if(transactions_, [&](const auto& item) { return item.second == id; });
 }
 
+std::set<database_id>
+home_service::databases() const
+{
+  std::set<database_id> all;
+  for (const auto& [id, served] : members_) {
+    all.insert(served->database);
+  }
+  return all;
+}
+
 std::map<member_id, home_figures>
 home_service::figures() const
 {
--- a/Source/Engine/home_service.h
+++ b/Source/Engine/home_service.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -52,6 +53,9 @@
   bool drained() const;
   void tick(instant now);
 
+  // Databases of the members that are served here or still finish what they have.
+  std::set<database_id> databases() const;
+
   // Members that are served here, with their figures for status and metrics.
   std::map<member_id, home_figures> figures() const;
 
--- a/Source/Entry/request_table.cxx
+++ b/Source/Entry/request_table.cxx
@@ -10,6 +10,10 @@
 // Pause before the members are tried again from the first, while none serves the request.
 constexpr duration round_pause = std::chrono::milliseconds(50);
 
+// A live owner of a transaction may be out of reach for a moment, for instance until a new instance
+// knows its clock.
+constexpr duration owner_patience = std::chrono::milliseconds(500);
+
 constexpr char attempt_separator = '#';
 
 request_id
@@ -197,6 +201,13 @@
   state.in_flight.reset();
   if (state.plan.owner) {
     if (code == result_code::home_unreachable) {
+      if (!state.owner_wanted_until) {
+        state.owner_wanted_until = now + owner_patience;
+      }
+      if (now < *state.owner_wanted_until) {
+        state.retry_at = now + round_pause;
+        return;
+      }
       // The owner cannot be reached: it ended, or it rolls back after the idle limit.
       finish(request, result_code::transaction_lost, run_outcome::not_run, message, answer);
       return;
--- a/Source/Entry/request_table.h
+++ b/Source/Entry/request_table.h
@@ -97,6 +97,8 @@
     std::size_t next_member = 0;
     std::optional<attempt> in_flight;
     std::optional<instant> retry_at;
+    // Until then the owner of the transaction is tried again although it could not be reached.
+    std::optional<instant> owner_wanted_until;
     // Set once an attempt ended as unknown: from then on the request may not be called not run,
     // even if every later attempt is refused.
     std::optional<result_code> unknown_code;
--- a/Source/Home/member_home.h
+++ b/Source/Home/member_home.h
@@ -117,6 +117,8 @@
   void resize(std::size_t slots, std::size_t connections, instant now);
   // Refuses new requests from now on; accepted ones and open transactions finish.
   void drain(instant now);
+  // Takes new requests again after `drain`.
+  void resume() { draining_ = false; }
   // True after `drain` when every request is answered and no transaction is open.
   bool drained() const;
 
