engine: Step several engines through faults in simulated time

Tests/Engine runs the engines of 6 instances with a network, a table service, an instance list and a database group on the stand-ins' member rules.

--- /dev/null
+++ b/Tests/Engine/mix_test.cxx
@@ -0,0 +1,145 @@
+#include "sim_session.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace persimmonshelf;
+using namespace persimmonshelf::testing;
+
+namespace {
+
+// Applies random faults; every fault that was started may be ended by a later step.
+class fault_mix
+{
+public:
+  explicit fault_mix(sim_fleet& fleet)
+    : fleet_(fleet)
+  {
+  }
+
+  void step()
+  {
+    switch (pick(12)) {
+      case 0:
+        return with_node([&](const std::string& name) { fleet_.kill(name); });
+      case 1:
+        return with_node([&](const std::string& name) { fleet_.pause(name); });
+      case 2:
+      case 3:
+        return restore_nodes();
+      case 4:
+        return fleet_.kill_member(member());
+      case 5:
+        return fleet_.group.start(member());
+      case 6:
+        return fleet_.isolate_zone(zone());
+      case 7:
+        return fleet_.net.cut(zone(), "platform");
+      case 8:
+        return fleet_.heal();
+      case 9:
+        fleet_.group.at(member()).lag = std::chrono::milliseconds(1 + pick(400));
+        return;
+      case 10:
+        return fleet_.net.cut(member(), zone());
+      default:
+        return with_node([&](const std::string& name) {
+          auto& one = fleet_.at(name);
+          one.core->drain(fleet_.loop.now() + one.offset);
+        });
+    }
+  }
+
+  void restore()
+  {
+    fleet_.heal();
+    fleet_.loss = 0;
+    restore_nodes();
+    for (auto& [id, one] : fleet_.group.members()) {
+      fleet_.group.start(id);
+      one->lag = 2ms;
+    }
+  }
+
+private:
+  std::uint64_t pick(std::uint64_t bound) { return fleet_.random() % bound; }
+  std::string member() { return "main-" + std::to_string(1 + pick(3)); }
+  std::string zone() { return "z" + std::to_string(1 + pick(3)); }
+
+  template<typename action>
+  void with_node(action act)
+  {
+    const auto names = fleet_.running();
+    if (names.size() > 2) {
+      act(names[pick(names.size())]);
+    }
+  }
+
+  void restore_nodes()
+  {
+    for (auto& [name, one] : fleet_.nodes()) {
+      if (one->run->alive && one->core->draining()) {
+        fleet_.kill(name);
+      }
+      if (!one->run->alive) {
+        fleet_.start(name);
+      } else if (one->run->paused) {
+        fleet_.resume(name);
+      }
+    }
+  }
+
+  sim_fleet& fleet_;
+};
+
+void
+run_mix(std::uint64_t seed, std::map<std::string, std::size_t>& ends)
+{
+  CAPTURE(seed);
+  sim_fleet fleet({ .seed = seed, .slots = 2 });
+  fleet.loss = 0.002;
+  fleet.run(6s);
+  sim_crowd plain(fleet, 6, { .name = "p", .deadline = 2s, .transactions = 15 });
+  sim_crowd repeated(fleet, 4, { .name = "r", .deadline = 2s, .idempotent = true });
+  fault_mix faults(fleet);
+  for (int i = 0; i < 15; ++i) {
+    fleet.run(std::chrono::milliseconds(200 + fleet.random() % 2500));
+    faults.step();
+  }
+  faults.restore();
+  fleet.run(14s);
+  const auto settled = fleet.loop.now();
+  fleet.run(3s);
+  plain.stop();
+  repeated.stop();
+  fleet.run(3s);
+  fleet.verify();
+  CHECK_MESSAGE(repeated.longest_gap(settled, settled + 3s) < 1s, "no writes after the faults");
+  for (const auto& [name, count] : fleet.end_codes()) {
+    ends[name] += count;
+  }
+}
+
+}
+
+// Guards against faults that only a combination of events shows. PERSIMMONSHELF_ENGINE_SEEDS=N runs
+// N fresh seeds, PERSIMMONSHELF_ENGINE_SEED=S repeats one.
+TEST_CASE("random mix of faults")
+{
+  std::map<std::string, std::size_t> ends;
+  if (const char* chosen = std::getenv("PERSIMMONSHELF_ENGINE_SEED")) {
+    run_mix(std::strtoull(chosen, nullptr, 10), ends);
+  } else if (const char* count = std::getenv("PERSIMMONSHELF_ENGINE_SEEDS")) {
+    std::random_device source;
+    for (auto left = std::strtoull(count, nullptr, 10); left > 0; --left) {
+      run_mix(source(), ends);
+    }
+  } else {
+    for (std::uint64_t seed = 1001; seed <= 1030; ++seed) {
+      run_mix(seed, ends);
+    }
+  }
+  std::cout << "mix: " << describe(ends) << "\n";
+}
--- /dev/null
+++ b/Tests/Engine/sim_fleet.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "sim_group.h"
+
+#include "Engine/engine.h"
+#include "Engine/operator_service.h"
+
+namespace persimmonshelf::testing {
+
+struct fleet_options
+{
+  std::uint64_t seed = 1;
+  std::size_t instances_per_zone = 2;
+  std::int64_t rate = 100000;
+  std::int64_t burst = 100000;
+  std::size_t slots = 3;
+  int default_max_age_ms = 1000;
+};
+
+// A caller gives up this long after its deadline.
+constexpr duration caller_patience = std::chrono::milliseconds(500);
+constexpr const char* first_key = "pskey_first";
+constexpr const char* second_key = "pskey_second";
+
+std::string
+config_text(const fleet_options& options);
+
+// Address of a member, as the configuration names it.
+std::string
+member_address(const std::string& id);
+
+// A request of a caller and everything that is known of it.
+struct call_record
+{
+  std::string text;
+  caller_request request;
+  std::string node;
+  instant started;
+  instant deadline;
+  // Empty while open and if the answer was lost.
+  std::optional<caller_answer> answer;
+  std::size_t answers = 0;
+  instant ended;
+  // The connection closed or the caller gave up.
+  bool lost = false;
+  bool closed = false;
+};
+
+// Engines of several instances in simulated time, with one database of three members, a network, a
+// table service and an instance list. Every instance has a clock of its own.
+class sim_fleet
+{
+public:
+  struct link
+  {
+    std::string member;
+    std::uint64_t generation = 0;
+    std::uint64_t connection = 0;
+    std::uint64_t sent = 0;
+    bool busy = false;
+  };
+
+  struct node
+  {
+    endpoint place;
+    std::shared_ptr<process> run;
+    duration offset{};
+    std::unique_ptr<engine> core;
+    std::unique_ptr<operator_service> operators;
+    std::map<link_number, link> links;
+    std::uint64_t incarnation = 0;
+    instant started{};
+    std::vector<std::pair<instant, instant>> pauses;
+  };
+
+  using finished = std::function<void(const call_record&)>;
+
+  explicit sim_fleet(fleet_options options);
+
+  void run(duration length) { loop.run_until(loop.now() + length); }
+  node& at(const std::string& name) { return *nodes_.at(name); }
+  std::map<std::string, std::unique_ptr<node>>& nodes() { return nodes_; }
+  // Names of the instances that a load balancer would choose, of one zone or of all: they run, are
+  // not stopping and have started some time ago.
+  std::vector<std::string> running(const std::string& zone = {}) const;
+
+  void start(const std::string& name);
+  void kill(const std::string& name);
+  void pause(const std::string& name);
+  void resume(const std::string& name);
+  void kill_member(const std::string& id);
+  void isolate_zone(const std::string& zone);
+  // Ends every cut; part of what was held back by the cuts arrives now.
+  void heal();
+  // Name of the instance that is the home of the member's zone, as seen by most instances.
+  std::string home_of(const std::string& member);
+
+  void submit(const std::string& name, caller_request request, finished done);
+  void command(const std::string& name,
+               const std::string& target,
+               const std::string& body,
+               std::function<void(operator_answer)> done);
+
+  // Checks all records against the members; call it after all faults ended.
+  void verify();
+  std::map<std::string, std::size_t> end_codes() const;
+
+  static caller_request statement(bool write, std::string text, std::string session = {});
+
+  event_loop loop;
+  std::mt19937_64 random;
+  network net;
+  fake_table table;
+  sim_group group;
+  std::vector<std::unique_ptr<call_record>> records;
+  // Decides the fate of a table call that reaches the platform.
+  std::function<call_fate(call_kind, const std::string&)> table_fate;
+  std::function<void(const std::string&)> log;
+  // Part of the peer messages that is lost.
+  double loss = 0;
+
+private:
+  using deferred = std::function<void()>;
+
+  bool chance(double probability) { return random() % 1000000 < probability * 1000000; }
+  duration delay(const endpoint& from, const endpoint& to);
+  instant now_of(const node& one) const { return loop.now() + one.offset; }
+  engine_hooks hooks_for(node& one);
+  void tick(node& one, const std::shared_ptr<process>& run);
+  bool send_peer(node& from, const std::string& to, wire::envelope message, std::uint64_t id);
+  void refuse_peer(node& from, const std::shared_ptr<process>& run, std::uint64_t id);
+  void backend(node& one, const backend_command& command);
+  void open(node& one, const backend_command& command);
+  void send(node& one, const backend_command& command);
+  void close(node& one, link_number number);
+  void report(node& one, const std::shared_ptr<process>& run, backend_event event, duration after);
+  void close_at_member(const endpoint& from, const link& closed);
+  // Runs the call when the cuts end, or never.
+  void hold(deferred call);
+  void finish(call_record& record, const finished& done);
+
+  fleet_options options_;
+  std::map<std::string, std::unique_ptr<node>> nodes_;
+  std::map<std::pair<std::string, std::string>, instant> last_arrival_;
+  std::vector<deferred> held_;
+  std::uint64_t next_connection_ = 1;
+  const endpoint platform_{ "platform", "platform" };
+};
+
+}
--- /dev/null
+++ b/Tests/Engine/sim_group.h
@@ -0,0 +1,327 @@
+#pragma once
+
+#include "../Support/fake_table.h"
+#include "Engine/backend_link.h"
+#include "StandIns/standin_backend_member.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf::testing {
+
+// Something that sends or receives: an instance, a member or the platform.
+struct endpoint
+{
+  std::string name;
+  std::string zone;
+};
+
+// Which endpoints reach each other. A cut names endpoints or whole zones.
+class network
+{
+public:
+  void cut(const std::string& left, const std::string& right) { cuts_.insert(pair(left, right)); }
+  void heal(const std::string& left, const std::string& right) { cuts_.erase(pair(left, right)); }
+  void heal() { cuts_.clear(); }
+  bool healthy() const { return cuts_.empty(); }
+  bool reaches(const endpoint& left, const endpoint& right) const
+  {
+    for (const auto& from : { left.name, left.zone }) {
+      for (const auto& to : { right.name, right.zone }) {
+        if (cuts_.contains(pair(from, to))) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+private:
+  static std::pair<std::string, std::string> pair(std::string left, std::string right)
+  {
+    return left < right ? std::pair(left, right) : std::pair(right, left);
+  }
+  std::set<std::pair<std::string, std::string>> cuts_;
+};
+
+// Members of one database as backend servers: the stand-ins' rules behind simulated connections,
+// with asynchronous replication.
+class sim_group
+{
+public:
+  struct member
+  {
+    endpoint place;
+    std::unique_ptr<standin_member> rules;
+    bool alive = true;
+    // How long an entry waits before it is sent to this member.
+    duration lag = 2ms;
+    // Next position to send, by sender.
+    std::map<std::string, std::uint64_t> next;
+    std::map<std::uint64_t, instant> written;
+    std::vector<std::function<bool()>> watchers;
+    instant last_new_work{};
+    instant leaving_since{};
+  };
+
+  sim_group(event_loop& loop,
+            network& net,
+            std::string name,
+            const std::vector<std::string>& zones,
+            std::size_t slots)
+    : loop_(loop)
+    , net_(net)
+  {
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+      const auto id = name + "-" + std::to_string(i + 1);
+      auto made = std::make_unique<member>();
+      auto* raw = made.get();
+      made->place = { id, zones[i] };
+      made->rules = std::make_unique<standin_member>(id, slots, [this, raw] { changed(*raw); });
+      members_[id] = std::move(made);
+    }
+    members_.begin()->second->rules->start_as_primary();
+    replicate();
+  }
+
+  member& at(const std::string& id) { return *members_.at(id); }
+  std::map<std::string, std::unique_ptr<member>>& members() { return members_; }
+
+  // The living primary of the highest term; null during a failover.
+  member* primary()
+  {
+    member* best = nullptr;
+    for (auto& [id, one] : members_) {
+      const bool better = best == nullptr || one->rules->promised() > best->rules->promised();
+      if (one->alive && one->rules->is_primary() && better) {
+        best = one.get();
+      }
+    }
+    return best;
+  }
+
+  void kill(const std::string& id)
+  {
+    at(id).alive = false;
+    at(id).watchers.clear();
+    at(id).rules->restart();
+    ++generation_[id];
+  }
+  void start(const std::string& id) { at(id).alive = true; }
+  std::uint64_t generation(const std::string& id) { return generation_[id]; }
+
+  void set_leaving(const std::string& id)
+  {
+    at(id).leaving_since = loop_.now();
+    at(id).rules->set_leaving(true);
+  }
+
+  // Runs a request on a connection and answers later, unless the member dies first.
+  void handle(const std::string& id,
+              std::uint64_t connection,
+              const backend_message& message,
+              std::function<void(backend_reply)> answer)
+  {
+    std::visit([&](const auto& typed) { run(at(id), connection, typed, std::move(answer)); },
+               message);
+  }
+
+  void connection_closed(const std::string& id, std::uint64_t connection)
+  {
+    at(id).rules->connection_closed(connection);
+  }
+
+  // Runs of a request over all members and attempts, and the instant of the latest.
+  std::uint64_t runs(const std::string& request) const
+  {
+    std::uint64_t sum = 0;
+    for (const auto& [id, one] : members_) {
+      const auto& all = one->rules->runs();
+      for (auto found = all.lower_bound(request + "#");
+           found != all.end() && found->first.starts_with(request + "#");
+           ++found) {
+        sum += found->second;
+      }
+    }
+    return sum;
+  }
+
+  // First point in time at which a request was written on any member.
+  std::map<std::string, instant> first_written;
+
+private:
+  member_report report(const member& one) const
+  {
+    const auto& rules = *one.rules;
+    member_report made;
+    made.member = member_id(rules.name());
+    made.promised = rules.promised();
+    made.last = rules.log().last();
+    made.primary = rules.is_primary();
+    made.leaving = rules.is_leaving();
+    for (const auto& start : rules.log().history()) {
+      made.history.push_back({ start.in_term, start.first_position });
+    }
+    return made;
+  }
+
+  void changed(member& one)
+  {
+    const auto last = one.rules->log().last().position.get();
+    one.written.try_emplace(last, loop_.now());
+    for (auto& watcher : std::exchange(one.watchers, {})) {
+      if (!watcher()) {
+        one.watchers.push_back(std::move(watcher));
+      }
+    }
+  }
+
+  using answer_hook = std::function<void(backend_reply)>;
+
+  void run(member& one, std::uint64_t, const watch_request& asked, answer_hook answer)
+  {
+    const auto done = std::make_shared<bool>(false);
+    const auto respond = [this, &one, done, answer](bool now) {
+      if (!*done && now) {
+        *done = true;
+        answer(report(one));
+      }
+      return *done;
+    };
+    const auto waits = [&one, after = asked.after] {
+      return one.rules->log().last().position > after;
+    };
+    if (!respond(waits())) {
+      one.watchers.push_back([respond, waits] { return respond(waits()); });
+      loop_.after(asked.wait, [respond] { respond(true); });
+    }
+  }
+  void run(member& one, std::uint64_t, const fence_request& asked, answer_hook answer)
+  {
+    const bool granted = one.rules->fence(asked.in_term, asked.candidate);
+    answer(fence_reply{ granted, one.rules->promised(), one.rules->log().last() });
+  }
+  void run(member& one, std::uint64_t, const promote_request& asked, answer_hook answer)
+  {
+    const auto refusal = one.rules->promote(asked.in_term, asked.candidate);
+    answer(order_reply{ refusal == standin_refusal::none, one.rules->promised() });
+  }
+  void run(member& one, std::uint64_t, const follow_request& asked, answer_hook answer)
+  {
+    const auto refusal = one.rules->follow(asked.in_term);
+    answer(order_reply{ refusal == standin_refusal::none, one.rules->promised() });
+  }
+
+  static result_code code_of(standin_refusal refusal)
+  {
+    switch (refusal) {
+      case standin_refusal::none:
+        return result_code::ok;
+      case standin_refusal::busy:
+      case standin_refusal::leaving:
+        return result_code::backend_busy;
+      case standin_refusal::wrong_term:
+        return result_code::backend_wrong_term;
+      case standin_refusal::not_primary:
+        return result_code::backend_not_primary;
+      default:
+        return result_code::statement_failed;
+    }
+  }
+
+  void run(member& one,
+           std::uint64_t connection,
+           const backend_request& asked,
+           const answer_hook& answer)
+  {
+    backend_answer made;
+    made.id = asked.id;
+    if (asked.kind == operation::probe) {
+      made.code = result_code::ok;
+      return answer(made);
+    }
+    standin_call call;
+    call.connection = connection;
+    call.operation = static_cast<standin_operation>(asked.kind);
+    call.request_id = asked.id.get();
+    call.in_term = asked.in_term;
+    call.write = asked.write;
+    call.text = asked.text;
+    auto admitted = one.rules->admit(call);
+    if (admitted.refusal != standin_refusal::none) {
+      made.code = code_of(admitted.refusal);
+      return answer(made);
+    }
+    if (!call.in_transaction) {
+      one.last_new_work = loop_.now();
+    }
+    loop_.after(service_time, [this, &one, call, made, answer]() mutable {
+      // A statement that was admitted ends on the server whether or not its connection lives.
+      const auto before = one.rules->log().last();
+      const auto outcome = one.rules->execute(call);
+      if (one.rules->log().last() != before) {
+        first_written.try_emplace(call.request_id.substr(0, call.request_id.rfind('#')),
+                                  loop_.now());
+      }
+      made.code = code_of(outcome.refusal);
+      made.point = outcome.at;
+      made.rows = boost::json::serialize(outcome.rows);
+      answer(made);
+    });
+  }
+
+  void replicate()
+  {
+    for (auto& [from, sender] : members_) {
+      for (auto& [to, receiver] : members_) {
+        if (from != to && sender->alive && receiver->alive && sender->rules->is_primary() &&
+            net_.reaches(sender->place, receiver->place)) {
+          ship(*sender, *receiver);
+        }
+      }
+    }
+    loop_.after(2ms, [this] { replicate(); });
+  }
+
+  void ship(member& sender, member& receiver)
+  {
+    const auto& log = sender.rules->log();
+    auto& next = receiver.next[sender.place.name];
+    const auto in_term = sender.rules->promised();
+    next = std::clamp<std::uint64_t>(next, 1, log.last().position.get() + 1);
+    standin_append append;
+    append.in_term = in_term;
+    append.origin = sender.place.name;
+    append.previous = { log.term_at(log_position(next - 1)), log_position(next - 1) };
+    for (auto at = next; at <= log.last().position.get(); ++at) {
+      const auto written = sender.written.find(at);
+      if (written != sender.written.end() && loop_.now() - written->second < receiver.lag) {
+        break;
+      }
+      append.entries.push_back(log.at(log_position(at)));
+    }
+    while (!append.entries.empty() && append.entries.back().at.in_term != in_term) {
+      append.entries.pop_back();
+    }
+    const auto outcome = receiver.rules->accept(append);
+    if (outcome.refusal == standin_refusal::none || outcome.refusal == standin_refusal::mismatch) {
+      next = outcome.matched.get() + 1;
+    }
+  }
+
+  static constexpr duration service_time = 1ms;
+  event_loop& loop_;
+  network& net_;
+  std::map<std::string, std::unique_ptr<member>> members_;
+  std::map<std::string, std::uint64_t> generation_;
+};
+
+}
