--- a/Source/Home/member_home.h
+++ b/Source/Home/member_home.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmonshelf {
 
@@ -66,6 +67,9 @@
   duration rollback_timeout = std::chrono::seconds(1);
   // Writes that may wait for a majority at a time; further writes stay queued, not run.
   std::size_t replicating = 4096;
+  // Interval at which `tick` looks for queued requests that can no longer run here. Every other
+  // event that can change this looks at once; the interval covers reads that become too old.
+  duration sweep_interval = std::chrono::milliseconds(100);
   // How long revoked keys are remembered, for requests forwarded before the revocation was known.
   duration revoked_kept = std::chrono::minutes(10);
 };
@@ -102,8 +106,8 @@
                       bool may_have_been_sent,
                       result_code reason,
                       instant now);
-  // The member or the network closed the connection. A request in flight on it is ended by
-  // `backend_failed`, which has to follow, or else at its expiry as unknown.
+  // The member or the network closed the connection. A request in flight on it ends as unknown; an
+  // adapter that knows that no byte of it was sent reports `backend_failed` instead.
   void connection_closed(connection_number number, instant now);
   // The answers of current_term, other_primary, majority_holds or member_ready may have changed.
   void group_changed(instant now);
@@ -125,6 +129,8 @@
   // True after a fresh connection failed and none answered since.
   bool member_down() const { return pool_.down(); }
   home_figures figures() const;
+  // Figures by workspace; docs/fairness.md says how to read them.
+  std::vector<workspace_figures> workspaces() const { return queue_.workspaces(); }
 
 private:
   // A request that was sent on a connection and has no answer yet.
@@ -197,6 +203,7 @@
   std::uint64_t last_own_id_ = 0;
   term refused_term_;
   instant refused_until_;
+  instant next_sweep_;
   bool leaving_ = false;
   bool draining_ = false;
 };
