--- a/Utilities/measure-capacity.sh
+++ b/Utilities/measure-capacity.sh
@@ -128,15 +128,15 @@
 
 # path_run MODE KIND CALLERS ADDRESSES
 path_run() {
-  local instances members line done
+  local instances members line count
   instances=$(processor_of_instances)
   members=$(processor_of_members)
   line=$("$FLEET_BUILD/Utilities/path_latency" "$1" "$2" "$3" "${SECONDS_EACH:-10}" "$4" \
     "$FLEET_DIR/key")
   instances=$(($(processor_of_instances) - instances))
   members=$(($(processor_of_members) - members))
-  done=$(awk '{ print $6 * 10 / 8 }' <<<"$line")
-  awk -v l="$line" -v i="$instances" -v m="$members" -v d="$done" 'BEGIN {
+  count=$(awk '{ print $6 * 10 / 8 }' <<<"$line")
+  awk -v l="$line" -v i="$instances" -v m="$members" -v d="$count" 'BEGIN {
     printf "%s instance_us_per_statement %.0f member_us_per_statement %.0f\n", l, i * 1000 / d,
            m * 1000 / d }'
 }
@@ -146,7 +146,7 @@
   start_fleet --slots=300 --connections=1000
   configure_fleet 300 900
   sleep 5
-  local members callers kind
+  local members callers
   members="$(member_address 0),$(member_address 1),$(member_address 2)"
   for callers in 1 16 256; do
     path_run direct read "$callers" "$members"
