--- a/Source/Entry/request_table.cxx
+++ b/Source/Entry/request_table.cxx
@@ -206,7 +206,7 @@
         state.owner_wanted_until = now + owner_patience;
       }
       if (now < *state.owner_wanted_until) {
-        state.retry_at = now + round_pause;
+        retry_after_pause(state, now);
         return;
       }
       // The owner cannot be reached: it ended, or it rolls back after the idle limit.
@@ -226,13 +226,13 @@
     send_next(request, state, now);
     return;
   }
-  delay_round(state, now);
+  state.next_member = 0;
+  retry_after_pause(state, now);
 }
 
 void
-request_table::delay_round(entry& state, instant now)
+request_table::retry_after_pause(entry& state, instant now)
 {
-  state.next_member = 0;
   state.retry_at = now + round_pause;
   next_due_ = std::min(next_due_, *state.retry_at);
 }
--- a/Source/Entry/request_table.h
+++ b/Source/Entry/request_table.h
@@ -107,7 +107,8 @@
   };
 
   void send_next(const request_id& request, entry& state, instant now);
-  void delay_round(entry& state, instant now);
+  // Makes the request due again after the pause between two rounds of members.
+  void retry_after_pause(entry& state, instant now);
   void finish(const request_id& request,
               result_code code,
               run_outcome outcome,
--- a/Tests/Entry/request_table_test.cxx
+++ b/Tests/Entry/request_table_test.cxx
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
 #include "Entry/request_table.h"
--- a/Utilities/Benchmarks/engine_tick.cxx
+++ b/Utilities/Benchmarks/engine_tick.cxx
@@ -7,6 +7,7 @@
 #include "Benchmarks/synthetic_fleet.h"
 #include "Control/document_row.h"
 #include "Engine/engine.h"
+#include "Engine/wire_convert.h"
 
 #include <benchmark/benchmark.h>
 
@@ -39,6 +40,9 @@
     hooks.backend = [](const auto&) { return true; };
     hooks.send_peer = [this](const auto&, const wire::envelope& message, auto) {
       sent_bytes += encode_frame(message).size();
+      if (message.has_beat()) {
+        sent_clock = from_wire(message.beat().clock_us());
+      }
       return true;
     };
     hooks.table = table.hooks();
@@ -73,10 +77,9 @@
 
   void hear()
   {
-    auto& view = instance->control().members();
-    const auto echo = view.make_heartbeat(synthetic_fleet::name(8), now).clock;
-    const auto beat = fleet.beat_of(8, ++sequence, echo, true);
-    view.receive(synthetic_fleet::name(8), beat, now);
+    const auto sender = synthetic_fleet::name(8);
+    const auto beat = fleet.beat_of(8, ++sequence, sent_clock, true);
+    instance->control().on_heartbeat(sender.get(), to_wire(beat), now);
   }
 
   synthetic_fleet fleet;
@@ -84,6 +87,8 @@
   std::mt19937_64 random{ 1 };
   instant now{ std::chrono::seconds(1000) };
   instant next_heard;
+  // Clock of the last heartbeat that the engine sent; the fleet echoes it.
+  instant sent_clock;
   std::uint64_t sequence = 0;
   std::uint64_t sent_bytes = 0;
   std::uint64_t lists = 0;
