--- a/Source/Account/month_closer.cxx
+++ b/Source/Account/month_closer.cxx
@@ -118,7 +118,7 @@
                  return;
                }
                if (month == attempt_->month) {
-                 settle(month, row);
+                 keep_closed(month, row);
                  return;
                }
                auto account = account_month::parse(row.value);
@@ -179,12 +179,12 @@
                if (answer.written) {
                  row.value = text;
                }
-               settle(month, row);
+               keep_closed(month, row);
              }));
 }
 
 void
-month_closer::settle(const calendar_month& month, const table_row& row)
+month_closer::keep_closed(const calendar_month& month, const table_row& row)
 {
   auto account = account_month::parse(row.value);
   if (!account) {
--- a/Source/Account/month_closer.h
+++ b/Source/Account/month_closer.h
@@ -48,7 +48,7 @@
   void read_account(const calendar_month& month);
   void read_rows(const calendar_month& month);
   void write();
-  void settle(const calendar_month& month, const table_row& row);
+  void keep_closed(const calendar_month& month, const table_row& row);
   void give_up(const std::string& reason);
   template<typename answer>
   std::function<void(result<answer>)> guarded(std::function<void(const answer&)> handle);
--- a/Source/Adapters/platform_adapter.cxx
+++ b/Source/Adapters/platform_adapter.cxx
@@ -33,11 +33,11 @@
 {
   constexpr std::string_view digits = "0123456789ABCDEF";
   std::string encoded;
-  for (const char letter : text) {
-    const auto byte = static_cast<unsigned char>(letter);
-    if (std::isalnum(byte) != 0 || letter == '-' || letter == '_' || letter == '.' ||
-        letter == '~' || letter == '/') {
-      encoded.push_back(letter);
+  for (const char symbol : text) {
+    const auto byte = static_cast<unsigned char>(symbol);
+    if (std::isalnum(byte) != 0 || symbol == '-' || symbol == '_' || symbol == '.' ||
+        symbol == '~' || symbol == '/') {
+      encoded.push_back(symbol);
       continue;
     }
     encoded.push_back('%');
--- /dev/null
+++ b/Source/Engine/home_hooks.cxx
@@ -0,0 +1,129 @@
+#include "Engine/served_member.h"
+
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+constexpr duration connect_timeout = std::chrono::seconds(1);
+
+}
+
+member_home_hooks
+home_service::hooks_for(served_member& target)
+{
+  member_home_hooks calls;
+  calls.open_connection = [this, &target](connection_number number) { open_link(target, number); };
+  calls.send = [this, &target](connection_number number, backend_request request) {
+    const auto link = target.links.find(number);
+    if (link != target.links.end()) {
+      const auto timeout = request.timeout;
+      links_.send(link->second, std::move(request), timeout);
+    }
+  };
+  calls.close_connection = [this, &target](connection_number number) {
+    const auto link = target.links.find(number);
+    if (link != target.links.end()) {
+      links_.close(link->second);
+      target.links.erase(link);
+    }
+  };
+  calls.answer = [this, &target](const home_answer& answer) { answered(target, answer); };
+  calls.current_term = [this, &target]() -> std::optional<term> {
+    const auto claim = groups_.confirmed_primary(target.database, now_);
+    if (!claim || claim->member != target.id) {
+      return std::nullopt;
+    }
+    return claim->in_term;
+  };
+  calls.other_primary = [this, &target] {
+    const auto claim = groups_.confirmed_primary(target.database, now_);
+    return claim && claim->member != target.id;
+  };
+  calls.majority_holds = [this, &target](log_point point) {
+    const auto* view = groups_.find(target.database);
+    return view != nullptr && view->majority_holds(point);
+  };
+  calls.member_ready =
+    [this, &target](const std::optional<log_point>& at_least, duration max_age, instant now) {
+      return reader_state_of(target, at_least, max_age, now);
+    };
+  calls.random_bits = hooks_.random_bits;
+  return calls;
+}
+
+reader_state
+home_service::reader_state_of(const served_member& target,
+                              const std::optional<log_point>& at_least,
+                              duration max_age,
+                              instant now) const
+{
+  const auto* view = groups_.find(target.database);
+  if (view == nullptr) {
+    return reader_state::never;
+  }
+  const auto* state = view->find(target.id);
+  if (state == nullptr || state->leaving) {
+    return reader_state::never;
+  }
+  if (at_least && !view->member_contains(target.id, view->required_point(*at_least))) {
+    return reader_state::never;
+  }
+  if (max_age > duration::zero()) {
+    const auto age = view->age(target.id, now);
+    if (!age || *age > max_age) {
+      return reader_state::never;
+    }
+  }
+  return reader_state::ready;
+}
+
+void
+home_service::open_link(served_member& target, connection_number number)
+{
+  target.links[number] = links_.open(
+    target.address, connect_timeout, [this, &target, number](backend_event& event, instant now) {
+      link_event(target, number, event, now);
+    });
+}
+
+void
+home_service::link_event(served_member& target,
+                         connection_number number,
+                         backend_event& event,
+                         instant now)
+{
+  now_ = now;
+  using happening = backend_event::happening;
+  auto& home = *target.home;
+  switch (event.kind) {
+    case happening::connected:
+      home.connected(number, true, now);
+      return;
+    case happening::answered:
+      if (const auto* answer = std::get_if<backend_answer>(&event.reply)) {
+        home.backend_answered(number, *answer, now);
+      } else {
+        home.backend_failed(number, true, result_code::malformed_answer, now);
+      }
+      return;
+    case happening::connect_failed:
+      target.links.erase(number);
+      home.connected(number, false, now);
+      return;
+    case happening::failed: {
+      target.links.erase(number);
+      const auto reason =
+        event.overdue ? result_code::answer_overdue : result_code::connection_lost;
+      home.backend_failed(number, event.may_have_been_sent, reason, now);
+      return;
+    }
+    case happening::closed:
+      target.links.erase(number);
+      home.connection_closed(number, now);
+      return;
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Engine/open_request.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Engine/entry_service.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+// One request of a caller from its arrival to its answer.
+struct entry_service::open_request
+{
+  caller_request request;
+  respond reply;
+  workspace_id workspace;
+  sha256_digest key_digest{};
+  bool has_key = false;
+  session_state session;
+  std::optional<instance_id> owner;
+  instant started;
+  instant deadline;
+  // Where the attempt in flight went.
+  instance_id home;
+  incarnation_id home_incarnation;
+  std::optional<request_id> attempt;
+  std::optional<wire::forward_answer> answer;
+  std::vector<trace_span> spans;
+  std::string trace_id;
+  instant sent;
+  bool launched = false;
+  bool admitted = false;
+};
+
+// 16 hexadecimal digits, as in ids of requests and traces.
+std::string
+hex(std::uint64_t number);
+}
--- a/Source/Engine/operator_service.h
+++ b/Source/Engine/operator_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Engine/engine.h"
+#include "Engine/operator_answer.h"
 
 #include <boost/json/object.hpp>
 
@@ -19,12 +20,6 @@
   std::string body;
 };
 
-struct operator_answer
-{
-  unsigned status = 200;
-  std::string body;
-};
-
 // The operators' commands: configuration, keys, status, account, traces and the planned stop.
 class operator_service
 {
--- /dev/null
+++ b/Source/Engine/served_member.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Engine/home_service.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace persimmonshelf {
+
+// One member that is served here, with its connections.
+struct home_service::served_member
+{
+  member_id id;
+  database_id database;
+  std::string address;
+  std::unique_ptr<member_home> home;
+  std::map<connection_number, link_number> links;
+  bool retired = false;
+};
+
+// A forwarded request that has no answer yet.
+struct home_service::open_request
+{
+  requester from;
+  database_id database;
+  bool session_discarded = false;
+  bool needs_primary = false;
+};
+
+}
--- /dev/null
+++ b/Utilities/Checks/check_types.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Net/http_connection.h"
+
+#include <boost/json/object.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf::checks {
+
+namespace json = boost::json;
+
+// What a session was told about one write.
+enum class told
+{
+  done,
+  not_run,
+  unknown,
+};
+
+struct write_record
+{
+  told answer = told::unknown;
+  std::string request;
+};
+
+struct totals
+{
+  std::uint64_t writes = 0;
+  std::uint64_t reads = 0;
+  std::uint64_t replica_reads = 0;
+  std::uint64_t transactions = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t lost_answers = 0;
+  // Answers that were not done, by outcome and name of the code.
+  std::map<std::string, std::uint64_t> codes;
+  std::vector<std::string> violations;
+};
+
+inline std::vector<std::string>
+split(const std::string& list)
+{
+  std::vector<std::string> parts;
+  std::istringstream text(list);
+  for (std::string part; std::getline(text, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+struct options
+{
+  std::vector<tcp_address> callers;
+  std::string key;
+  std::string database;
+  std::chrono::steady_clock::time_point end;
+  std::chrono::milliseconds think{ 20 };
+};
+
+inline std::string
+text_of(const json::object& fields, std::string_view name)
+{
+  const auto* value = fields.if_contains(name);
+  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+}
