base: Share the stable hash and the encoding of URLs

FNV-1a stood in the rendezvous hash and in the lease watch, percent encoding in the tool's client and in the platform adapter.

--- a/Source/Adapters/operator_client.cxx
+++ b/Source/Adapters/operator_client.cxx
@@ -3,6 +3,7 @@
 #include "Adapters/operator_text.h"
 #include "Base/digest.h"
 #include "Base/json_fields.h"
+#include "Net/percent_encoding.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
@@ -118,19 +119,19 @@
 operator_request
 show_status(const std::string& kind, const std::string& name)
 {
-  return get("/v1/status/" + kind + "/" + percent_encode(name));
+  return get("/v1/status/" + kind + "/" + percent_encode(name, ":"));
 }
 
 operator_request
 show_account(const std::string& month)
 {
-  return get("/v1/account/" + percent_encode(month));
+  return get("/v1/account/" + percent_encode(month, ":"));
 }
 
 operator_request
 show_trace(const std::string& id)
 {
-  return get("/v1/trace/" + percent_encode(id));
+  return get("/v1/trace/" + percent_encode(id, ":"));
 }
 
 operator_request
--- a/Source/Adapters/operator_text.h
+++ b/Source/Adapters/operator_text.h
@@ -19,8 +19,4 @@
 std::string
 redact_keys(std::string_view text);
 
-// Encodes a text so that it can be one segment of an HTTP target.
-std::string
-percent_encode(std::string_view text);
-
 }
--- a/Source/Adapters/platform_adapter.cxx
+++ b/Source/Adapters/platform_adapter.cxx
@@ -1,10 +1,11 @@
 #include "Adapters/platform_adapter.h"
 
+#include "Net/percent_encoding.h"
+
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <cctype>
 #include <optional>
 #include <utility>
 
@@ -27,26 +28,6 @@
              : "the platform answered with status " + std::to_string(reply.status) };
 }
 
-// Encodes all but unreserved characters and slashes.
-std::string
-percent_encode(const std::string& text)
-{
-  constexpr std::string_view digits = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char symbol : text) {
-    const auto byte = static_cast<unsigned char>(symbol);
-    if (std::isalnum(byte) != 0 || symbol == '-' || symbol == '_' || symbol == '.' ||
-        symbol == '~' || symbol == '/') {
-      encoded.push_back(symbol);
-      continue;
-    }
-    encoded.push_back('%');
-    encoded.push_back(digits[byte >> 4U]);
-    encoded.push_back(digits[byte & 15U]);
-  }
-  return encoded;
-}
-
 std::optional<json::value>
 parse_body(const platform_reply& reply)
 {
@@ -176,7 +157,7 @@
 {
   table_hooks hooks;
   hooks.get = [this](std::string key, std::function<void(result<table_row>)> done) {
-    auto target = "/v1/table/" + percent_encode(key);
+    auto target = "/v1/table/" + percent_encode(key, "/");
     call("GET",
          std::move(target),
          {},
@@ -188,7 +169,7 @@
                      std::string value,
                      std::uint64_t if_revision,
                      std::function<void(result<table_write>)> done) {
-    auto target = "/v1/table/" + percent_encode(key);
+    auto target = "/v1/table/" + percent_encode(key, "/");
     auto body = json::serialize(json::object{ { "value", value }, { "if_revision", if_revision } });
     call("PUT",
          std::move(target),
@@ -199,7 +180,7 @@
   hooks.list = [this](const std::string& prefix,
                       std::function<void(result<std::vector<table_row>>)> done) {
     call("GET",
-         "/v1/table?prefix=" + percent_encode(prefix),
+         "/v1/table?prefix=" + percent_encode(prefix, "/"),
          {},
          [done = std::move(done)](const auto& reply) { done(decode_list(reply)); });
   };
--- /dev/null
+++ b/Source/Base/stable_hash.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace persimmonshelf {
+
+// FNV-1a. The same in all builds and releases, which std::hash does not promise; instances that
+// compare hashes rely on it.
+constexpr std::uint64_t
+stable_hash(std::string_view text)
+{
+  std::uint64_t bits = 0xcbf29ce484222325ULL;
+  for (const char symbol : text) {
+    bits ^= static_cast<unsigned char>(symbol);
+    bits *= 0x100000001b3ULL;
+  }
+  return bits;
+}
+
+}
--- a/Source/Control/rendezvous.cxx
+++ b/Source/Control/rendezvous.cxx
@@ -1,5 +1,7 @@
 #include "Control/rendezvous.h"
 
+#include "Base/stable_hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -24,12 +26,7 @@
 std::uint64_t
 hash(std::string_view text)
 {
-  std::uint64_t bits = 0xcbf29ce484222325ULL;
-  for (const auto letter : text) {
-    bits ^= static_cast<unsigned char>(letter);
-    bits *= 0x100000001b3ULL;
-  }
-  return finalise(bits);
+  return finalise(stable_hash(text));
 }
 
 std::uint64_t
--- a/Source/Limits/lease_watch.cxx
+++ b/Source/Limits/lease_watch.cxx
@@ -1,5 +1,7 @@
 #include "Limits/lease_watch.h"
 
+#include "Base/stable_hash.h"
+
 #include "Limits/own_lease.h"
 
 #include <functional>
@@ -12,17 +14,6 @@
 
 constexpr int observed_successors = 3;
 
-// FNV-1a; must be the same in all instances, which std::hash does not promise.
-std::uint64_t
-position_of(const instance_id& instance)
-{
-  std::uint64_t hash = 0xcbf29ce484222325U;
-  for (const char letter : instance.get()) {
-    hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001b3U;
-  }
-  return hash;
-}
-
 }
 
 lease_watch::lease_watch(const share_settings& settings,
@@ -41,11 +32,11 @@
   std::map<std::pair<std::uint64_t, instance_id>, instance_id> order;
   for (const auto& holder : holders) {
     if (holder != self) {
-      order.emplace(std::pair(position_of(holder), holder), holder);
+      order.emplace(std::pair(stable_hash(holder.get()), holder), holder);
     }
   }
   std::map<instance_id, observed> chosen;
-  auto next = order.upper_bound(std::pair(position_of(self), self));
+  auto next = order.upper_bound(std::pair(stable_hash(self.get()), self));
   int live = 0;
   for (std::size_t i = 0; i < order.size() && live < observed_successors; ++i, ++next) {
     if (next == order.end()) {
