control: Suspect an instance whose connection refuses messages

Cause: a home that was killed stayed in the live view until it was silent for 5 s, and requests forwarded to it waited for their deadline. Ruled out: a shorter limit of silence, since entries of a zone of 66 are 5.5 s old at p99 (docs/CAPACITY.md) and homes would flap. Change: repeated refusals by the transport, over at least 200 ms and after the peer was heard directly, take it out of the live view and end what was forwarded to it.

--- a/Source/Control/control_plane.h
+++ b/Source/Control/control_plane.h
@@ -61,6 +61,10 @@
   // Sends a heartbeat to one peer at once, for instance because its clock is not known yet.
   void greet(const instance_id& peer, instant now);
 
+  // See membership.
+  void note_heard(const instance_id& peer) { members_.note_heard(peer); }
+  void note_refused(const instance_id& peer, instant now) { members_.note_refused(peer, now); }
+
   // A heartbeat for a peer of which only the address is known.
   heartbeat introduction(instant now) { return members_.make_heartbeat(instance_id(), now); }
 
--- a/Source/Control/membership.h
+++ b/Source/Control/membership.h
@@ -33,6 +33,11 @@
   std::uint64_t name_hash = 0;
   // Heartbeats that carried the current statement on.
   std::uint32_t times_sent = 0;
+  // First and last refusal of a message to it since it was heard directly.
+  std::optional<instant> refused_first;
+  std::optional<instant> refused_last;
+  // True once it was heard directly, so that its connection is known to have worked.
+  bool heard_directly = false;
 };
 
 // A peer that holds a newer version of a document.
@@ -120,7 +125,17 @@
   // so a listed instance replaces nothing that was heard, and one heard lately is never dropped.
   void apply_platform_list(const std::vector<listed_instance>& list, instant now);
 
-  // Heard of within 5 s and not leaving; the own instance is live unless it leaves.
+  // A message came from the instance itself.
+  void note_heard(const instance_id& instance);
+
+  // The transport refused a message to the instance: its connection is closed.
+  void note_refused(const instance_id& instance, instant now);
+
+  // True if messages to an instance that was heard directly are refused again and again. Its
+  // process has ended, or it cannot be reached from here; waiting for its silence would take 5 s.
+  bool is_suspected(const instance_id& instance, instant now) const;
+
+  // Heard of within 5 s, not suspected and not leaving; the own instance is live unless it leaves.
   bool is_live(const instance_id& instance, instant now) const;
   // Live instances by name, of one zone or of all.
   std::vector<instance_id> live(const zone_id& zone, instant now) const;
@@ -178,6 +193,7 @@
   instance_entry aged_entry(const instance_record& record, instant now) const;
   bool carries_all() const { return records_.size() <= full_view_limit; }
   bool is_live(const instance_record& record, instant now) const;
+  static bool is_suspected(const instance_record& record, instant now);
   bool counts(const instance_record& record, instant now) const;
   zone_summary summarise(const zone_id& zone, instant now) const;
   std::vector<const instance_record*> choose(std::vector<const instance_record*> from,
--- a/Source/Control/membership_view.cxx
+++ b/Source/Control/membership_view.cxx
@@ -12,6 +12,10 @@
 namespace {
 
 // Statements older than this are evidence of nothing; see key_evidence.
+// A connection that is being set up anew refuses messages for about 100 ms.
+constexpr duration suspicion_delay = std::chrono::milliseconds(200);
+// A suspicion ends if nothing was refused for this long; the next message then tries again.
+constexpr duration suspicion_limit = std::chrono::milliseconds(1500);
 constexpr duration statement_limit = std::chrono::seconds(5);
 
 std::size_t
@@ -31,6 +35,9 @@
   if (record.entry.instance == self_.instance) {
     return true;
   }
+  if (is_suspected(record, now)) {
+    return false;
+  }
   if (record.stated_at && now - *record.stated_at <= live_limit) {
     return true;
   }
@@ -48,6 +55,47 @@
   return record != nullptr && is_live(*record, now);
 }
 
+void
+membership::note_heard(const instance_id& instance)
+{
+  const auto found = records_.find(instance);
+  if (found == records_.end()) {
+    return;
+  }
+  found->second.heard_directly = true;
+  found->second.refused_first.reset();
+  found->second.refused_last.reset();
+}
+
+void
+membership::note_refused(const instance_id& instance, instant now)
+{
+  const auto found = records_.find(instance);
+  if (found == records_.end() || !found->second.heard_directly) {
+    return;
+  }
+  auto& record = found->second;
+  if (!record.refused_last || now - *record.refused_last > suspicion_limit) {
+    record.refused_first = now;
+  }
+  record.refused_last = now;
+}
+
+bool
+membership::is_suspected(const instance_record& record, instant now)
+{
+  return record.refused_first && record.refused_last &&
+         *record.refused_last - *record.refused_first >= suspicion_delay &&
+         now - *record.refused_last <= suspicion_limit;
+}
+
+bool
+membership::is_suspected(const instance_id& instance, instant now) const
+{
+  const auto* record = find(instance);
+  return record != nullptr && is_suspected(*record, now);
+}
+
 std::vector<instance_id>
 membership::live(instant now) const
 {
--- a/Source/Engine/control_service.cxx
+++ b/Source/Engine/control_service.cxx
@@ -137,6 +137,17 @@
   plane_.receive(instance_id(sender), from_wire(message), now);
 }
 
+void
+control_service::note_refused(const std::string& address, instant now)
+{
+  for (const auto& [name, record] : plane_.members().records()) {
+    if (record.entry.address == address) {
+      plane_.note_refused(name, now);
+      return;
+    }
+  }
+}
+
 void
 control_service::on_fetch(const std::string& sender, const wire::document_request& request)
 {
--- a/Source/Engine/control_service.h
+++ b/Source/Engine/control_service.h
@@ -43,6 +43,10 @@
   void on_document(const wire::document_answer& answer, instant now);
   void set_leaving(instant now) { plane_.leave(now); }
 
+  // A message came from a peer, or the transport refused one to it.
+  void note_heard(const instance_id& peer) { plane_.note_heard(peer); }
+  void note_refused(const std::string& address, instant now);
+
   // Sends a heartbeat to a peer whose clock is not known yet.
   void greet(const instance_id& peer, instant now) { plane_.greet(peer, now); }
 
--- a/Source/Engine/engine.cxx
+++ b/Source/Engine/engine.cxx
@@ -42,12 +42,12 @@
   message.set_sender_address(settings_.peer_address);
   message.set_clock_us(to_wire(now_));
   const auto id = next_send_++;
-  if (refused) {
-    refusable_[id] = { refused, now_ };
-  }
-  if (!hooks_.send_peer(address, std::move(message), id) && refused) {
+  refusable_[id] = { refused, address, now_ };
+  if (!hooks_.send_peer(address, std::move(message), id)) {
     refusable_.erase(id);
-    deferred_.add(std::move(refused));
+    if (refused) {
+      deferred_.add(std::move(refused));
+    }
   }
 }
 
@@ -98,6 +98,7 @@
   const instance_id sender(message.sender());
   const incarnation_id incarnation(message.sender_incarnation());
   note_clock(sender, incarnation, from_wire(message.clock_us()), now);
+  control_->note_heard(sender);
   switch (message.body_case()) {
     case wire::envelope::kBeat:
       control_->on_heartbeat(message.sender(), message.beat(), now);
@@ -145,8 +146,11 @@
   const auto found = refusable_.find(id);
   if (found != refusable_.end()) {
     const auto refused = std::move(found->second.refused);
+    control_->note_refused(found->second.address, now);
     refusable_.erase(found);
-    refused(now);
+    if (refused) {
+      refused(now);
+    }
   }
   end_event(now);
 }
--- a/Source/Engine/engine.h
+++ b/Source/Engine/engine.h
@@ -93,7 +93,9 @@
 
   struct refusable
   {
+    // Empty if the sender does not need to know.
     std::function<void(instant)> refused;
+    std::string address;
     instant sent;
   };
 
--- a/Source/Engine/entry_forwarding.cxx
+++ b/Source/Engine/entry_forwarding.cxx
@@ -220,7 +220,9 @@
     const auto* record = members.find(entry->home);
     const auto heard = hooks_.peer_clock(entry->home, now);
     const bool heard_run = heard && heard->incarnation == entry->home_incarnation;
-    if (record == nullptr || (record->entry.incarnation != entry->home_incarnation && !heard_run)) {
+    const bool restarted =
+      record != nullptr && record->entry.incarnation != entry->home_incarnation && !heard_run;
+    if (record == nullptr || restarted || members.is_suspected(entry->home, now)) {
       lost.push_back(*entry->attempt);
     }
   }
--- a/Tests/Engine/unknown_sender_test.cxx
+++ b/Tests/Engine/unknown_sender_test.cxx
@@ -6,8 +6,8 @@
 
 using namespace persimmonshelf;
 
-// Guards against a forwarded request that is dropped without an answer because it arrived before the
-// heartbeat that names its sender; the caller was then told "unknown" at its deadline.
+// Guards against a forwarded request that is dropped without an answer because it arrived before
+// the heartbeat that names its sender; the caller was then told "unknown" at its deadline.
 TEST_CASE("a forwarded request of an unknown instance is answered")
 {
   std::optional<wire::envelope> sent;
