home: Do not call a statement of a broken transaction "not run"

Cause: when the connection of a transaction failed after a statement was sent, the statement was answered transaction_lost with outcome not_run. The transaction is rolled back, but the statement may have run, and "not run" has to be literally true. It is now answered transaction_broken (506), outcome unknown; statements that were not sent keep transaction_lost.

The seven cells of the home's fault matrix that expected transaction_lost for a sent statement now expect transaction_broken; the engine's oracle no longer exempts rolled-back transactions from "not run means no run", so both checks became stricter.

--- a/Source/Base/result_code.h
+++ b/Source/Base/result_code.h
@@ -59,6 +59,7 @@
   not_replicated = 503,
   malformed_answer = 504,
   key_withdrawn_in_flight = 505,
+  transaction_broken = 506,
 
   config_invalid = 600,
   config_conflict = 601,
--- a/Source/Home/member_home_transactions.cxx
+++ b/Source/Home/member_home_transactions.cxx
@@ -155,8 +155,11 @@
     return requeue(item, duration(0), now);
   }
   const bool keeps_reason = unknown || revoked || opening;
+  // A statement that was sent may have run before the rollback, so it may not be called not run.
+  const auto lost =
+    may_have_been_sent ? result_code::transaction_broken : result_code::transaction_lost;
   work_.finish(running->id,
-               keeps_reason ? reason : result_code::transaction_lost,
+               keeps_reason ? reason : lost,
                keeps_reason ? "the connection of the transaction was closed"
                             : "the connection of the transaction was closed; it is rolled back",
                now);
--- a/Tests/Engine/sim_verify.cxx
+++ b/Tests/Engine/sim_verify.cxx
@@ -51,8 +51,9 @@
     CAPTURE(answer.message);
     const auto runs = group.runs(answer.request.get());
     const bool inside = !record->request.transaction.get().empty();
-    const bool rolled_back = inside && answer.code == result_code::transaction_lost;
-    if (answer.outcome == run_outcome::not_run && !rolled_back) {
+    const bool rolled_back = inside && (answer.code == result_code::transaction_lost ||
+                                        answer.code == result_code::transaction_broken);
+    if (answer.outcome == run_outcome::not_run) {
       CHECK_MESSAGE(runs == 0, "reported as not run");
     }
     if (rolled_back && record->request.write) {
--- a/Tests/Home/fault_matrix_test.cxx
+++ b/Tests/Home/fault_matrix_test.cxx
@@ -24,17 +24,17 @@
 // leaving member's write waits for another primary, which the scenario does not bring.
 constexpr std::string_view matrix =
   R"(|queued|connecting|sent|replicating|idle|running|commit sent
-connection_silent|ok 1|ok 1|answer_overdue 1|ok 1|transaction_lost 1|transaction_lost 1|answer_overdue 1
+connection_silent|ok 1|ok 1|answer_overdue 1|ok 1|transaction_broken 1|transaction_broken 1|answer_overdue 1
 reset_before_any_byte|ok 1|ok 1|ok 2|ok 1|transaction_lost 0|transaction_lost 1|transaction_lost 1
-reset_after_sending|ok 1|- nothing sent|connection_lost 1|- answered before|- nothing sent|transaction_lost 1|connection_lost 1
-answer_late|ok 1|- nothing sent|answer_overdue 1|not_replicated 1|- nothing sent|transaction_lost 1|answer_overdue 1
-answer_with_other_id|ok 1|- nothing sent|malformed_answer 1|ok 1|transaction_lost 0|transaction_lost 1|malformed_answer 1
-answer_damaged|ok 1|- nothing sent|malformed_answer 1|- answered before|- nothing sent|transaction_lost 1|malformed_answer 1
+reset_after_sending|ok 1|- nothing sent|connection_lost 1|- answered before|- nothing sent|transaction_broken 1|connection_lost 1
+answer_late|ok 1|- nothing sent|answer_overdue 1|not_replicated 1|- nothing sent|transaction_broken 1|answer_overdue 1
+answer_with_other_id|ok 1|- nothing sent|malformed_answer 1|ok 1|transaction_lost 0|transaction_broken 1|malformed_answer 1
+answer_damaged|ok 1|- nothing sent|malformed_answer 1|- answered before|- nothing sent|transaction_broken 1|malformed_answer 1
 busy|ok 1|- nothing sent|ok 2|- answered before|ok 2|ok 2|ok 2
 wrong_term|ok 1|- nothing sent|ok 2|- answered before|transaction_lost 1|transaction_lost 1|transaction_lost 1
 primary_replaced|wrong_home 0|wrong_home 0|not_replicated 1|not_replicated 1|transaction_lost 0|ok 1|not_replicated 1
 replicas_behind|not_replicated 1|not_replicated 1|not_replicated 1|not_replicated 1|ok 1|ok 1|not_replicated 1
-deadline_passed|deadline_expired 0|backend_connect_failed 0|answer_overdue 1|not_replicated 1|deadline_expired 0|transaction_lost 1|answer_overdue 1
+deadline_passed|deadline_expired 0|backend_connect_failed 0|answer_overdue 1|not_replicated 1|deadline_expired 0|transaction_broken 1|answer_overdue 1
 key_revoked|key_rejected 0|key_rejected 0|key_withdrawn_in_flight 1|key_withdrawn_in_flight 1|key_rejected 0|key_withdrawn_in_flight 1|key_withdrawn_in_flight 1
 member_leaving|backend_leaving 0|backend_leaving 0|ok 1|ok 1|ok 1|ok 1|ok 1
 drain|ok 1|ok 1|ok 1|ok 1|ok 1|ok 1|ok 1
