entry: Remove two fields of a request's plan that nothing used

The member of a pinned request was never set, and the mark of a commit was never read: the owner of the transaction decides both.

--- a/Source/Engine/entry_service.cxx
+++ b/Source/Engine/entry_service.cxx
@@ -188,7 +188,6 @@
   request_plan plan;
   plan.database = sent.database;
   plan.write = sent.write || sent.operation != caller_operation::statement;
-  plan.commit = sent.operation == caller_operation::commit;
   plan.idempotent =
     sent.idempotent || (sent.operation == caller_operation::statement && !sent.write);
   plan.owner = entry.owner;
--- a/Source/Entry/request_table.cxx
+++ b/Source/Entry/request_table.cxx
@@ -78,7 +78,6 @@
   next.database = state.plan.database;
   if (state.plan.owner) {
     next.owner = state.plan.owner;
-    next.member = state.plan.pinned_member.value_or(member_id{});
   } else {
     const bool at_primary = state.plan.write || state.plan.primary_only;
     const auto order = at_primary ? routes_.write_order(state.plan.database)
--- a/Source/Entry/request_table.h
+++ b/Source/Entry/request_table.h
@@ -45,10 +45,8 @@
   // The read has to be served by the primary.
   bool primary_only = false;
   bool idempotent = false;
-  // Owner and member of the open transaction that the request belongs to.
+  // Owner of the open transaction that the request belongs to.
   std::optional<instance_id> owner;
-  std::optional<member_id> pinned_member;
-  bool commit = false;
   instant deadline;
 };
 
--- a/Tests/Entry/fault_matrix_test.cxx
+++ b/Tests/Entry/fault_matrix_test.cxx
@@ -154,7 +154,6 @@
     plan.database = database_id("d");
     plan.write = of != kind::read;
     plan.idempotent = of == kind::idempotent_write || of == kind::read;
-    plan.commit = of == kind::commit;
     plan.deadline = now + 1s;
     if (of == kind::in_transaction || of == kind::commit) {
       plan.owner = instance_id("i2");
