--- a/Source/Adapters/platform_adapter.h
+++ b/Source/Adapters/platform_adapter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Adapters/platform_client.h"
+#include "Net/platform_client.h"
 #include "Base/table.h"
 #include "Control/membership.h"
 
--- a/Source/Net/http_connection.cxx
+++ b/Source/Net/http_connection.cxx
@@ -130,6 +130,9 @@
   if (!request.traceparent.empty()) {
     message.set("traceparent", request.traceparent);
   }
+  for (const auto& [name, value] : request.headers) {
+    message.set(name, value);
+  }
   message.body() = request.body;
   message.prepare_payload();
 
@@ -189,6 +192,11 @@
   }
   // The result is reported before the closing, so that a whole last answer is not taken for a loss.
   const auto closed = std::exchange(state_->closed, {});
+  if (failure != nullptr) {
+    // Bytes of an unanswered request that the kernel still holds must not arrive later.
+    error_code ignored;
+    state_->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   close();
   done(failure, std::move(response));
   if (closed) {
--- a/Source/Net/http_types.h
+++ b/Source/Net/http_types.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace persimmonshelf {
 
@@ -14,6 +16,8 @@
   std::string traceparent;
   std::string body;
   bool keep_alive = true;
+  // Further headers of a request that this process sends.
+  std::vector<std::pair<std::string, std::string>> headers;
 };
 
 struct http_response
--- a/Source/Adapters/platform_client.cxx
+++ b/Source/Net/platform_client.cxx
@@ -1,4 +1,4 @@
-#include "Adapters/platform_client.h"
+#include "Net/platform_client.h"
 
 #include <utility>
 
@@ -11,7 +11,6 @@
 // Calls beyond this are answered as failed, so that a long outage does not grow the queue.
 constexpr std::size_t waiting_limit = 256;
 constexpr duration connect_timeout = std::chrono::milliseconds(500);
-constexpr duration call_timeout = std::chrono::milliseconds(1500);
 
 }
 
@@ -47,7 +46,7 @@
     while (!idle_.empty() && !idle_.front()->is_open()) {
       idle_.pop_front();
     }
-    if (idle_.empty()) {
+    if (idle_.empty() || call.fresh_connection) {
       connect(std::move(call));
       continue;
     }
@@ -79,11 +78,14 @@
   request.method = call.method;
   request.target = call.target;
   request.body = call.body;
+  request.headers = call.headers;
   // The platform knows its clients by instance name.
-  request.authorization = "Bearer " + instance_;
+  if (!instance_.empty()) {
+    request.authorization = "Bearer " + instance_;
+  }
   auto& target = *connection;
   target.send(request,
-              call_timeout,
+              call.timeout,
               [this, connection = std::move(connection), id = call.id](const http_failure* failure,
                                                                        http_response response) {
                 if (failure != nullptr) {
--- a/Source/Adapters/platform_client.h
+++ b/Source/Net/platform_client.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace persimmonshelf {
 
@@ -20,6 +22,11 @@
   std::string method;
   std::string target;
   std::string body;
+  duration timeout = std::chrono::milliseconds(1500);
+  std::vector<std::pair<std::string, std::string>> headers;
+  // Uses a connection of its own, which is reset if no answer came in time: no byte of the request
+  // can then arrive later.
+  bool fresh_connection = false;
 };
 
 // Answer of the platform. Status 0 means that none came: the call may have taken effect.
@@ -35,6 +42,7 @@
 class platform_client
 {
 public:
+  // `instance` is the name under which the platform knows its client; empty sends none.
   platform_client(boost::asio::io_context& context,
                   tcp_address address,
                   std::string instance,
--- /dev/null
+++ b/Source/Programs/persimmonshelf-proxy.cxx
@@ -0,0 +1,67 @@
+#include "ProxyNode/node_settings.h"
+#include "ProxyNode/proxy_node.h"
+#include "platform/environment.h"
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+constexpr const char* usage =
+  R"(persimmonshelf-proxy: proxy instance between callers and replicated databases.
+
+Usage:
+  persimmonshelf-proxy run [--settings FILE]
+  persimmonshelf-proxy check [--settings FILE]
+  persimmonshelf-proxy (-h | --help)
+  persimmonshelf-proxy --version
+
+Commands:
+  run    Serve until SIGTERM.
+  check  Check the settings file and exit.
+
+Options:
+  --settings FILE  JSON file; by default the one that the environment names.
+  -h --help        Show this text.
+  --version        Show the version.
+
+Logs go to standard output, a JSON object a line.
+
+Exit codes:
+  0  stopped as asked
+  2  the command line or the settings are invalid
+  3  an address cannot be bound
+)";
+
+constexpr int exit_invalid = 2;
+constexpr int exit_address = 3;
+
+}
+
+int
+main(int argc, char** argv)
+{
+  using namespace persimmonshelf;
+  const auto arguments =
+    docopt::docopt(usage, { argv + 1, argv + argc }, true, "persimmonshelf-proxy 0.2.0");
+  const auto given = arguments.at("--settings");
+  const auto path = given ? given.asString() : platform::settings_path();
+  const auto settings = load_node_settings(path);
+  if (!settings) {
+    std::cerr << "persimmonshelf-proxy: " << settings.error().message << "\n";
+    return exit_invalid;
+  }
+  if (arguments.at("check").asBool()) {
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+  }
+  auto node = proxy_node::create(settings.value());
+  if (!node) {
+    std::cerr << "persimmonshelf-proxy: cannot listen on " << node.error().message << "\n";
+    return exit_address;
+  }
+  node.value()->run();
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/Source/Proxy/caller_session.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "Proxy/fleet_configuration.h"
+#include "Proxy/link_dispatcher.h"
+#include "Proxy/member_command.h"
+#include "Proxy/statement.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+// Answer of a member to one command, or the news that none will come.
+struct member_reply
+{
+  // True if the connection broke before the whole answer came; `answer` is then empty.
+  bool lost = false;
+  statement_answer answer{};
+  // When the command was handed to the connection, and when the answer was complete.
+  instant sent{};
+  instant received{};
+};
+
+// What a session needs from the rest of the instance.
+struct session_hooks
+{
+  std::function<const configuration_index&()> configuration;
+  // Empty if requests of keys may run now; otherwise the reason why not.
+  std::function<std::optional<std::string>()> key_evidence_missing;
+  // Takes one operation from the workspace's limit. Reports a refusal with the time after which
+  // another attempt may succeed.
+  std::function<std::optional<duration>(const workspace_id&)> refuse_operation;
+  std::function<
+    ticket_number(link_request, link_dispatcher::grant_handler, link_dispatcher::refuse_handler)>
+    acquire;
+  std::function<void(ticket_number)> cancel;
+  std::function<void(link_number, duration elapsed)> release;
+  // Sends a command; the reply comes later, once. Replies come in the order of the commands.
+  std::function<void(link_number, member_command, std::function<void(member_reply)>)> send;
+  // Closes the connection; replies that are due are dropped.
+  std::function<void(link_number)> abandon;
+  std::function<std::optional<group_leader>(const std::string& group)> leader;
+  // True if a commit at the group's primary that was answered now was made before any replacement.
+  std::function<bool(const std::string& group, const member_id& member)> commit_is_valid;
+  // Position that a read must have so that it is at most `bound` old, or empty if none is known.
+  std::function<std::optional<log_point>(const std::string& group, duration bound)> fresh_position;
+  // Reports the position of a group's log in an answer of a member to a command sent at `sent`.
+  std::function<void(const std::string& group, const member_id&, const log_point&, instant sent)>
+    observe_position;
+  std::function<void(const statement_answer&)> answer;
+  std::function<instant()> now;
+  // Writes one line of the decision log.
+  std::function<void(const std::string& event, const std::string& id, const std::string& detail)>
+    log;
+};
+
+// One session of a caller: its settings, prepared statements and transaction, and the connection
+// that an open transaction holds. Statements come one at a time; each gets exactly one answer.
+class caller_session
+{
+public:
+  caller_session(database_id database, std::string key, session_hooks hooks);
+  ~caller_session();
+  caller_session(const caller_session&) = delete;
+  caller_session& operator=(const caller_session&) = delete;
+
+  // Empty if the session may begin; otherwise the error of its first answer.
+  std::optional<statement_error> check_start();
+
+  // May be called only after the previous statement was answered.
+  void handle(statement next);
+
+  // Enforces the time limit of the statement in flight and of a resting transaction.
+  void tick(instant now);
+
+  // The caller left: rolls back and gives back what is held. No answer is sent any more.
+  void abandon();
+
+  bool busy() const { return busy_; }
+  transaction_state state() const { return state_; }
+  const workspace_id& workspace() const { return workspace_; }
+
+private:
+  enum class step : std::uint8_t
+  {
+    waiting_for_link,
+    preparing_link,
+    beginning,
+    running,
+  };
+  struct transaction
+  {
+    bool read_only = false;
+    bool wrote = false;
+    // True once the operation was counted against the workspace's limit.
+    bool admitted = false;
+    proxy_route route;
+    instant resting_since{};
+  };
+  // The caller's statement in flight.
+  struct work
+  {
+    statement request;
+    proxy_route route;
+    bool writes = false;
+    bool commits = false;
+    step at = step::waiting_for_link;
+    instant arrived{};
+    instant expiry{};
+    bool needs_primary = false;
+    std::optional<log_point> after;
+    std::optional<member_id> avoid;
+    std::uint32_t attempts = 0;
+    std::optional<ticket_number> ticket;
+  };
+
+  void answer(statement_answer reply);
+  void answer_done();
+  void answer_error(statement_error error, std::string text);
+  void fail_statement(statement_error error, const std::string& text);
+  void handle_local(const statement& request);
+  bool is_write(const statement& request) const;
+  bool start_operation(const statement& request);
+  std::optional<std::string> refuse_access(const proxy_route*& route);
+  void choose_place();
+  void acquire();
+  void granted(std::shared_ptr<member_link> link);
+  void refused(statement_error error, const std::string& reason);
+  void prepare_link();
+  void run();
+  void send_begin();
+  void begin_answered(const member_reply& reply);
+  void send_statement();
+  void statement_answered(const member_reply& reply);
+  bool try_elsewhere(statement_error error);
+  void reply_lost();
+  void finish(const member_reply& reply);
+  void release_link(duration elapsed);
+  void drop_link();
+  void roll_back_link();
+  bool lead_was_lost() const;
+
+  database_id database_;
+  std::string key_;
+  workspace_id workspace_;
+  std::shared_ptr<session_hooks> hooks_;
+  // Handlers that outlive the session hold a weak pointer to this.
+  std::shared_ptr<caller_session*> self_;
+  session_values values_;
+  std::map<std::string, prepared_statement> prepared_;
+  transaction_state state_ = transaction_state::idle;
+  bool busy_ = false;
+  std::optional<transaction> transaction_;
+  std::optional<work> work_;
+  std::shared_ptr<member_link> link_;
+  // True once a transaction was begun on the connection.
+  bool link_in_transaction_ = false;
+  std::map<std::string, log_point> own_commits_;
+};
+
+}
--- /dev/null
+++ b/Source/Proxy/fleet_configuration.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "Base/ids.h"
+#include "Base/instant.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+// What a read on a route must contain.
+enum class consistency : std::uint8_t
+{
+  // Every commit acknowledged before the read began.
+  primary,
+  // Every commit acknowledged longer ago than the route's bound.
+  bounded_staleness,
+  // As bounded_staleness, and every commit of the same session.
+  read_your_writes,
+};
+
+// One route of the configuration. Callers name it by its database.
+struct proxy_route
+{
+  std::string name;
+  database_id database;
+  consistency kind = consistency::primary;
+  // Longest time one statement may take.
+  duration statement_timeout{};
+  // Aim for a whole operation; orders the queue.
+  duration target_latency{};
+  // 0 is the highest.
+  std::uint32_t priority = 0;
+  // Group of backend servers that holds the database.
+  std::string group;
+  duration max_staleness{};
+  // True if callers need no key.
+  bool open_to_all = false;
+
+  friend bool operator==(const proxy_route&, const proxy_route&) = default;
+};
+
+// One replicated group of backend servers.
+struct proxy_group
+{
+  std::string name;
+  // Limit of one member over all callers.
+  std::uint32_t max_connections = 0;
+  // Replicas that hold a commit before it is acknowledged.
+  std::uint32_t sync_replicas = 0;
+
+  friend bool operator==(const proxy_group&, const proxy_group&) = default;
+};
+
+// A workspace's keys and its limit, counted in operations over all instances.
+struct proxy_workspace
+{
+  workspace_id name;
+  std::vector<std::string> keys;
+  double rate_per_s = 0;
+  double burst = 0;
+
+  friend bool operator==(const proxy_workspace&, const proxy_workspace&) = default;
+};
+
+// The operators' configuration as the proxy uses it. Versions only rise.
+struct fleet_configuration
+{
+  config_version version;
+  std::vector<proxy_route> routes;
+  std::vector<proxy_group> groups;
+  std::vector<proxy_workspace> workspaces;
+  // Longest pause inside a transaction before it may be ended; zero if there is no limit.
+  duration transaction_idle_limit{};
+};
+
+// Finds routes, groups and workspaces of one configuration by name.
+class configuration_index
+{
+public:
+  configuration_index() = default;
+  explicit configuration_index(fleet_configuration configuration);
+
+  const fleet_configuration& configuration() const { return configuration_; }
+  const proxy_route* route_of(const database_id& database) const;
+  const proxy_group* group_of(const std::string& name) const;
+  // Null if no workspace holds the key.
+  const proxy_workspace* workspace_of_key(const std::string& key) const;
+  const proxy_workspace* workspace(const workspace_id& name) const;
+
+private:
+  fleet_configuration configuration_;
+  std::map<database_id, std::size_t> routes_;
+  std::map<std::string, std::size_t> groups_;
+  std::map<std::string, std::size_t> keys_;
+  std::map<workspace_id, std::size_t> workspaces_;
+};
+
+// One member of a group as the members' list shows it.
+struct listed_member
+{
+  member_id id;
+  std::string group;
+  std::string address;
+  zone_id zone;
+  // True once the member announced that it will leave.
+  bool draining = false;
+  // How the member sees itself; it may have been replaced since.
+  bool says_primary = false;
+  std::uint32_t slots = 1;
+  duration warmup_left{};
+  // Rises with each report of one run of the member.
+  std::uint64_t report_number = 0;
+  // Wall-clock milliseconds of the member's start, or zero if it did not say. Distinguishes two
+  // runs under one id.
+  std::uint64_t started_at_ms = 0;
+
+  friend bool operator==(const listed_member&, const listed_member&) = default;
+};
+
+}
--- /dev/null
+++ b/Source/Proxy/freshness.cxx
@@ -0,0 +1,59 @@
+#include "Proxy/freshness.h"
+
+#include <algorithm>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Observations older than this serve no route; staleness bounds are a few seconds.
+constexpr duration kept_for = std::chrono::seconds(10);
+// One observation in this span is enough to choose from.
+constexpr duration spacing = std::chrono::milliseconds(50);
+
+}
+
+void
+freshness::observe(const std::string& group, const log_point& position, instant sent)
+{
+  auto& list = observations_[group];
+  while (!list.empty() && sent - list.front().sent > kept_for) {
+    list.pop_front();
+  }
+  if (!list.empty() && (sent < list.back().sent || position < list.back().position)) {
+    return;
+  }
+  // The newest entry moves along until it is a span away from the one before.
+  if (list.size() > 1 && sent - list[list.size() - 2].sent < spacing) {
+    list.pop_back();
+  }
+  list.push_back({ position, sent });
+}
+
+std::optional<log_point>
+freshness::position_for(const std::string& group, duration bound, instant now) const
+{
+  const auto found = observations_.find(group);
+  if (found == observations_.end()) {
+    return std::nullopt;
+  }
+  const auto& list = found->second;
+  const auto first = std::find_if(
+    list.begin(), list.end(), [&](const observation& entry) { return entry.sent >= now - bound; });
+  if (first == list.end()) {
+    return std::nullopt;
+  }
+  return first->position;
+}
+
+std::optional<freshness::observation>
+freshness::newest(const std::string& group) const
+{
+  const auto found = observations_.find(group);
+  if (found == observations_.end() || found->second.empty()) {
+    return std::nullopt;
+  }
+  return found->second.back();
+}
+
+}
--- /dev/null
+++ b/Source/Proxy/link.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Base/ids.h"
+#include "Base/instant.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace persimmonshelf {
+
+using link_number = strong<struct link_number_tag, std::uint64_t>;
+
+// Settings of a session by name.
+using session_values = std::map<std::string, std::string>;
+
+// A prepared statement as the member knows it: shape and whether it writes.
+struct prepared_statement
+{
+  std::string shape;
+  bool writes = false;
+
+  friend auto operator<=>(const prepared_statement&, const prepared_statement&) = default;
+};
+
+// One connection to a member and what the member keeps for it.
+struct member_link
+{
+  enum class link_state : std::uint8_t
+  {
+    opening,
+    idle,
+    in_use,
+    // The connection is gone; a session may still hold the object.
+    closed,
+  };
+  link_number number;
+  member_id member;
+  std::string group;
+  workspace_id workspace;
+  link_state state = link_state::opening;
+  session_values values;
+  std::set<prepared_statement> prepared;
+  instant changed{};
+};
+
+}
--- /dev/null
+++ b/Source/ProxyNode/decision_log.cxx
@@ -0,0 +1,120 @@
+#include "ProxyNode/decision_log.h"
+
+#include "ProxyNode/boot_clock.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+
+namespace persimmonshelf {
+
+namespace {
+
+constexpr std::size_t ring_capacity = 1024;
+// Lines a second; enough for every refusal of a busy instance, little against its core.
+constexpr std::uint32_t lines_per_second = 200;
+// At the end, lines that standard output does not take are given up after this time.
+constexpr auto idle_wait = std::chrono::milliseconds(500);
+
+void
+write_all(const std::string& line)
+{
+  std::size_t written = 0;
+  while (written < line.size()) {
+    const auto count = ::write(STDOUT_FILENO, line.data() + written, line.size() - written);
+    if (count <= 0) {
+      // Standard output is gone; there is nowhere to report it.
+      return;
+    }
+    written += static_cast<std::size_t>(count);
+  }
+}
+
+}
+
+decision_log::decision_log(std::string instance)
+  : instance_(std::move(instance))
+  , lines_(ring_capacity)
+  , writer_([this] { run(); })
+{
+}
+
+decision_log::~decision_log()
+{
+  stopping_ = true;
+  woken_.notify_one();
+  writer_.join();
+  std::string* line = nullptr;
+  while (lines_.pop(line)) {
+    delete line;
+  }
+}
+
+bool
+decision_log::within_budget()
+{
+  const auto second =
+    std::chrono::duration_cast<std::chrono::seconds>(boot_now().time_since_epoch()).count();
+  if (second != budget_second_) {
+    budget_second_ = second;
+    budget_used_ = 0;
+  }
+  return ++budget_used_ <= lines_per_second;
+}
+
+void
+decision_log::write(std::string_view event, std::initializer_list<field> fields)
+{
+  if (!within_budget()) {
+    ++dropped_;
+    return;
+  }
+  boost::json::object object;
+  object["ms"] =
+    std::chrono::duration_cast<std::chrono::milliseconds>(boot_now().time_since_epoch()).count();
+  object["instance"] = instance_;
+  object["event"] = event;
+  for (const auto& [name, value] : fields) {
+    object[name] = value;
+  }
+  if (dropped_ != reported_drops_) {
+    object["lines_dropped"] = dropped_;
+    reported_drops_ = dropped_;
+  }
+  auto line = std::make_unique<std::string>(boost::json::serialize(object) + "\n");
+  if (!lines_.push(line.get())) {
+    ++dropped_;
+    return;
+  }
+  // The writer deletes it.
+  static_cast<void>(line.release());
+  if (sleeping_) {
+    woken_.notify_one();
+  }
+}
+
+void
+decision_log::run()
+{
+  while (true) {
+    std::string* next = nullptr;
+    if (lines_.pop(next)) {
+      const std::unique_ptr<std::string> line(next);
+      write_all(*line);
+      continue;
+    }
+    if (stopping_) {
+      return;
+    }
+    std::unique_lock lock(mutex_);
+    sleeping_ = true;
+    woken_.wait_for(lock, idle_wait, [this] { return stopping_ || lines_.read_available() > 0; });
+    sleeping_ = false;
+  }
+}
+
+}
--- /dev/null
+++ b/Source/ProxyNode/decision_log.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <boost/lockfree/spsc_queue.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <initializer_list>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+namespace persimmonshelf {
+
+// Structured log on standard output: one JSON object a line. Lines pass through a bounded ring to a
+// writing thread; when the ring is full or the second's budget is used up, a line is dropped and
+// counted, so that a reader that stops reading never delays a request.
+class decision_log
+{
+public:
+  using field = std::pair<std::string_view, std::string>;
+
+  explicit decision_log(std::string instance);
+  ~decision_log();
+  decision_log(const decision_log&) = delete;
+  decision_log& operator=(const decision_log&) = delete;
+
+  // May be called by one thread only.
+  void write(std::string_view event, std::initializer_list<field> fields);
+
+  std::uint64_t dropped() const { return dropped_; }
+
+private:
+  void run();
+  bool within_budget();
+
+  std::string instance_;
+  boost::lockfree::spsc_queue<std::string*> lines_;
+  std::atomic<bool> stopping_{ false };
+  std::mutex mutex_;
+  std::condition_variable woken_;
+  std::atomic<bool> sleeping_{ false };
+  std::uint64_t dropped_ = 0;
+  std::uint64_t reported_drops_ = 0;
+  std::int64_t budget_second_ = 0;
+  std::uint32_t budget_used_ = 0;
+  std::thread writer_;
+};
+
+}
--- /dev/null
+++ b/Source/ProxyNode/line_stream.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Base/instant.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace persimmonshelf {
+
+// One TCP connection that carries lines ended by CR LF, in both directions. Writes are queued; a
+// connection whose peer does not read is closed once the queue is full.
+class line_stream : public std::enable_shared_from_this<line_stream>
+{
+public:
+  struct handlers
+  {
+    std::function<void(std::string_view line)> line;
+    // Called once, however the connection ends; never from within close().
+    std::function<void(const std::string& reason)> closed;
+  };
+
+  static std::shared_ptr<line_stream> create(boost::asio::ip::tcp::socket socket,
+                                             std::size_t line_limit);
+
+  // Sets the limits that detect a peer that went silent: unacknowledged data, and keep-alive probes
+  // when idle.
+  void set_timeouts(duration unacknowledged, duration idle_probe);
+
+  void start(handlers calls);
+  void write(std::string text);
+
+  // Closes after what was written has been sent.
+  void finish();
+
+  // Closes at once. `reset` drops unsent data, also in the kernel.
+  void close(bool reset = false);
+
+  boost::asio::ip::tcp::socket& socket() { return socket_; }
+  bool is_open() const { return open_; }
+
+private:
+  line_stream(boost::asio::ip::tcp::socket socket, std::size_t line_limit);
+  void read();
+  void take_lines();
+  void flush();
+  void end(const std::string& reason);
+
+  boost::asio::ip::tcp::socket socket_;
+  std::size_t line_limit_;
+  handlers handlers_;
+  std::array<char, 2048> buffer_{};
+  std::string received_;
+  std::string outgoing_;
+  std::string sending_;
+  bool open_ = true;
+  bool writing_ = false;
+  bool finishing_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/ProxyNode/member_connection.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Proxy/caller_session.h"
+#include "Proxy/link_dispatcher.h"
+#include "ProxyNode/line_stream.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace persimmonshelf {
+
+// Network side of one link: connects, introduces itself, sends commands and collects the answers in
+// order. Any answer that does not fit closes the connection.
+class member_connection : public std::enable_shared_from_this<member_connection>
+{
+public:
+  using reply_handler = std::function<void(member_reply)>;
+  struct handlers
+  {
+    std::function<void()> opened;
+    // `refused_full`: the member has too many connections.
+    std::function<void(bool refused_full, const std::string& reason)> closed;
+  };
+  // Who connects to whom.
+  struct introduction
+  {
+    std::string address;
+    std::string group;
+    std::string workspace;
+    std::string member;
+  };
+
+  static std::shared_ptr<member_connection> create(boost::asio::io_context& context,
+                                                   introduction who,
+                                                   handlers calls);
+  void open(duration timeout);
+  void send(const member_command& command, reply_handler done);
+
+  // Closes without reporting; replies that are due are dropped.
+  void abandon();
+
+private:
+  struct pending
+  {
+    reply_handler done;
+    member_reply reply;
+    bool answered = false;
+  };
+
+  member_connection(boost::asio::io_context& context, introduction who, handlers calls);
+  void connected(const boost::system::error_code& failure);
+  void take_line(std::string_view line);
+  void broken(const std::string& reason);
+
+  boost::asio::io_context& context_;
+  introduction who_;
+  handlers handlers_;
+  std::shared_ptr<line_stream> stream_;
+  boost::asio::steady_timer open_timer_;
+  std::deque<pending> pending_;
+  bool ready_ = false;
+  bool ended_ = false;
+  bool refused_full_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/ProxyNode/node_settings.cxx
@@ -0,0 +1,131 @@
+#include "ProxyNode/node_settings.h"
+
+#include "Base/json_fields.h"
+
+#include <boost/json/array.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace persimmonshelf {
+
+namespace {
+
+constexpr auto invalid = result_code::settings_invalid;
+constexpr std::int64_t longest_ms = 3'600'000;
+
+result<tcp_address>
+address_field(json_fields& fields, std::string_view name)
+{
+  BOOST_OUTCOME_TRY(const auto text, fields.text(name));
+  tcp_address address;
+  if (!parse_address(text, address)) {
+    return fail(invalid,
+                fields.place() + "." + std::string(name) + ": \"" + text + "\" is no IP:port");
+  }
+  return address;
+}
+
+result<duration>
+milliseconds_field(json_fields& fields, std::string_view name)
+{
+  BOOST_OUTCOME_TRY(const auto value, fields.integer(name, 1, longest_ms));
+  return duration(std::chrono::milliseconds(value));
+}
+
+result<duration>
+seconds_field(json_fields& fields, std::string_view name)
+{
+  BOOST_OUTCOME_TRY(const auto value, fields.integer(name, 1, longest_ms / 1000));
+  return duration(std::chrono::seconds(value));
+}
+
+result<std::vector<std::string>>
+text_list(const boost::json::value* value, const std::string& place)
+{
+  std::vector<std::string> texts;
+  if (value == nullptr || value->is_null()) {
+    return texts;
+  }
+  if (!value->is_array()) {
+    return fail(invalid, place + ": a list is expected");
+  }
+  for (const auto& entry : value->as_array()) {
+    if (!entry.is_string()) {
+      return fail(invalid, place + ": a list of texts is expected");
+    }
+    texts.emplace_back(entry.as_string());
+  }
+  return texts;
+}
+
+result<json_fields>
+section(json_fields& fields, std::string_view name)
+{
+  const auto* value = fields.find(name);
+  if (value == nullptr) {
+    return fail(invalid, "settings." + std::string(name) + " is missing");
+  }
+  return json_fields::create(*value, "settings." + std::string(name), invalid);
+}
+
+result<void>
+parse_addresses(json_fields& fields, node_settings& settings)
+{
+  BOOST_OUTCOME_TRY(auto listen, section(fields, "listen"));
+  BOOST_OUTCOME_TRY(settings.callers, address_field(listen, "callers"));
+  BOOST_OUTCOME_TRY(settings.readiness, address_field(listen, "readiness"));
+  BOOST_OUTCOME_TRY(settings.metrics, address_field(listen, "metrics"));
+  BOOST_OUTCOME_TRY(settings.peers, address_field(listen, "peers"));
+  BOOST_OUTCOME_TRYV(listen.finish());
+  BOOST_OUTCOME_TRY(auto store, section(fields, "store"));
+  BOOST_OUTCOME_TRY(settings.store, address_field(store, "address"));
+  BOOST_OUTCOME_TRYV(store.finish());
+  BOOST_OUTCOME_TRY(auto duties, section(fields, "duties"));
+  BOOST_OUTCOME_TRY(settings.duties, address_field(duties, "address"));
+  BOOST_OUTCOME_TRY(const auto names, text_list(duties.find("lists"), "settings.duties.lists"));
+  settings.replaces_primaries = std::find(names.begin(), names.end(), "promote") != names.end();
+  return duties.finish();
+}
+
+}
+
+result<node_settings>
+parse_node_settings(std::string_view text)
+{
+  BOOST_OUTCOME_TRY(const auto value, parse_json(text, invalid));
+  BOOST_OUTCOME_TRY(auto fields, json_fields::create(value, "settings", invalid));
+  node_settings settings;
+  BOOST_OUTCOME_TRY(const auto name, fields.text("instance"));
+  settings.name = instance_id(name);
+  BOOST_OUTCOME_TRY(const auto zone, fields.text("zone"));
+  settings.zone = zone_id(zone);
+  BOOST_OUTCOME_TRY(settings.zones, text_list(fields.find("zones"), "settings.zones"));
+  BOOST_OUTCOME_TRYV(parse_addresses(fields, settings));
+  BOOST_OUTCOME_TRY(settings.first_start, fields.boolean_or("first_start", false));
+  BOOST_OUTCOME_TRY(settings.member_heartbeat, milliseconds_field(fields, "member_heartbeat_ms"));
+  BOOST_OUTCOME_TRY(settings.key_revocation, milliseconds_field(fields, "key_revocation_ms"));
+  BOOST_OUTCOME_TRY(settings.stop_grace, seconds_field(fields, "stop_grace_s"));
+  BOOST_OUTCOME_TRY(settings.rate_window, seconds_field(fields, "rate_window_s"));
+  BOOST_OUTCOME_TRYV(fields.finish());
+  return settings;
+}
+
+result<node_settings>
+load_node_settings(const std::string& path)
+{
+  std::ifstream file(path);
+  if (!file) {
+    return fail(invalid, path + ": cannot be read");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  auto settings = parse_node_settings(text.str());
+  if (!settings) {
+    return fail(invalid, path + ": " + settings.error().message);
+  }
+  return settings;
+}
+
+}
--- /dev/null
+++ b/Source/ProxyNode/node_settings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Base/error.h"
+#include "Base/ids.h"
+#include "Base/instant.h"
+#include "Net/http_connection.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+// Settings of one proxy instance, from a JSON file.
+struct node_settings
+{
+  instance_id name;
+  zone_id zone;
+  std::vector<std::string> zones;
+  tcp_address callers;
+  tcp_address readiness;
+  tcp_address metrics;
+  tcp_address peers;
+  tcp_address store;
+  tcp_address duties;
+  // True if the platform asks the fleet to replace primaries.
+  bool replaces_primaries = false;
+  // True only when the whole fleet starts for the first time.
+  bool first_start = false;
+  duration member_heartbeat{};
+  // A key that was withdrawn this long ago must not work any more.
+  duration key_revocation{};
+  duration stop_grace{};
+  duration rate_window{};
+};
+
+// Fails with settings_invalid and the name of the field.
+result<node_settings>
+parse_node_settings(std::string_view text);
+
+// Fails with settings_invalid if the file cannot be read or is not valid.
+result<node_settings>
+load_node_settings(const std::string& path);
+
+}
