proxy: Share what one instance reads with all, limit rates, replace primaries

One instance at a time, named by a row of the store, reads configuration, members and group records and answers the reports of the others with them; an instance without answers reads the store by itself. The same instance splits each workspace's rate by demand and replaces primaries.

--- a/Source/Group/state_chart.cxx
+++ b/Source/Base/state_chart.cxx
@@ -1,4 +1,4 @@
-#include "Group/state_chart.h"
+#include "Base/state_chart.h"
 
 #include "Base/json_fields.h"
 
--- a/Source/Group/promotion.h
+++ b/Source/Group/promotion.h
@@ -5,7 +5,7 @@
 #include "Base/instant.h"
 #include "Group/group_view.h"
 #include "Group/observation.h"
-#include "Group/state_chart.h"
+#include "Base/state_chart.h"
 
 #include <cstddef>
 #include <functional>
--- /dev/null
+++ b/Source/Proxy/coordinator.cxx
@@ -0,0 +1,245 @@
+#include "Proxy/coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// An instance that was silent this long counts as gone.
+constexpr duration silence_limit = std::chrono::milliseconds(2000);
+// Registered instances that were silent this long leave the register.
+constexpr duration vanished_limit = std::chrono::seconds(20);
+// A recorded primary that lists itself as a replica this long has lost the lead some other way.
+constexpr duration mismatch_limit = std::chrono::seconds(3);
+// Before primaries are judged, reports of all instances should have come in.
+constexpr duration settling_time = std::chrono::milliseconds(700);
+
+}
+
+coordinator::coordinator(instance_id own,
+                         fencing_token token,
+                         bool shares_known,
+                         bool replaces_primaries,
+                         const fleet_knowledge& knowledge,
+                         const freshness& positions,
+                         hooks calls)
+  : own_(std::move(own))
+  , token_(token)
+  , replaces_primaries_(replaces_primaries)
+  , knowledge_(knowledge)
+  , own_positions_(positions)
+  , hooks_(std::move(calls))
+  , shares_(shares_known, hooks_.now())
+  , fence_(hooks_.now())
+  , began_(hooks_.now())
+{
+}
+
+coordinator::~coordinator() = default;
+
+void
+coordinator::set_registered(const std::map<instance_id, incarnation_id>& instances)
+{
+  registered_ = instances;
+  shares_.set_registered(instances);
+  fence_.set_registered(instances, hooks_.now());
+}
+
+void
+coordinator::note_position(const std::string& group, const dated_position& position)
+{
+  const auto found = positions_.find(group);
+  if (found == positions_.end() || found->second.seen < position.seen) {
+    positions_[group] = position;
+  }
+}
+
+void
+coordinator::report(const instance_report& report)
+{
+  const auto now = hooks_.now();
+  auto& peer = peers_[report.instance];
+  if (peer.incarnation == report.incarnation && report.clock < peer.clock) {
+    return;
+  }
+  peer.address = report.address;
+  peer.incarnation = report.incarnation;
+  peer.heard = now;
+  peer.clock = report.clock;
+  peer.members_digest = report.members_digest;
+  peer.leaving = report.leaving;
+  // The report was made before now, so its observations are at least as old as they seem.
+  for (const auto& [group, position] : report.positions) {
+    const auto leader = knowledge_.leader(group, now);
+    if (leader && leader->usable) {
+      note_position(group, { position.position, now - (report.clock - position.seen) });
+    }
+  }
+  watch_.report(report, now);
+  fence_.report(report);
+  shares_.report(report, token_, now);
+  hooks_.send(peer.address, make_view(report.instance, peer));
+}
+
+fleet_view
+coordinator::make_view(const instance_id& instance, const known_peer& to)
+{
+  const auto now = hooks_.now();
+  const auto age = [now](const std::optional<instant>& as_of) -> std::optional<duration> {
+    return as_of ? std::optional<duration>(now - *as_of) : std::nullopt;
+  };
+  fleet_view view;
+  view.holder = own_;
+  view.token = token_;
+  view.view = ++last_view_;
+  view.incarnation = to.incarnation;
+  view.echo_clock = to.clock;
+  view.configuration = knowledge_.configuration().configuration().version;
+  view.configuration_age = age(knowledge_.configuration_as_of());
+  view.groups_revision = knowledge_.groups_revision();
+  view.groups_age = age(knowledge_.groups_as_of());
+  for (const auto& [group, record] : knowledge_.groups()) {
+    view.groups.push_back(record);
+  }
+  view.members_digest = digest_of(knowledge_.members());
+  view.members_age = age(knowledge_.members_as_of());
+  if (view.members_digest != to.members_digest) {
+    view.members = knowledge_.members();
+  }
+  shares_.set_workspaces(knowledge_.configuration().configuration().workspaces);
+  if (hooks_.holds()) {
+    view.shares = shares_.grant(instance, view.view, now);
+  }
+  for (const auto& group : knowledge_.configuration().configuration().groups) {
+    if (const auto newest = own_positions_.newest(group.name)) {
+      note_position(group.name, { newest->position, newest->sent });
+    }
+  }
+  for (const auto& [group, position] : positions_) {
+    view.positions[group] = { position.position, now - position.seen };
+  }
+  view.instances = live_instances();
+  const auto registered = registered_.find(instance);
+  view.registered = registered != registered_.end();
+  return view;
+}
+
+std::uint32_t
+coordinator::live_instances() const
+{
+  const auto now = hooks_.now();
+  return static_cast<std::uint32_t>(
+    std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+      return now - entry.second.heard < silence_limit;
+    }));
+}
+
+std::vector<instance_id>
+coordinator::vanished() const
+{
+  std::vector<instance_id> gone;
+  const auto now = hooks_.now();
+  if (now - began_ < vanished_limit) {
+    return gone;
+  }
+  for (const auto& [instance, incarnation] : registered_) {
+    const auto peer = peers_.find(instance);
+    if (peer == peers_.end() || now - peer->second.heard > vanished_limit) {
+      gone.push_back(instance);
+    }
+  }
+  return gone;
+}
+
+void
+coordinator::push()
+{
+  const auto now = hooks_.now();
+  for (const auto& [instance, peer] : peers_) {
+    if (now - peer.heard < silence_limit) {
+      hooks_.send(peer.address, make_view(instance, peer));
+    }
+  }
+}
+
+void
+coordinator::release()
+{
+  const auto now = hooks_.now();
+  for (const auto& [instance, peer] : peers_) {
+    if (now - peer.heard < silence_limit && instance != own_) {
+      auto view = make_view(instance, peer);
+      view.released = true;
+      hooks_.send(peer.address, view);
+    }
+  }
+}
+
+void
+coordinator::watch_groups(bool list_is_sound)
+{
+  const auto now = hooks_.now();
+  for (const auto& group : knowledge_.configuration().configuration().groups) {
+    auto& procedure = failovers_[group.name];
+    if (!procedure) {
+      auto calls = hooks_.failover_calls;
+      calls.fence_complete = [this](std::uint64_t revision, instant recorded) {
+        return fence_.complete(revision, recorded, hooks_.now());
+      };
+      auto made = failover::create(group.name, std::move(calls));
+      if (!made) {
+        hooks_.failover_calls.log(group.name, "chart_error", made.error().message);
+        failovers_.erase(group.name);
+        continue;
+      }
+      procedure = std::move(made.value());
+    }
+    std::vector<listed_member> members;
+    for (const auto& member : knowledge_.members()) {
+      if (member.group == group.name) {
+        members.push_back(member);
+      }
+    }
+    procedure->set_members(members, group.sync_replicas);
+    const auto record = knowledge_.groups().find(group.name);
+    if (!procedure->under_way() && record != knowledge_.groups().end() && record->second.changing) {
+      procedure->resume(record->second);
+    }
+    const auto leader = knowledge_.leader(group.name, now);
+    if (!leader || procedure->under_way()) {
+      settled_[group.name] = now;
+    } else if (leader->usable) {
+      auto trouble = watch_.judge(leader->member, members, list_is_sound, now);
+      const bool disagrees = std::any_of(members.begin(), members.end(), [&](const auto& member) {
+        return member.id == leader->member && !member.says_primary;
+      });
+      if (!disagrees || !list_is_sound) {
+        settled_[group.name] = now;
+      } else if (trouble == primary_trouble::none && now - settled_[group.name] > mismatch_limit) {
+        trouble = primary_trouble::lost;
+      }
+      procedure->start(leader->member, trouble);
+    }
+    procedure->tick();
+  }
+}
+
+void
+coordinator::tick(bool list_is_sound)
+{
+  if (replaces_primaries_ && hooks_.now() - began_ > settling_time) {
+    watch_groups(list_is_sound);
+  }
+}
+
+void
+coordinator::duty_lost()
+{
+  for (auto& [group, procedure] : failovers_) {
+    procedure->duty_lost();
+  }
+}
+
+}
--- /dev/null
+++ b/Source/Proxy/coordinator.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Proxy/failover.h"
+#include "Proxy/fence.h"
+#include "Proxy/fleet_exchange.h"
+#include "Proxy/freshness.h"
+#include "Proxy/primary_watch.h"
+#include "Proxy/rate_shares.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace persimmonshelf {
+
+// The duty of one instance at a time: answers the reports of all others with what it reads from the
+// store, splits the workspaces' rates, and replaces primaries. Exists only while the lease is held.
+class coordinator
+{
+public:
+  struct hooks
+  {
+    std::function<void(const std::string& address, const fleet_view&)> send;
+    // The hooks of the failovers, except the fence.
+    failover::hooks failover_calls;
+    std::function<instant()> now;
+    // True while the lease lasts; shares are granted only then.
+    std::function<bool()> holds;
+  };
+
+  // `shares_known`: no earlier coordinator can have given out shares. `replaces_primaries` is false
+  // where the platform does not ask for it.
+  coordinator(instance_id own,
+              fencing_token token,
+              bool shares_known,
+              bool replaces_primaries,
+              const fleet_knowledge& knowledge,
+              const freshness& positions,
+              hooks calls);
+  ~coordinator();
+
+  void set_registered(const std::map<instance_id, incarnation_id>& instances);
+
+  // Answers with a view. The coordinator's own report passes through here as well.
+  void report(const instance_report& report);
+
+  // Sends every instance a view at once: something changed that is worth the bytes.
+  void push();
+
+  // The list of members is sound while the store answers and has done so for a while.
+  void tick(bool list_is_sound);
+
+  void duty_lost();
+  void release();
+
+  std::uint32_t live_instances() const;
+  // Instances that are registered and were not heard for a long time.
+  std::vector<instance_id> vanished() const;
+
+private:
+  struct known_peer
+  {
+    std::string address;
+    incarnation_id incarnation;
+    instant heard{};
+    instant clock{};
+    std::uint64_t members_digest = 0;
+    bool leaving = false;
+  };
+
+  fleet_view make_view(const instance_id& instance, const known_peer& to);
+  void watch_groups(bool list_is_sound);
+  void note_position(const std::string& group, const dated_position& position);
+
+  instance_id own_;
+  fencing_token token_;
+  bool replaces_primaries_;
+  const fleet_knowledge& knowledge_;
+  const freshness& own_positions_;
+  hooks hooks_;
+  rate_shares shares_;
+  fence fence_;
+  primary_watch watch_;
+  instant began_;
+  std::map<instance_id, known_peer> peers_;
+  std::map<instance_id, incarnation_id> registered_;
+  std::map<std::string, std::unique_ptr<failover>> failovers_;
+  // When a group was last seen in the middle of a change, or its listed primary as recorded.
+  std::map<std::string, instant> settled_;
+  std::map<std::string, dated_position> positions_;
+  std::uint64_t members_digest_ = 0;
+  std::uint64_t last_view_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -0,0 +1,178 @@
+#include "Proxy/coordinator_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// After a write that was not done or not answered; the row is read meanwhile.
+constexpr duration retry_pause = std::chrono::milliseconds(250);
+
+}
+
+coordinator_lease::coordinator_lease(instance_id own,
+                                     incarnation_id incarnation,
+                                     std::string address,
+                                     duration claim_delay,
+                                     hooks calls)
+  : own_(std::move(own))
+  , incarnation_(incarnation)
+  , address_(std::move(address))
+  , claim_delay_(claim_delay)
+  , hooks_(std::move(calls))
+{
+}
+
+bool
+coordinator_lease::holds(instant now) const
+{
+  return holding_ && now - renewed_ < lease_validity;
+}
+
+duration
+coordinator_lease::left(instant now) const
+{
+  return holding_ ? std::max(duration::zero(), renewed_ + lease_validity - now) : duration::zero();
+}
+
+void
+coordinator_lease::lose(const std::string& reason)
+{
+  if (std::exchange(holding_, false)) {
+    hooks_.changed(false, reason);
+  }
+}
+
+void
+coordinator_lease::observe(const std::optional<coordinator_row>& row,
+                           std::uint64_t revision,
+                           instant as_of,
+                           instant now)
+{
+  if (observed_ && revision < revision_) {
+    return;
+  }
+  if (!observed_ || revision != revision_) {
+    unchanged_since_ = now;
+    unchanged_until_ = as_of;
+  }
+  observed_ = true;
+  revision_ = revision;
+  row_ = row;
+  unchanged_until_ = std::max(unchanged_until_, as_of);
+  if (!row || row->holder != own_ || row->incarnation != incarnation_) {
+    lose("another holder is in the store");
+    return;
+  }
+  // One of our writes whose answer was lost: the lease counts from when it was sent.
+  for (auto* write : { &pending_, &unanswered_ }) {
+    if (*write && (*write)->row == *row) {
+      became_holder(**write, now, "found in the store");
+      return;
+    }
+  }
+}
+
+void
+coordinator_lease::became_holder(const pending_write& by, instant now, const std::string& reason)
+{
+  if (leaving_) {
+    return;
+  }
+  renewed_ = std::max(renewed_, by.sent);
+  if (!std::exchange(holding_, true)) {
+    token_ = by.row.token;
+    renewed_ = by.sent;
+    since_ = now;
+    hooks_.changed(true, reason);
+  }
+}
+
+std::optional<coordinator_row>
+coordinator_lease::begin_renewal(instant now)
+{
+  if (!holding_ || pending_ || leaving_) {
+    return std::nullopt;
+  }
+  coordinator_row row{ own_, incarnation_, token_, address_, ++renewals_ };
+  pending_ = pending_write{ row, now };
+  return row;
+}
+
+void
+coordinator_lease::begin_write(const coordinator_row& row, instant now)
+{
+  pending_ = pending_write{ row, now };
+  hooks_.write(row, revision_);
+}
+
+void
+coordinator_lease::write_done(write_outcome outcome, std::uint64_t revision, instant now)
+{
+  const auto pending = std::exchange(pending_, std::nullopt);
+  if (!pending) {
+    return;
+  }
+  switch (outcome) {
+    case write_outcome::written:
+      row_ = pending->row;
+      revision_ = std::max(revision_, revision);
+      unchanged_since_ = now;
+      unanswered_.reset();
+      if (pending->row.holder == own_) {
+        became_holder(*pending, now, "written");
+      }
+      return;
+    case write_outcome::conflict:
+      // The next observation tells whose the row is; without one the lease runs out.
+      next_write_ = now + retry_pause;
+      return;
+    case write_outcome::refused:
+      next_write_ = now + retry_pause;
+      return;
+    case write_outcome::unknown:
+      unanswered_ = pending;
+      next_write_ = now + retry_pause;
+      return;
+  }
+}
+
+void
+coordinator_lease::tick(instant now)
+{
+  if (leaving_ || !observed_ || pending_ || now < next_write_) {
+    return;
+  }
+  if (holding_) {
+    if (now - renewed_ >= lease_renewal) {
+      begin_write({ own_, incarnation_, token_, address_, ++renewals_ }, now);
+    }
+    return;
+  }
+  const fencing_token next(row_ ? row_->token.get() + 1 : 1);
+  const bool restarted = row_ && row_->holder == own_;
+  const bool vacant = !row_ || row_->holder.get().empty();
+  duration wait = claim_delay_;
+  if (!restarted && !vacant) {
+    wait += lease_takeover;
+  }
+  // Only what the store confirmed counts as unchanged.
+  if (unchanged_until_ - unchanged_since_ >= wait ||
+      (vacant && now - unchanged_since_ >= wait) || restarted) {
+    begin_write({ own_, incarnation_, next, address_, ++renewals_ }, now);
+  }
+}
+
+void
+coordinator_lease::leave(instant now)
+{
+  leaving_ = true;
+  if (holding_ && !pending_) {
+    begin_write({ instance_id(), incarnation_, token_, "", ++renewals_ }, now);
+  }
+  lose("leaving");
+}
+
+}
--- /dev/null
+++ b/Source/Proxy/failover.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "Base/state_chart.h"
+#include "Proxy/fleet_knowledge.h"
+#include "Proxy/member_command.h"
+#include "Proxy/member_status.h"
+#include "Proxy/primary_watch.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+enum class promote_outcome : std::uint8_t
+{
+  accepted,
+  // The platform says that the member is not running.
+  refused,
+  // No answer; the promotion may happen.
+  unanswered,
+};
+
+// Replaces the primary of one group, as the coordinator. The order of the steps is in
+// failover.chart.json: make sure that nobody passes on commits of the old primary any more, compare
+// what the other members received, promote the furthest, and record it once it leads.
+class failover
+{
+public:
+  struct hooks
+  {
+    // Writes the group's record, conditional on still being the coordinator.
+    std::function<void(const group_record&, std::function<void(bool written, std::uint64_t revision)>)>
+      record;
+    // Sends a command to a member on a connection of its own; empty if no answer came.
+    std::function<void(const member_id&,
+                       member_command,
+                       std::function<void(std::optional<member_status>)>)>
+      ask;
+    std::function<void(const std::string& group,
+                       const member_id&,
+                       std::function<void(promote_outcome)>)>
+      promote;
+    // True if the lease lasts long enough for one promotion call.
+    std::function<bool()> may_promote;
+    std::function<bool(std::uint64_t revision, instant recorded)> fence_complete;
+    std::function<instant()> now;
+    std::function<void(const std::string& group, const std::string& event, const std::string& detail)>
+      log;
+  };
+
+  static result<std::unique_ptr<failover>> create(std::string group, hooks calls);
+  failover(const failover&) = delete;
+  failover& operator=(const failover&) = delete;
+
+  // Members of the group as listed, and its sync setting.
+  void set_members(std::vector<listed_member> members, std::uint32_t sync_replicas);
+
+  // Starts the replacement of `primary`, unless one is under way.
+  void start(const member_id& primary, primary_trouble trouble);
+  // Goes on with a change that an earlier coordinator recorded.
+  void resume(const group_record& record);
+  void duty_lost();
+  void tick();
+
+  bool under_way() const { return chart_->state() != "watching"; }
+  const std::string& state() const { return chart_->state(); }
+
+private:
+  // One round of questions to several members.
+  struct round
+  {
+    std::size_t open = 0;
+    std::map<member_id, member_status> answers;
+  };
+
+  failover(std::string group, hooks calls);
+  std::map<std::string, std::function<void()>> actions();
+  void raise(const std::string& event);
+  void record_change();
+  void demote_primary();
+  void start_fence();
+  void choose();
+  void compare(const std::map<member_id, member_status>& answers);
+  void freeze(const std::map<member_id, member_status>& answers);
+  void pick(const std::map<member_id, member_status>& answers);
+  void promote();
+  void confirm();
+  void publish();
+  void ask_all(const std::vector<member_id>& members,
+               const member_command& command,
+               std::function<void(const std::map<member_id, member_status>&)> done);
+  void learn_term(const member_status& status);
+  const listed_member* listed(const member_id& id) const;
+
+  std::string group_;
+  hooks hooks_;
+  std::optional<state_chart> chart_;
+  std::vector<listed_member> members_;
+  std::uint32_t sync_replicas_ = 0;
+  group_record record_;
+  // Newest term that any member reported.
+  term newest_term_;
+  // What the old primary had when it stepped down.
+  std::optional<log_point> final_position_;
+  std::uint64_t recorded_revision_ = 0;
+  instant recorded_at_{};
+  instant stepped_at_{};
+  std::set<member_id> excluded_;
+  std::optional<member_id> chosen_;
+  term chosen_above_;
+  instant retry_at_{};
+  bool retry_wanted_ = false;
+  instant confirm_until_{};
+  // Rises when the procedure starts or ends: late answers of an earlier one are dropped.
+  std::uint64_t run_ = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Proxy/fleet_exchange.cxx
@@ -0,0 +1,21 @@
+#include "Proxy/fleet_exchange.h"
+
+#include "Base/stable_hash.h"
+
+namespace persimmonshelf {
+
+std::uint64_t
+digest_of(const std::vector<listed_member>& members)
+{
+  std::string text;
+  for (const auto& member : members) {
+    text += member.id.get() + " " + member.group + " " + member.address + " " + member.zone.get();
+    text += member.draining ? " d" : " r";
+    text += member.says_primary ? "p " : "s ";
+    text += std::to_string(member.started_at_ms) + " " + std::to_string(member.slots);
+    text += member.warmup_left > duration::zero() ? " w\n" : "\n";
+  }
+  return stable_hash(text);
+}
+
+}
--- /dev/null
+++ b/Source/Proxy/fleet_exchange.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Proxy/fleet_knowledge.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+// Part of a workspace's rate and burst, in parts per million.
+using share_parts = std::uint32_t;
+inline constexpr share_parts whole_share = 1'000'000;
+using share_table_parts = std::map<workspace_id, share_parts>;
+
+// Number of a coordinator's period; rises with each holder of the duty.
+using fencing_token = strong<struct fencing_token_tag, std::uint64_t>;
+
+// A group's primary had this position at `seen`.
+struct dated_position
+{
+  log_point position;
+  instant seen{};
+};
+
+// What an instance sees of a member: how long every attempt has failed, or zero if it answers.
+struct member_sight
+{
+  member_id member;
+  duration failing{};
+};
+
+// What an instance tells the coordinator several times a second.
+struct instance_report
+{
+  instance_id instance;
+  zone_id zone;
+  incarnation_id incarnation;
+  // Where the sender receives views.
+  std::string address;
+  // The sender's clock.
+  instant clock{};
+  // Whose shares the sender holds; zero if none.
+  fencing_token token;
+  // Newest view that the sender applied.
+  std::uint64_t view = 0;
+  config_version configuration;
+  std::uint64_t members_digest = 0;
+  // Revision of the group records that the sender obeys.
+  std::uint64_t groups_revision = 0;
+  share_table_parts shares;
+  std::map<workspace_id, double> demands;
+  // On the sender's clock.
+  std::map<std::string, dated_position> positions;
+  std::vector<member_sight> sights;
+  bool leaving = false;
+};
+
+// What the coordinator tells one instance. Ages are counted from the reads of the store to the
+// moment the view was made.
+struct fleet_view
+{
+  instance_id holder;
+  fencing_token token;
+  std::uint64_t view = 0;
+  incarnation_id incarnation;
+  // The receiver's clock in its newest report.
+  instant echo_clock{};
+  config_version configuration;
+  std::optional<duration> configuration_age;
+  std::uint64_t groups_revision = 0;
+  std::optional<duration> groups_age;
+  std::vector<group_record> groups;
+  std::uint64_t members_digest = 0;
+  std::optional<duration> members_age;
+  std::optional<std::vector<listed_member>> members;
+  // Empty if the sender's lease has run out: the receiver's shares live no longer than they do.
+  std::optional<share_table_parts> shares;
+  // Ages instead of instants: `seen` counts from zero.
+  std::map<std::string, std::pair<log_point, duration>> positions;
+  std::uint32_t instances = 0;
+  bool registered = false;
+  bool released = false;
+};
+
+// Digest of a members' list, so that it is sent only when it changed.
+std::uint64_t
+digest_of(const std::vector<listed_member>& members);
+
+}
--- a/Source/Proxy/link_dispatcher.cxx
+++ b/Source/Proxy/link_dispatcher.cxx
@@ -76,9 +76,11 @@
 }
 
 bool
-link_dispatcher::unreachable(const member_id& id) const
+link_dispatcher::reached(const member_id& id) const
 {
-  return failing_since(id).has_value();
+  return std::any_of(links_.begin(), links_.end(), [&](const auto& entry) {
+    return entry.second->member == id && entry.second->state != member_link::link_state::opening;
+  });
 }
 
 std::optional<instant>
--- a/Source/Proxy/link_dispatcher.h
+++ b/Source/Proxy/link_dispatcher.h
@@ -92,10 +92,10 @@
   const std::map<member_id, listed_member>& members() const { return members_; }
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t link_count() const { return links_.size(); }
-  // True if the last attempts to connect to the member failed.
-  bool unreachable(const member_id& id) const;
   // Time since which every attempt failed; empty if the member answers.
   std::optional<instant> failing_since(const member_id& id) const;
+  // True if there is an open connection to the member.
+  bool reached(const member_id& id) const;
 
 private:
   struct waiting_request
--- a/Source/ProxyNode/caller_connection.cxx
+++ b/Source/ProxyNode/caller_connection.cxx
@@ -138,9 +138,9 @@
 }
 
 bool
-caller_connection::in_transaction() const
+caller_connection::resting() const
 {
-  return session_ && session_->state() != transaction_state::idle;
+  return !session_ || !session_->busy();
 }
 
 void
--- a/Source/ProxyNode/caller_connection.h
+++ b/Source/ProxyNode/caller_connection.h
@@ -31,7 +31,8 @@
 
   // True if no statement is in flight and no transaction is open.
   bool idle() const;
-  bool in_transaction() const;
+  // True if no statement is in flight.
+  bool resting() const;
 
   // Closes towards the caller and gives back what the session holds.
   void close();
--- /dev/null
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -0,0 +1,376 @@
+#include "ProxyNode/fleet_messages.h"
+
+#include "Base/json_fields.h"
+#include "FleetWire/fleet.pb.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <limits>
+
+namespace persimmonshelf {
+
+namespace {
+
+// First byte of a datagram.
+constexpr char report_mark = 'r';
+constexpr char view_mark = 'v';
+// In the messages an age that is not known.
+constexpr std::uint64_t no_age = std::numeric_limits<std::uint64_t>::max();
+constexpr auto unreadable = result_code::malformed_answer;
+
+std::uint64_t
+to_us(duration time)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
+}
+
+duration
+from_us(std::uint64_t time)
+{
+  return duration(static_cast<std::int64_t>(time));
+}
+
+std::uint64_t
+to_us(instant time)
+{
+  return to_us(time.time_since_epoch());
+}
+
+std::uint64_t
+age_to_us(const std::optional<duration>& age)
+{
+  return age ? to_us(*age) : no_age;
+}
+
+std::optional<duration>
+age_from_us(std::uint64_t age)
+{
+  return age == no_age ? std::nullopt : std::optional<duration>(from_us(age));
+}
+
+template<typename message>
+void
+add_shares(const share_table_parts& shares, message& to)
+{
+  for (const auto& [workspace, parts] : shares) {
+    auto* entry = to.add_shares();
+    entry->set_workspace(workspace.get());
+    entry->set_parts(parts);
+  }
+}
+
+template<typename message>
+share_table_parts
+read_shares(const message& from)
+{
+  share_table_parts shares;
+  for (const auto& entry : from.shares()) {
+    shares[workspace_id(entry.workspace())] = entry.parts();
+  }
+  return shares;
+}
+
+void
+write_member(const listed_member& member, fleet_wire::member_entry& to)
+{
+  to.set_id(member.id.get());
+  to.set_group(member.group);
+  to.set_address(member.address);
+  to.set_zone(member.zone.get());
+  to.set_draining(member.draining);
+  to.set_says_primary(member.says_primary);
+  to.set_slots(member.slots);
+  to.set_warmup_left_ms(static_cast<std::uint32_t>(to_us(member.warmup_left) / 1000));
+  to.set_started_at_ms(member.started_at_ms);
+}
+
+listed_member
+read_member(const fleet_wire::member_entry& from)
+{
+  listed_member member;
+  member.id = member_id(from.id());
+  member.group = from.group();
+  member.address = from.address();
+  member.zone = zone_id(from.zone());
+  member.draining = from.draining();
+  member.says_primary = from.says_primary();
+  member.slots = from.slots();
+  member.warmup_left = std::chrono::milliseconds(from.warmup_left_ms());
+  member.started_at_ms = from.started_at_ms();
+  return member;
+}
+
+instance_report
+read_report(const fleet_wire::instance_report& from)
+{
+  instance_report report;
+  report.instance = instance_id(from.instance());
+  report.zone = zone_id(from.zone());
+  report.incarnation = incarnation_id(from.incarnation());
+  report.address = from.address();
+  report.clock = instant(from_us(from.clock_us()));
+  report.token = fencing_token(from.token());
+  report.view = from.view();
+  report.configuration = config_version(from.configuration_version());
+  report.members_digest = from.members_digest();
+  report.groups_revision = from.groups_revision();
+  report.shares = read_shares(from);
+  for (const auto& entry : from.demands()) {
+    report.demands[workspace_id(entry.workspace())] = entry.per_second();
+  }
+  for (const auto& entry : from.positions()) {
+    report.positions[entry.group()] = { { term(entry.term()), log_position(entry.number()) },
+                                        report.clock - from_us(entry.age_us()) };
+  }
+  for (const auto& entry : from.sights()) {
+    report.sights.push_back({ member_id(entry.member()), from_us(entry.failing_us()) });
+  }
+  report.leaving = from.leaving();
+  return report;
+}
+
+fleet_view
+read_view(const fleet_wire::fleet_view& from)
+{
+  fleet_view view;
+  view.holder = instance_id(from.holder());
+  view.token = fencing_token(from.token());
+  view.view = from.view();
+  view.incarnation = incarnation_id(from.incarnation());
+  view.echo_clock = instant(from_us(from.echo_clock_us()));
+  view.configuration = config_version(from.configuration_version());
+  view.configuration_age = age_from_us(from.configuration_age_us());
+  view.groups_revision = from.groups_revision();
+  view.groups_age = age_from_us(from.groups_age_us());
+  for (const auto& entry : from.groups()) {
+    view.groups.push_back({ entry.group(),
+                            member_id(entry.primary()),
+                            entry.changing(),
+                            entry.stepped_down(),
+                            term(entry.term()) });
+  }
+  view.members_digest = from.members_digest();
+  view.members_age = age_from_us(from.members_age_us());
+  if (from.members_size() > 0) {
+    view.members.emplace();
+    for (const auto& entry : from.members()) {
+      view.members->push_back(read_member(entry));
+    }
+  }
+  if (from.grants_shares()) {
+    view.shares = read_shares(from);
+  }
+  for (const auto& entry : from.positions()) {
+    view.positions[entry.group()] = { { term(entry.term()), log_position(entry.number()) },
+                                      from_us(entry.age_us()) };
+  }
+  view.instances = from.instances();
+  view.registered = from.registered();
+  view.released = from.released();
+  return view;
+}
+
+std::string
+marked(char mark, const google::protobuf::MessageLite& message)
+{
+  std::string bytes(1, mark);
+  message.AppendToString(&bytes);
+  return bytes;
+}
+
+}
+
+std::string
+encode_report(const instance_report& report)
+{
+  fleet_wire::instance_report to;
+  to.set_instance(report.instance.get());
+  to.set_zone(report.zone.get());
+  to.set_incarnation(report.incarnation.get());
+  to.set_address(report.address);
+  to.set_clock_us(to_us(report.clock));
+  to.set_token(report.token.get());
+  to.set_view(report.view);
+  to.set_configuration_version(report.configuration.get());
+  to.set_members_digest(report.members_digest);
+  to.set_groups_revision(report.groups_revision);
+  add_shares(report.shares, to);
+  for (const auto& [workspace, demand] : report.demands) {
+    auto* entry = to.add_demands();
+    entry->set_workspace(workspace.get());
+    entry->set_per_second(static_cast<float>(demand));
+  }
+  for (const auto& [group, position] : report.positions) {
+    auto* entry = to.add_positions();
+    entry->set_group(group);
+    entry->set_term(position.position.in_term.get());
+    entry->set_number(position.position.position.get());
+    entry->set_age_us(to_us(report.clock - position.seen));
+  }
+  for (const auto& sight : report.sights) {
+    auto* entry = to.add_sights();
+    entry->set_member(sight.member.get());
+    entry->set_failing_us(to_us(sight.failing));
+  }
+  to.set_leaving(report.leaving);
+  return marked(report_mark, to);
+}
+
+std::string
+encode_view(const fleet_view& view)
+{
+  fleet_wire::fleet_view to;
+  to.set_holder(view.holder.get());
+  to.set_token(view.token.get());
+  to.set_view(view.view);
+  to.set_incarnation(view.incarnation.get());
+  to.set_echo_clock_us(to_us(view.echo_clock));
+  to.set_configuration_version(view.configuration.get());
+  to.set_configuration_age_us(age_to_us(view.configuration_age));
+  to.set_groups_revision(view.groups_revision);
+  to.set_groups_age_us(age_to_us(view.groups_age));
+  for (const auto& record : view.groups) {
+    auto* entry = to.add_groups();
+    entry->set_group(record.group);
+    entry->set_primary(record.primary.get());
+    entry->set_changing(record.changing);
+    entry->set_stepped_down(record.stepped_down);
+    entry->set_term(record.in_term.get());
+  }
+  to.set_members_digest(view.members_digest);
+  to.set_members_age_us(age_to_us(view.members_age));
+  if (view.members) {
+    for (const auto& member : *view.members) {
+      write_member(member, *to.add_members());
+    }
+  }
+  if (view.shares) {
+    to.set_grants_shares(true);
+    add_shares(*view.shares, to);
+  }
+  for (const auto& [group, position] : view.positions) {
+    auto* entry = to.add_positions();
+    entry->set_group(group);
+    entry->set_term(position.first.in_term.get());
+    entry->set_number(position.first.position.get());
+    entry->set_age_us(to_us(position.second));
+  }
+  to.set_instances(view.instances);
+  to.set_registered(view.registered);
+  to.set_released(view.released);
+  return marked(view_mark, to);
+}
+
+fleet_datagram
+decode_datagram(std::string_view bytes)
+{
+  fleet_datagram datagram;
+  if (bytes.empty()) {
+    return datagram;
+  }
+  const auto size = static_cast<int>(bytes.size() - 1);
+  if (bytes.front() == report_mark) {
+    fleet_wire::instance_report report;
+    if (report.ParseFromArray(bytes.data() + 1, size)) {
+      datagram.report = read_report(report);
+    }
+  } else if (bytes.front() == view_mark) {
+    fleet_wire::fleet_view view;
+    if (view.ParseFromArray(bytes.data() + 1, size)) {
+      datagram.view = read_view(view);
+    }
+  }
+  return datagram;
+}
+
+std::string
+encode_coordinator(const coordinator_row& row)
+{
+  return boost::json::serialize(
+    boost::json::object{ { "holder", row.holder.get() },
+                         { "incarnation", std::to_string(row.incarnation.get()) },
+                         { "token", row.token.get() },
+                         { "address", row.address },
+                         { "renewal", row.renewal } });
+}
+
+namespace {
+
+result<incarnation_id>
+incarnation_field(json_fields& fields)
+{
+  BOOST_OUTCOME_TRY(const auto text, fields.text("incarnation"));
+  // Incarnations use all 64 bits, which JSON numbers do not carry.
+  char* end = nullptr;
+  const auto value = std::strtoull(text.c_str(), &end, 10);
+  if (text.empty() || *end != '\0') {
+    return fail(unreadable, fields.place() + ".incarnation: \"" + text + "\" is no number");
+  }
+  return incarnation_id(value);
+}
+
+}
+
+result<coordinator_row>
+decode_coordinator(std::string_view text)
+{
+  BOOST_OUTCOME_TRY(const auto value, parse_json(text, unreadable));
+  BOOST_OUTCOME_TRY(auto fields, json_fields::create(value, "coordinator", unreadable));
+  coordinator_row row;
+  BOOST_OUTCOME_TRY(const auto holder, fields.text("holder"));
+  row.holder = instance_id(holder);
+  BOOST_OUTCOME_TRY(row.incarnation, incarnation_field(fields));
+  BOOST_OUTCOME_TRY(const auto token,
+                    fields.integer("token", 0, std::numeric_limits<std::int64_t>::max()));
+  row.token = fencing_token(static_cast<std::uint64_t>(token));
+  BOOST_OUTCOME_TRY(row.address, fields.text("address"));
+  BOOST_OUTCOME_TRY(const auto renewal,
+                    fields.integer("renewal", 0, std::numeric_limits<std::int64_t>::max()));
+  row.renewal = static_cast<std::uint64_t>(renewal);
+  return row;
+}
+
+std::string
+encode_group(const group_record& record)
+{
+  return boost::json::serialize(boost::json::object{ { "group", record.group },
+                                                     { "primary", record.primary.get() },
+                                                     { "changing", record.changing },
+                                                     { "stepped_down", record.stepped_down },
+                                                     { "term", record.in_term.get() } });
+}
+
+result<group_record>
+decode_group(std::string_view text)
+{
+  BOOST_OUTCOME_TRY(const auto value, parse_json(text, unreadable));
+  BOOST_OUTCOME_TRY(auto fields, json_fields::create(value, "group", unreadable));
+  group_record record;
+  BOOST_OUTCOME_TRY(record.group, fields.text("group"));
+  BOOST_OUTCOME_TRY(const auto primary, fields.text("primary"));
+  record.primary = member_id(primary);
+  BOOST_OUTCOME_TRY(record.changing, fields.boolean_or("changing", true));
+  BOOST_OUTCOME_TRY(record.stepped_down, fields.boolean_or("stepped_down", false));
+  BOOST_OUTCOME_TRY(const auto number,
+                    fields.integer("term", 0, std::numeric_limits<std::int64_t>::max()));
+  record.in_term = term(static_cast<std::uint64_t>(number));
+  return record;
+}
+
+std::string
+encode_instance(incarnation_id incarnation)
+{
+  return boost::json::serialize(
+    boost::json::object{ { "incarnation", std::to_string(incarnation.get()) } });
+}
+
+result<incarnation_id>
+decode_instance(std::string_view text)
+{
+  BOOST_OUTCOME_TRY(const auto value, parse_json(text, unreadable));
+  BOOST_OUTCOME_TRY(auto fields, json_fields::create(value, "instance", unreadable));
+  return incarnation_field(fields);
+}
+
+}
--- /dev/null
+++ b/Source/ProxyNode/fleet_participant.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "Proxy/coordinator.h"
+#include "Proxy/coordinator_lease.h"
+#include "Proxy/fleet_knowledge.h"
+#include "Proxy/freshness.h"
+#include "Proxy/rate_limiter.h"
+#include "ProxyNode/decision_log.h"
+#include "ProxyNode/member_asker.h"
+#include "ProxyNode/node_settings.h"
+#include "ProxyNode/store_access.h"
+#include "ProxyNode/store_follower.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmonshelf {
+
+// This instance's part in the fleet: it reports to the coordinator and learns from its views, reads
+// the store by itself while no views come, registers itself, and takes the duty of coordinator when
+// nobody holds it.
+class fleet_participant
+{
+public:
+  struct hooks
+  {
+    // Members, configuration or leadership changed.
+    std::function<void()> changed;
+    std::function<std::vector<member_sight>()> sights;
+  };
+
+  fleet_participant(boost::asio::io_context& context,
+                    const node_settings& settings,
+                    fleet_knowledge& knowledge,
+                    freshness& positions,
+                    rate_limiter& limiter,
+                    decision_log& log,
+                    hooks calls);
+
+  // Fails with address_unavailable if the datagram address cannot be bound.
+  result<void> start();
+  void tick(instant now);
+  // Gives up the duty; goes on reporting that it leaves.
+  void leave();
+
+  // Live instances as the coordinator counts them; zero if no view came.
+  std::uint32_t instances() const { return instances_; }
+  bool coordinates() const { return coordinator_ != nullptr; }
+  std::uint64_t store_calls() const { return store_.call_count() + duties_.call_count(); }
+
+private:
+  void receive();
+  void take_datagram(std::string_view bytes);
+  void send(const std::string& address, const std::string& bytes);
+  void send_report(instant now);
+  void apply_view(const fleet_view& view);
+  void learn_configuration(const std::map<std::string, platform::store_row>& rows, instant as_of);
+  void learn_members(const std::map<std::string, platform::store_row>& rows, instant as_of);
+  void learn_fleet(const std::map<std::string, platform::store_row>& rows,
+                   std::uint64_t revision,
+                   instant as_of);
+  void register_self(instant now);
+  void remove_vanished(instant now);
+  void write_lease(const coordinator_row& row, std::uint64_t expected);
+  void write_record(const group_record& record,
+                    std::function<void(bool written, std::uint64_t revision)> done);
+  coordinator_lease::write_outcome lease_outcome(const store_reply& reply,
+                                                 std::uint64_t& revision) const;
+  void promote(const std::string& group,
+               const member_id& member,
+               std::function<void(promote_outcome)> done);
+  void duty_changed(bool holding, const std::string& reason);
+  void start_coordinating(instant now);
+  void choose_sources(instant now);
+  bool list_is_sound(instant now) const;
+
+  boost::asio::io_context& context_;
+  const node_settings& settings_;
+  fleet_knowledge& knowledge_;
+  freshness& positions_;
+  rate_limiter& limiter_;
+  decision_log& log_;
+  hooks hooks_;
+  incarnation_id incarnation_;
+  std::string address_;
+  store_access store_;
+  store_access duties_;
+  table_follower configuration_rows_;
+  table_follower member_rows_;
+  table_follower fleet_rows_;
+  member_asker asker_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::vector<char> buffer_;
+  coordinator_lease lease_;
+  std::unique_ptr<coordinator> coordinator_;
+  // Former duties whose calls may still be answered, with the time from which none can be.
+  std::vector<std::pair<instant, std::unique_ptr<coordinator>>> retired_;
+  std::map<instance_id, incarnation_id> registered_;
+  bool fleet_read_ = false;
+  bool shares_known_ = false;
+  std::string coordinator_address_;
+  fencing_token token_;
+  std::uint64_t view_ = 0;
+  instant last_view_{};
+  instant last_report_{};
+  instant last_registration_{};
+  instant last_removal_{};
+  instant list_failed_{};
+  std::uint64_t members_digest_ = 0;
+  std::uint32_t instances_ = 0;
+  config_version wanted_configuration_;
+  bool registered_in_view_ = true;
+  bool leaving_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/ProxyNode/member_asker.cxx
@@ -0,0 +1,92 @@
+#include "ProxyNode/member_asker.h"
+
+#include "platform/line_protocol.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// For connecting, the wait for a slot and the answer.
+constexpr duration ask_timeout = std::chrono::milliseconds(450);
+
+// One question; ends with the answer, the connection or the timer, whichever comes first.
+struct question
+{
+  std::function<void(std::optional<member_status>)> done;
+  std::shared_ptr<member_connection> connection;
+  std::unique_ptr<boost::asio::steady_timer> timer;
+
+  void finish(std::optional<member_status> status)
+  {
+    if (!done) {
+      return;
+    }
+    const auto report = std::exchange(done, {});
+    timer->cancel();
+    if (connection) {
+      connection->abandon();
+    }
+    report(status);
+  }
+};
+
+std::optional<member_status>
+status_of(const member_reply& reply)
+{
+  if (reply.lost || reply.answer.error || reply.answer.rows.empty()) {
+    return std::nullopt;
+  }
+  const auto parsed = platform::parse_member_status(reply.answer.rows.front());
+  return parsed ? std::optional<member_status>(parsed.value()) : std::nullopt;
+}
+
+}
+
+member_asker::member_asker(boost::asio::io_context& context)
+  : context_(context)
+{
+}
+
+void
+member_asker::ask(const listed_member& member,
+                  const member_command& command,
+                  std::function<void(std::optional<member_status>)> done)
+{
+  const auto asked = std::make_shared<question>();
+  asked->done = std::move(done);
+  asked->timer = std::make_unique<boost::asio::steady_timer>(context_);
+  asked->timer->expires_after(ask_timeout);
+  asked->timer->async_wait([asked](const boost::system::error_code& cancelled) {
+    if (!cancelled) {
+      asked->finish(std::nullopt);
+    }
+  });
+  std::weak_ptr<question> weak = asked;
+  asked->connection =
+    member_connection::create(context_,
+                              { member.address, member.group, "", member.id.get() },
+                              { [weak, command] {
+                                 const auto open = weak.lock();
+                                 if (!open || !open->connection) {
+                                   return;
+                                 }
+                                 open->connection->send(command, [weak](const member_reply& reply) {
+                                   if (const auto current = weak.lock()) {
+                                     current->finish(status_of(reply));
+                                   }
+                                 });
+                               },
+                                [weak](bool, const std::string&) {
+                                  if (const auto open = weak.lock()) {
+                                    open->finish(std::nullopt);
+                                  }
+                                } });
+  asked->connection->open(ask_timeout);
+}
+
+}
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -4,13 +4,12 @@
 #include "Proxy/fleet_knowledge.h"
 #include "Proxy/freshness.h"
 #include "Proxy/link_dispatcher.h"
+#include "Proxy/rate_limiter.h"
 #include "ProxyNode/boot_clock.h"
 #include "ProxyNode/caller_connection.h"
 #include "ProxyNode/decision_log.h"
+#include "ProxyNode/fleet_participant.h"
 #include "ProxyNode/member_connection.h"
-#include "ProxyNode/store_access.h"
-#include "ProxyNode/store_follower.h"
-#include "platform/store_format.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -34,8 +33,14 @@
 constexpr duration link_open_timeout = std::chrono::milliseconds(900);
 // Key evidence ends this long before the bound, for the way of the statement to the member.
 constexpr duration key_margin = std::chrono::milliseconds(250);
-// The store answers a held call after this time at the latest; evidence is that fresh.
-constexpr duration store_hold = std::chrono::milliseconds(1000);
+// Sessions are closed from this long after the order to stop: by then two readiness probes failed
+// and no new ones arrive.
+constexpr duration stop_notice = std::chrono::milliseconds(2300);
+// The process ends this long before the platform would kill it.
+constexpr duration stop_margin = std::chrono::milliseconds(400);
+// Connections of a member that stay free for replacements: a killed instance's connections count
+// until the member drops them.
+constexpr std::uint32_t spare_connections = 2;
 
 }
 
@@ -53,19 +58,19 @@
   session_hooks hooks_for_session();
   void open_link(const member_link& link, const listed_member& member);
   void close_link(link_number number);
-  void learn_configuration(const std::map<std::string, platform::store_row>& rows, instant as_of);
-  void learn_members(const std::map<std::string, platform::store_row>& rows, instant as_of);
+  void fleet_changed();
+  std::vector<member_sight> sights() const;
+  void wait_for_signal();
+  void drain(instant now);
 
   node_settings settings;
   boost::asio::io_context context;
   decision_log log;
-  store_access store;
   fleet_knowledge knowledge;
   freshness positions;
+  rate_limiter limiter;
   link_dispatcher links;
-  table_follower configuration_rows;
-  table_follower member_rows;
-  table_follower own_rows;
+  fleet_participant fleet;
   std::map<link_number, std::shared_ptr<member_connection>> connections;
   std::set<std::shared_ptr<caller_connection>> callers;
   tcp::acceptor acceptor;
@@ -80,43 +85,19 @@
   : settings(own)
   , context(1)
   , log(own.name.get())
-  , store(context, own.store)
   , knowledge({ own.key_revocation - key_margin, lead_send_limit, lead_answer_limit })
   , links(
       { [this](const member_link& link, const listed_member& member) { open_link(link, member); },
         [this](link_number number) { close_link(number); },
         [this](const std::string& group) { return knowledge.leader(group, boot_now()); } },
       own.zone)
-  , configuration_rows(context,
-                       store,
-                       std::string(platform::configuration_table),
-                       store_hold,
-                       true,
-                       { [this](const auto& rows, std::uint64_t, instant as_of) {
-                          learn_configuration(rows, as_of);
-                        },
-                         [this](bool reachable, const std::string& reason) {
-                           log.write(
-                             "store_configuration",
-                             { { "reachable", reachable ? "yes" : "no" }, { "reason", reason } });
-                         } })
-  , member_rows(
-      context,
-      store,
-      std::string(platform::members_table),
-      store_hold,
-      false,
-      { [this](const auto& rows, std::uint64_t, instant as_of) { learn_members(rows, as_of); },
-        [](bool, const std::string&) {} })
-  , own_rows(context,
-             store,
-             "persimmonshelf",
-             store_hold,
-             true,
-             { [this](const auto&, std::uint64_t revision, instant as_of) {
-                knowledge.learn_groups({}, revision, as_of);
-              },
-               [](bool, const std::string&) {} })
+  , fleet(context,
+          settings,
+          knowledge,
+          positions,
+          limiter,
+          log,
+          { [this] { fleet_changed(); }, [this] { return sights(); } })
   , acceptor(context)
   , timer(context)
   , signals(context)
@@ -153,7 +134,7 @@
         response.status = ready() ? 200 : 503;
         send(std::move(response));
       }));
-  return success();
+  return fleet.start();
 }
 
 bool
@@ -168,17 +149,60 @@
 {
   signals.add(SIGTERM);
   signals.add(SIGHUP);
+  wait_for_signal();
+  accept();
+  tick();
+  log.write("start", { { "zone", settings.zone.get() } });
+}
+
+void
+proxy_node::state::wait_for_signal()
+{
   signals.async_wait([this](const boost::system::error_code& cancelled, int number) {
-    if (!cancelled && number == SIGTERM) {
+    if (cancelled) {
+      return;
+    }
+    if (number == SIGTERM && !stopping) {
       stop();
+    } else if (number == SIGHUP) {
+      log.write("reload", { { "detail", "addresses and bounds are read at start only" } });
     }
+    wait_for_signal();
   });
-  configuration_rows.set_active(true);
-  member_rows.set_active(true);
-  own_rows.set_active(true);
-  accept();
-  tick();
-  log.write("start", { { "zone", settings.zone.get() } });
+}
+
+void
+proxy_node::state::fleet_changed()
+{
+  const auto now = boot_now();
+  const auto instances = std::max<std::uint32_t>(1, fleet.instances());
+  for (const auto& group : knowledge.configuration().configuration().groups) {
+    if (group.max_connections > spare_connections && fleet.instances() > 0) {
+      const auto limit = (group.max_connections - spare_connections) / instances;
+      links.set_link_limit(group.name, std::max<std::uint32_t>(1, limit));
+    }
+  }
+  links.set_members(knowledge.members(), now);
+}
+
+std::vector<member_sight>
+proxy_node::state::sights() const
+{
+  const auto now = boot_now();
+  std::vector<member_sight> seen;
+  for (const auto& group : knowledge.configuration().configuration().groups) {
+    const auto leader = knowledge.leader(group.name, now);
+    if (!leader) {
+      continue;
+    }
+    const auto failing = links.failing_since(leader->member);
+    if (failing) {
+      seen.push_back({ leader->member, now - *failing });
+    } else if (links.reached(leader->member)) {
+      seen.push_back({ leader->member, duration::zero() });
+    }
+  }
+  return seen;
 }
 
 void
@@ -207,11 +231,15 @@
 proxy_node::state::tick()
 {
   const auto now = boot_now();
+  fleet.tick(now);
   links.tick(now);
   const auto current = callers;
   for (const auto& caller : current) {
     caller->tick(now);
   }
+  if (stopping) {
+    drain(now);
+  }
   timer.expires_after(tick_period);
   timer.async_wait([this](const boost::system::error_code& cancelled) {
     if (!cancelled) {
@@ -224,8 +252,31 @@
 proxy_node::state::stop()
 {
   stopping = true;
-  log.write("stop", {});
-  context.stop();
+  stop_began = boot_now();
+  fleet.leave();
+  log.write("stop", { { "callers", std::to_string(callers.size()) } });
+}
+
+// Closes sessions that rest, first those without a transaction, and ends the process once none is
+// left or the time is up.
+void
+proxy_node::state::drain(instant now)
+{
+  const auto elapsed = now - stop_began;
+  if (elapsed < stop_notice) {
+    return;
+  }
+  const bool transactions_too = elapsed > settings.stop_grace / 2 + std::chrono::milliseconds(500);
+  const auto current = callers;
+  for (const auto& caller : current) {
+    if (caller->idle() || (transactions_too && caller->resting())) {
+      caller->close();
+    }
+  }
+  if (callers.empty() || elapsed > settings.stop_grace - stop_margin) {
+    log.write("stopped", { { "callers", std::to_string(callers.size()) } });
+    context.stop();
+  }
 }
 
 session_hooks
@@ -236,7 +287,9 @@
     return knowledge.configuration();
   };
   hooks.key_evidence_missing = [this] { return knowledge.key_evidence_missing(boot_now()); };
-  hooks.refuse_operation = [](const workspace_id&) { return std::optional<duration>(); };
+  hooks.refuse_operation = [this](const workspace_id& workspace) {
+    return limiter.refuse(workspace, boot_now());
+  };
   hooks.acquire = [this](link_request request,
                          link_dispatcher::grant_handler granted,
                          link_dispatcher::refuse_handler refused) {
@@ -312,50 +365,6 @@
   connection->abandon();
 }
 
-void
-proxy_node::state::learn_configuration(const std::map<std::string, platform::store_row>& rows,
-                                       instant as_of)
-{
-  const auto row = rows.find(std::string(platform::configuration_key));
-  if (row == rows.end()) {
-    return;
-  }
-  auto parsed = platform::parse_configuration(row->second.value);
-  if (!parsed) {
-    log.write("configuration_unreadable", { { "reason", parsed.error().message } });
-    return;
-  }
-  const auto version = parsed.value().version;
-  const auto held = knowledge.configuration().configuration().version;
-  if (!knowledge.learn_configuration(std::move(parsed.value()), as_of)) {
-    log.write("configuration_older", { { "version", std::to_string(version.get()) } });
-    return;
-  }
-  if (version != held) {
-    log.write("configuration",
-              { { "version", std::to_string(version.get()) },
-                { "revision", std::to_string(row->second.revision) } });
-  }
-}
-
-void
-proxy_node::state::learn_members(const std::map<std::string, platform::store_row>& rows,
-                                 instant as_of)
-{
-  std::vector<listed_member> members;
-  for (const auto& [key, row] : rows) {
-    auto parsed = platform::parse_member_row(row);
-    if (!parsed) {
-      log.write("member_unreadable", { { "reason", parsed.error().message } });
-      continue;
-    }
-    members.push_back(std::move(parsed.value()));
-  }
-  if (knowledge.learn_members(members, as_of)) {
-    links.set_members(knowledge.members(), boot_now());
-  }
-}
-
 result<std::unique_ptr<proxy_node>>
 proxy_node::create(const node_settings& settings)
 {
--- a/Tests/Group/state_chart_test.cxx
+++ b/Tests/Group/state_chart_test.cxx
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "Group/state_chart.h"
+#include "Base/state_chart.h"
 
 using namespace persimmonshelf;
 
