proxy: Draw tokens from one pool instead of splitting rates by past demand

Cause of the refusals: callers move between instances, so the share of an instance says little about its next second.

--- /dev/null
+++ b/Source/Proxy/admission.cxx
@@ -0,0 +1,81 @@
+#include "Proxy/admission.h"
+
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Longest wait for the pool: a few round trips between zones, and little of any response time.
+constexpr duration ask_limit = std::chrono::milliseconds(60);
+
+}
+
+admission::admission(rate_limiter& limiter, std::function<void()> ask)
+  : limiter_(limiter)
+  , ask_(std::move(ask))
+{
+}
+
+void
+admission::admit(const workspace_id& workspace, handler done, instant now)
+{
+  switch (limiter_.take(workspace, true, now)) {
+    case rate_limiter::verdict::granted:
+      done(std::nullopt);
+      return;
+    case rate_limiter::verdict::refused:
+      done(limiter_.retry_after(workspace, now));
+      return;
+    case rate_limiter::verdict::ask:
+      waiting_.push_back({ workspace, std::move(done), now + ask_limit });
+      ask_();
+      return;
+  }
+}
+
+void
+admission::serve(instant now, bool refuse_all_expired)
+{
+  auto operations = std::exchange(waiting_, {});
+  for (auto& operation : operations) {
+    const auto verdict = limiter_.take(operation.workspace, false, now);
+    if (verdict == rate_limiter::verdict::granted) {
+      operation.done(std::nullopt);
+    } else if (verdict == rate_limiter::verdict::refused ||
+               (refuse_all_expired && now >= operation.expiry)) {
+      operation.done(limiter_.retry_after(operation.workspace, now));
+    } else {
+      waiting_.push_back(std::move(operation));
+    }
+  }
+}
+
+void
+admission::granted(instant now)
+{
+  serve(now, false);
+  if (!waiting_.empty()) {
+    ask_();
+  }
+}
+
+void
+admission::tick(instant now)
+{
+  if (!waiting_.empty()) {
+    serve(now, true);
+  }
+}
+
+std::map<workspace_id, double>
+admission::waiting() const
+{
+  std::map<workspace_id, double> waiting;
+  for (const auto& operation : waiting_) {
+    waiting[operation.workspace] += 1;
+  }
+  return waiting;
+}
+
+}
--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -139,9 +139,7 @@
       handle_local(next);
       return;
   }
-  if (start_operation(next)) {
-    run();
-  }
+  start_operation(next);
 }
 
 // Answers what needs no member.
@@ -217,8 +215,8 @@
   return std::nullopt;
 }
 
-// Checks access and limits and sets up the work. False if the statement was answered.
-bool
+// Checks access, sets up the work and has a new operation counted against the limit.
+void
 caller_session::start_operation(const statement& request)
 {
   const proxy_route* route = nullptr;
@@ -230,30 +228,16 @@
                    ? statement_error::unknown_database
                    : (route == nullptr ? statement_error::aborted : statement_error::unknown_key),
                  *reason);
-    return false;
+    return;
   }
   if (!route->open_to_all) {
     if (const auto missing = hooks_->key_evidence_missing()) {
       roll_back_link();
       hooks_->log("key_evidence_missing", request.id, *missing);
       answer_error(statement_error::busy, *missing);
-      return false;
-    }
-  }
-  const bool counted = transaction_ && transaction_->admitted;
-  if (!counted && !workspace_.get().empty()) {
-    if (const auto wait = hooks_->refuse_operation(workspace_)) {
-      hooks_->log("rate_refused", request.id, workspace_.get());
-      answer_error(statement_error::busy,
-                   "rate limit reached, retry after " +
-                     std::to_string(std::chrono::ceil<std::chrono::milliseconds>(*wait).count()) +
-                     " ms");
-      return false;
+      return;
     }
   }
-  if (transaction_) {
-    transaction_->admitted = true;
-  }
   work_.emplace();
   work_->request = request;
   work_->route = transaction_ ? transaction_->route : *route;
@@ -262,8 +246,35 @@
   work_->arrived = hooks_->now();
   const auto limit = work_->route.statement_timeout;
   work_->expiry = work_->arrived + (limit > duration::zero() ? limit : default_statement_timeout);
+  const bool counted = transaction_ && transaction_->admitted;
+  if (counted || workspace_.get().empty()) {
+    admitted(std::nullopt);
+    return;
+  }
+  std::weak_ptr<caller_session*> weak = self_;
+  hooks_->admit(workspace_, [weak](std::optional<duration> refused_for) {
+    const auto self = weak.lock();
+    if (self && (*self)->work_ && (*self)->work_->at == step::waiting_for_admission) {
+      (*self)->admitted(refused_for);
+    }
+  });
+}
+
+void
+caller_session::admitted(std::optional<duration> refused_for)
+{
+  if (refused_for) {
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*refused_for);
+    fail_statement(statement_error::busy,
+                   "rate limit of " + workspace_.get() + " reached, retry after " +
+                     std::to_string(wait.count()) + " ms");
+    return;
+  }
+  if (transaction_) {
+    transaction_->admitted = true;
+  }
   choose_place();
-  return true;
+  run();
 }
 
 // Decides whether the statement, or the transaction that it begins, needs the primary, and which
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Proxy/admission.h"
 #include "Proxy/fleet_configuration.h"
 #include "Proxy/link_dispatcher.h"
 #include "Proxy/member_command.h"
@@ -32,9 +33,8 @@
   std::function<const configuration_index&()> configuration;
   // Empty if requests of keys may run now; otherwise the reason why not.
   std::function<std::optional<std::string>()> key_evidence_missing;
-  // Takes one operation from the workspace's limit. Reports a refusal with the time after which
-  // another attempt may succeed.
-  std::function<std::optional<duration>(const workspace_id&)> refuse_operation;
+  // Takes one operation from the workspace's limit, now or a little later.
+  std::function<void(const workspace_id&, admission::handler)> admit;
   std::function<
     ticket_number(link_request, link_dispatcher::grant_handler, link_dispatcher::refuse_handler)>
     acquire;
@@ -88,6 +88,7 @@
 private:
   enum class step : std::uint8_t
   {
+    waiting_for_admission,
     waiting_for_link,
     preparing_link,
     beginning,
@@ -109,7 +110,7 @@
     proxy_route route;
     bool writes = false;
     bool commits = false;
-    step at = step::waiting_for_link;
+    step at = step::waiting_for_admission;
     instant arrived{};
     instant expiry{};
     bool needs_primary = false;
@@ -125,7 +126,8 @@
   void fail_statement(statement_error error, const std::string& text);
   void handle_local(const statement& request);
   bool is_write(const statement& request) const;
-  bool start_operation(const statement& request);
+  void start_operation(const statement& request);
+  void admitted(std::optional<duration> refused_for);
   std::optional<std::string> refuse_access(const proxy_route*& route);
   void choose_place();
   void acquire();
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -80,7 +80,26 @@
   watch_.report(report, now);
   fence_.report(report);
   shares_.report(report, token_, now);
-  hooks_.send(peer.address, make_view(report.instance, peer));
+  auto view = make_view(report.instance, peer);
+  draw_tokens(report, view);
+  hooks_.send(peer.address, view);
+}
+
+void
+coordinator::draw_tokens(const instance_report& report, fleet_view& view)
+{
+  if (!view.shares) {
+    return;
+  }
+  const auto now = hooks_.now();
+  const auto& workspaces = knowledge_.configuration().configuration().workspaces;
+  pool_.set_workspaces(workspaces, now);
+  for (const auto& workspace : workspaces) {
+    pool_.set_part(workspace.name, shares_.central_part(workspace.name, now), now);
+  }
+  pool_.settle(report, token_);
+  view.grant = ++last_grant_;
+  view.tokens = pool_.draw(report, *view.shares, view.grant, now);
 }
 
 fleet_view
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -6,6 +6,7 @@
 #include "Proxy/freshness.h"
 #include "Proxy/primary_watch.h"
 #include "Proxy/rate_shares.h"
+#include "Proxy/token_pool.h"
 
 #include <functional>
 #include <map>
@@ -71,6 +72,7 @@
   };
 
   fleet_view make_view(const instance_id& instance, const known_peer& to);
+  void draw_tokens(const instance_report& report, fleet_view& view);
   void watch_groups(bool list_is_sound);
   void note_position(const std::string& group, const dated_position& position);
 
@@ -81,6 +83,7 @@
   const freshness& own_positions_;
   hooks hooks_;
   rate_shares shares_;
+  token_pool pool_;
   fence fence_;
   primary_watch watch_;
   instant began_;
@@ -92,6 +95,7 @@
   std::map<std::string, dated_position> positions_;
   std::uint64_t members_digest_ = 0;
   std::uint64_t last_view_ = 0;
+  std::uint64_t last_grant_ = 0;
 };
 
 }
--- a/Source/Proxy/fleet_exchange.h
+++ b/Source/Proxy/fleet_exchange.h
@@ -52,6 +52,13 @@
   std::uint64_t groups_revision = 0;
   share_table_parts shares;
   std::map<workspace_id, double> demands;
+  // Number of the newest grant of tokens that the sender applied, what it used of it, and how many
+  // requests wait for more.
+  std::uint64_t grant = 0;
+  std::map<workspace_id, double> used;
+  std::map<workspace_id, double> waiting;
+  // Time since the report that the newest applied view answers.
+  duration view_age{};
   // On the sender's clock.
   std::map<std::string, dated_position> positions;
   std::vector<member_sight> sights;
@@ -78,6 +85,9 @@
   std::optional<std::vector<listed_member>> members;
   // Empty if the sender's lease has run out: the receiver's shares live no longer than they do.
   std::optional<share_table_parts> shares;
+  // Tokens until the next report; zero if the view grants none.
+  std::uint64_t grant = 0;
+  std::map<workspace_id, double> tokens;
   // Ages instead of instants: `seen` counts from zero.
   std::map<std::string, std::pair<log_point, duration>> positions;
   std::uint32_t instances = 0;
--- a/Source/Proxy/rate_limiter.cxx
+++ b/Source/Proxy/rate_limiter.cxx
@@ -11,6 +11,8 @@
 constexpr double demand_window_s = 1.5;
 // Hint to a caller when nothing is known about the next token.
 constexpr duration unknown_wait = std::chrono::milliseconds(500);
+// Demand that is too small to report.
+constexpr double least_demand = 0.005;
 
 double
 seconds_between(instant from, instant to)
@@ -47,20 +49,48 @@
   }
   shares_ = shares;
   until_ = until;
-  // A smaller share holds fewer tokens.
+}
+
+void
+rate_limiter::set_tokens(const std::map<workspace_id, double>& tokens,
+                         std::uint64_t grant,
+                         instant asked,
+                         instant now)
+{
+  grant_ = grant;
+  pooled_until_ = std::max(pooled_until_, asked + pool_life);
   for (auto& [workspace, bucket] : buckets_) {
-    fill(workspace, bucket, now);
+    const auto found = tokens.find(workspace);
+    // What was left of the former grant at the report went back to the pool, so what was used of it
+    // since then comes out of this one.
+    const double since = bucket.used - bucket.reported;
+    bucket.tokens = (found == tokens.end() ? 0.0 : found->second) - since;
+    bucket.used = since;
+    bucket.reported = 0;
+    bucket.filled = now;
+    bucket.exhausted = bucket.waiting > 0 && bucket.tokens < bucket.waiting;
+    bucket.waiting = 0;
   }
 }
 
+double
+rate_limiter::part_of(const workspace_id& workspace) const
+{
+  const auto found = shares_.find(workspace);
+  return found == shares_.end() ? 0.0 : static_cast<double>(found->second) / whole_share;
+}
+
 void
 rate_limiter::fill(const workspace_id& workspace, workspace_bucket& filled, instant now) const
 {
-  const auto found = shares_.find(workspace);
-  const double part =
-    found == shares_.end() ? 0.0 : static_cast<double>(found->second) / whole_share;
-  const auto end = std::min(now, std::max(filled.filled, until_));
-  filled.tokens += filled.rate * part * seconds_between(filled.filled, end);
+  if (now < pooled_until_) {
+    filled.filled = now;
+    return;
+  }
+  const double part = part_of(workspace);
+  const auto begin = std::max(filled.filled, pooled_until_);
+  const auto end = std::max(begin, std::min(now, until_));
+  filled.tokens += filled.rate * part * seconds_between(begin, end);
   // At least one operation must fit, or a small share could never be used.
   filled.tokens = std::min(filled.tokens, std::max(1.0, filled.burst * part));
   filled.filled = now;
@@ -73,30 +103,40 @@
   measured.measured = now;
 }
 
-std::optional<duration>
-rate_limiter::refuse(const workspace_id& workspace, instant now)
+rate_limiter::verdict
+rate_limiter::take(const workspace_id& workspace, bool counted, instant now)
 {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end()) {
-    ++refused_;
-    return unknown_wait;
+    return verdict::refused;
   }
   auto& bucket = found->second;
-  decay(bucket, now);
-  bucket.demand += 1.0 / demand_window_s;
+  if (counted) {
+    decay(bucket, now);
+    bucket.demand += 1.0 / demand_window_s;
+  }
   fill(workspace, bucket, now);
-  if (now < until_ && bucket.tokens >= 1.0) {
+  if (bucket.tokens >= 1.0 && now < std::max(until_, pooled_until_)) {
     bucket.tokens -= 1.0;
-    return std::nullopt;
+    bucket.used += 1.0;
+    return verdict::granted;
   }
-  ++refused_;
-  const auto share = shares_.find(workspace);
-  if (now >= until_ || share == shares_.end() || bucket.rate <= 0) {
+  return pooled(now) && !bucket.exhausted ? verdict::ask : verdict::refused;
+}
+
+duration
+rate_limiter::retry_after(const workspace_id& workspace, instant now) const
+{
+  const auto found = buckets_.find(workspace);
+  const double rate =
+    found == buckets_.end()
+      ? 0.0
+      : found->second.rate * (pooled(now) ? 1.0 : part_of(workspace));
+  if (rate <= 0) {
     return unknown_wait;
   }
-  const double rate = bucket.rate * share->second / whole_share;
   return std::chrono::duration_cast<duration>(
-    std::chrono::duration<double>((1.0 - bucket.tokens) / rate));
+    std::chrono::duration<double>(std::max(0.0, 1.0 - found->second.tokens) / rate));
 }
 
 std::map<workspace_id, double>
@@ -105,11 +145,26 @@
   std::map<workspace_id, double> demands;
   for (auto& [workspace, bucket] : buckets_) {
     decay(bucket, now);
-    if (bucket.demand > 0.005) {
+    if (bucket.demand > least_demand) {
       demands[workspace] = bucket.demand;
     }
   }
   return demands;
 }
 
+std::map<workspace_id, double>
+rate_limiter::report_used(const std::map<workspace_id, double>& waiting)
+{
+  std::map<workspace_id, double> used;
+  for (auto& [workspace, bucket] : buckets_) {
+    bucket.reported = bucket.used;
+    const auto found = waiting.find(workspace);
+    bucket.waiting = found == waiting.end() ? 0.0 : found->second;
+    if (bucket.used > 0) {
+      used[workspace] = bucket.used;
+    }
+  }
+  return used;
+}
+
 }
--- a/Source/Proxy/rate_shares.cxx
+++ b/Source/Proxy/rate_shares.cxx
@@ -11,6 +11,9 @@
 constexpr double equal_part = 0.2;
 // An instance that was silent this long gets nothing new.
 constexpr duration silence_limit = std::chrono::milliseconds(1500);
+// Instances use their shares once they were out of touch for pool_life; the coordinator counts on
+// that earlier.
+constexpr duration touch_limit = std::chrono::milliseconds(600);
 // Demand below this is taken for none.
 constexpr double least_demand = 0.01;
 
@@ -67,6 +70,7 @@
   holder.heard = now;
   holder.last_clock = report.clock;
   holder.leaving = report.leaving;
+  holder.view_age = report.token == own_token ? report.view_age : duration::max();
   for (auto& [workspace, holding] : holder.holdings) {
     holding.demand = 0;
   }
@@ -93,6 +97,28 @@
   }
 }
 
+bool
+rate_shares::in_touch(const share_holder& holder, instant now)
+{
+  return now - holder.heard < touch_limit && holder.view_age < touch_limit;
+}
+
+double
+rate_shares::central_part(const workspace_id& workspace, instant now) const
+{
+  double near = 0;
+  double far = 0;
+  for (const auto& [instance, holder] : holders_) {
+    const auto found = holder.holdings.find(workspace);
+    if (found == holder.holdings.end()) {
+      continue;
+    }
+    (in_touch(holder, now) ? near : far) += std::max(found->second.held, found->second.granted);
+  }
+  const double parts = everything_known(now) ? whole_share - far : near;
+  return std::clamp(parts / whole_share, 0.0, 1.0);
+}
+
 void
 rate_shares::expire(instant now)
 {
--- a/Source/Proxy/rate_shares.h
+++ b/Source/Proxy/rate_shares.h
@@ -34,6 +34,10 @@
   // Shares to send with view number `view`; counted as held until confirmed lower.
   share_table_parts grant(const instance_id& instance, std::uint64_t view, instant now);
 
+  // Part of the workspace's rate that no instance may use on its own at `now`: all but the shares
+  // of instances that are out of touch, or that are not known.
+  double central_part(const workspace_id& workspace, instant now) const;
+
 private:
   struct workspace_holding
   {
@@ -51,9 +55,11 @@
     std::uint64_t last_view = 0;
     instant last_grant{};
     bool leaving = false;
+    duration view_age = duration::max();
     std::map<workspace_id, workspace_holding> holdings;
   };
 
+  static bool in_touch(const share_holder& holder, instant now);
   void expire(instant now);
   bool everything_known(instant now) const;
   double wanted(const workspace_id& workspace, const share_holder& of, instant now) const;
--- /dev/null
+++ b/Source/Proxy/token_pool.cxx
@@ -0,0 +1,110 @@
+#include "Proxy/token_pool.h"
+
+#include <algorithm>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Part of the pool that is handed out ahead of demand; the rest answers those who run out.
+constexpr double ahead_part = 0.5;
+// Tokens beyond the waiting requests that an instance gets, so that it does not ask for each.
+constexpr double spare_tokens = 1.0;
+
+}
+
+void
+token_pool::set_workspaces(const std::vector<proxy_workspace>& workspaces, instant now)
+{
+  std::map<workspace_id, workspace_pool> next;
+  for (const auto& workspace : workspaces) {
+    auto& kept = next[workspace.name];
+    if (const auto found = pools_.find(workspace.name); found != pools_.end()) {
+      kept = found->second;
+      fill(kept, now);
+    } else {
+      // Empty: tokens that callers used before are not known.
+      kept.filled = now;
+    }
+    kept.rate = workspace.rate_per_s;
+    kept.burst = workspace.burst;
+  }
+  pools_ = std::move(next);
+}
+
+void
+token_pool::fill(workspace_pool& filled, instant now)
+{
+  const double elapsed = std::max(0.0, std::chrono::duration<double>(now - filled.filled).count());
+  filled.filled = now;
+  filled.level = std::min(filled.burst * filled.part, filled.level + filled.rate * filled.part * elapsed);
+}
+
+void
+token_pool::set_part(const workspace_id& workspace, double part, instant now)
+{
+  const auto found = pools_.find(workspace);
+  if (found == pools_.end()) {
+    return;
+  }
+  fill(found->second, now);
+  found->second.part = part;
+}
+
+void
+token_pool::settle(const instance_report& report, fencing_token own_token)
+{
+  auto& drawn = drawn_[report.instance];
+  const bool current = report.token == own_token && drawn.incarnation == report.incarnation &&
+                       drawn.grant == report.grant;
+  if (current) {
+    for (const auto& [workspace, tokens] : drawn.tokens) {
+      const auto used = report.used.find(workspace);
+      const double left = tokens - (used == report.used.end() ? 0.0 : used->second);
+      if (const auto found = pools_.find(workspace); found != pools_.end() && left > 0) {
+        auto& pool = found->second;
+        pool.level = std::min(pool.burst * pool.part, pool.level + left);
+      }
+    }
+  }
+  // Tokens of a grant that is not confirmed count as used.
+  drawn = { report.incarnation, 0, {} };
+}
+
+std::map<workspace_id, double>
+token_pool::draw(const instance_report& report,
+                 const share_table_parts& weights,
+                 std::uint64_t grant,
+                 instant now)
+{
+  auto& drawn = drawn_[report.instance];
+  drawn.incarnation = report.incarnation;
+  drawn.grant = grant;
+  drawn.tokens.clear();
+  for (auto& [workspace, pool] : pools_) {
+    fill(pool, now);
+    const auto weight = weights.find(workspace);
+    double tokens = weight == weights.end()
+                      ? 0.0
+                      : pool.level * ahead_part * weight->second / whole_share;
+    if (const auto waiting = report.waiting.find(workspace); waiting != report.waiting.end()) {
+      tokens = std::max(tokens, waiting->second + spare_tokens);
+    }
+    tokens = std::min(tokens, pool.level);
+    if (tokens <= 0) {
+      continue;
+    }
+    pool.level -= tokens;
+    drawn.tokens[workspace] = tokens;
+  }
+  return drawn.tokens;
+}
+
+double
+token_pool::level(const workspace_id& workspace) const
+{
+  const auto found = pools_.find(workspace);
+  return found == pools_.end() ? 0.0 : found->second.level;
+}
+
+}
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -127,6 +127,12 @@
     report.sights.push_back({ member_id(entry.member()), from_us(entry.failing_us()) });
   }
   report.leaving = from.leaving();
+  report.grant = from.grant();
+  for (const auto& entry : from.uses()) {
+    report.used[workspace_id(entry.workspace())] = entry.used();
+    report.waiting[workspace_id(entry.workspace())] = entry.waiting();
+  }
+  report.view_age = from_us(from.view_age_us());
   return report;
 }
 
@@ -165,6 +171,10 @@
     view.positions[entry.group()] = { { term(entry.term()), log_position(entry.number()) },
                                       from_us(entry.age_us()) };
   }
+  view.grant = from.grant();
+  for (const auto& entry : from.tokens()) {
+    view.tokens[workspace_id(entry.workspace())] = entry.tokens();
+  }
   view.instances = from.instances();
   view.registered = from.registered();
   view.released = from.released();
@@ -214,6 +224,21 @@
     entry->set_failing_us(to_us(sight.failing));
   }
   to.set_leaving(report.leaving);
+  to.set_grant(report.grant);
+  std::map<workspace_id, std::pair<double, double>> uses;
+  for (const auto& [workspace, used] : report.used) {
+    uses[workspace].first = used;
+  }
+  for (const auto& [workspace, waiting] : report.waiting) {
+    uses[workspace].second = waiting;
+  }
+  for (const auto& [workspace, use] : uses) {
+    auto* entry = to.add_uses();
+    entry->set_workspace(workspace.get());
+    entry->set_used(static_cast<float>(use.first));
+    entry->set_waiting(static_cast<float>(use.second));
+  }
+  to.set_view_age_us(to_us(report.view_age));
   return marked(report_mark, to);
 }
 
@@ -256,6 +281,12 @@
     entry->set_number(position.first.position.get());
     entry->set_age_us(to_us(position.second));
   }
+  to.set_grant(view.grant);
+  for (const auto& [workspace, tokens] : view.tokens) {
+    auto* entry = to.add_tokens();
+    entry->set_workspace(workspace.get());
+    entry->set_tokens(static_cast<float>(tokens));
+  }
   to.set_instances(view.instances);
   to.set_registered(view.registered);
   to.set_released(view.released);
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -20,6 +20,8 @@
 // Without a view for this long an instance reads the store by itself.
 constexpr duration view_silence = std::chrono::milliseconds(900);
 // How long the store may hold a call of the coordinator; bounds the age of its evidence.
+// An answer that takes longer is taken for lost when tokens are wanted.
+constexpr duration answer_limit = std::chrono::milliseconds(40);
 constexpr duration store_hold = std::chrono::milliseconds(1000);
 constexpr duration members_period = std::chrono::milliseconds(1000);
 constexpr duration write_timeout = std::chrono::milliseconds(700);
@@ -204,6 +206,12 @@
   }
   report.sights = hooks_.sights();
   report.leaving = leaving_;
+  report.grant = limiter_.grant();
+  report.waiting = hooks_.waiting();
+  report.used = limiter_.report_used(report.waiting);
+  report.view_age = now - last_echo_;
+  tokens_wanted_ = false;
+  unanswered_report_ = now;
   if (coordinator_) {
     coordinator_->report(report);
     return;
@@ -213,6 +221,24 @@
   }
 }
 
+void
+fleet_participant::ask_for_tokens()
+{
+  const auto now = boot_now();
+  if (unanswered_report_ && now - *unanswered_report_ < answer_limit) {
+    tokens_wanted_ = true;
+    return;
+  }
+  // Not from within the caller: the answer may come at once.
+  if (!std::exchange(tokens_wanted_, true)) {
+    boost::asio::post(context_, [this] {
+      if (tokens_wanted_) {
+        send_report(boot_now());
+      }
+    });
+  }
+}
+
 void
 fleet_participant::apply_view(const fleet_view& view)
 {
@@ -230,6 +256,7 @@
   token_ = view.token;
   view_ = view.view;
   last_view_ = now;
+  last_echo_ = std::max(last_echo_, view.echo_clock);
   instances_ = view.instances;
   const auto as_of = [&](const std::optional<duration>& age) { return view.echo_clock - *age; };
   if (view.configuration_age) {
@@ -249,6 +276,14 @@
   if (view.shares) {
     limiter_.set_shares(*view.shares, view.echo_clock + share_lifetime, now);
   }
+  if (view.grant > 0) {
+    unanswered_report_.reset();
+    limiter_.set_tokens(view.tokens, view.grant, view.echo_clock, now);
+    hooks_.tokens_granted();
+    if (std::exchange(tokens_wanted_, false)) {
+      ask_for_tokens();
+    }
+  }
   for (const auto& [group, position] : view.positions) {
     const auto leader = knowledge_.leader(group, now);
     if (leader && leader->usable) {
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -35,6 +35,9 @@
     // Members, configuration or leadership changed.
     std::function<void()> changed;
     std::function<std::vector<member_sight>()> sights;
+    // Operations that wait for tokens, and the news that tokens came.
+    std::function<std::map<workspace_id, double>()> waiting;
+    std::function<void()> tokens_granted;
   };
 
   fleet_participant(boost::asio::io_context& context,
@@ -48,6 +51,8 @@
   // Fails with address_unavailable if the datagram address cannot be bound.
   result<void> start();
   void tick(instant now);
+  // Reports soon, since operations wait for tokens.
+  void ask_for_tokens();
   // Gives up the duty; goes on reporting that it leaves.
   void leave();
 
@@ -111,6 +116,11 @@
   fencing_token token_;
   std::uint64_t view_ = 0;
   instant last_view_{};
+  // Clock of the report that the newest view answers.
+  instant last_echo_{};
+  // A report without an answer yet was sent then.
+  std::optional<instant> unanswered_report_;
+  bool tokens_wanted_ = false;
   instant last_report_{};
   instant last_registration_{};
   instant last_removal_{};
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -1,6 +1,7 @@
 #include "ProxyNode/proxy_node.h"
 
 #include "Net/http_server.h"
+#include "Proxy/admission.h"
 #include "Proxy/fleet_knowledge.h"
 #include "Proxy/freshness.h"
 #include "Proxy/link_dispatcher.h"
@@ -69,6 +70,7 @@
   fleet_knowledge knowledge;
   freshness positions;
   rate_limiter limiter;
+  admission operations;
   link_dispatcher links;
   fleet_participant fleet;
   std::map<link_number, std::shared_ptr<member_connection>> connections;
@@ -86,6 +88,7 @@
   , context(1)
   , log(own.name.get())
   , knowledge({ own.key_revocation - key_margin, lead_send_limit, lead_answer_limit })
+  , operations(limiter, [this] { fleet.ask_for_tokens(); })
   , links(
       { [this](const member_link& link, const listed_member& member) { open_link(link, member); },
         [this](link_number number) { close_link(number); },
@@ -97,7 +100,10 @@
           positions,
           limiter,
           log,
-          { [this] { fleet_changed(); }, [this] { return sights(); } })
+          { [this] { fleet_changed(); },
+            [this] { return sights(); },
+            [this] { return operations.waiting(); },
+            [this] { operations.granted(boot_now()); } })
   , acceptor(context)
   , timer(context)
   , signals(context)
@@ -232,6 +238,7 @@
 {
   const auto now = boot_now();
   fleet.tick(now);
+  operations.tick(now);
   links.tick(now);
   const auto current = callers;
   for (const auto& caller : current) {
@@ -287,8 +294,8 @@
     return knowledge.configuration();
   };
   hooks.key_evidence_missing = [this] { return knowledge.key_evidence_missing(boot_now()); };
-  hooks.refuse_operation = [this](const workspace_id& workspace) {
-    return limiter.refuse(workspace, boot_now());
+  hooks.admit = [this](const workspace_id& workspace, admission::handler done) {
+    operations.admit(workspace, std::move(done), boot_now());
   };
   hooks.acquire = [this](link_request request,
                          link_dispatcher::grant_handler granted,
