proxy: Keep connections by workspace, shorten the change of coordinator

A member connection belongs to the workspace that it was opened for, so an idle one of the workspace anywhere is used before one is opened or replaced.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -114,6 +114,7 @@
   fleet_view view;
   view.holder = own_;
   view.address = address_;
+  view.lease_revision = hooks_.lease_revision();
   view.token = token_;
   view.view = ++last_view_;
   view.incarnation = to.incarnation;
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -29,6 +29,7 @@
     std::function<instant()> now;
     // True while the lease lasts; shares are granted only then.
     std::function<bool()> holds;
+    std::function<std::uint64_t()> lease_revision;
   };
 
   // `shares_known`: no earlier coordinator can have given out shares. `replaces_primaries` is false
--- a/Source/Proxy/coordinator_lease.cxx
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -55,7 +55,7 @@
     return;
   }
   if (!observed_ || revision != revision_) {
-    unchanged_since_ = now;
+    unchanged_since_ = revision == heard_revision_ ? heard_at_ : now;
     unchanged_until_ = as_of;
   }
   observed_ = true;
@@ -75,6 +75,15 @@
   }
 }
 
+void
+coordinator_lease::hear(std::uint64_t revision, instant now)
+{
+  if (revision > heard_revision_) {
+    heard_revision_ = revision;
+    heard_at_ = now;
+  }
+}
+
 void
 coordinator_lease::became_holder(const pending_write& by, instant now, const std::string& reason)
 {
--- a/Source/Proxy/coordinator_lease.h
+++ b/Source/Proxy/coordinator_lease.h
@@ -65,6 +65,10 @@
                instant as_of,
                instant now);
 
+  // The holder itself told this revision of its row. Only dates the revision; the row is read from
+  // the store before anything is concluded.
+  void hear(std::uint64_t revision, instant now);
+
   // Outcome of the write in flight; `revision` is the new one if it was written.
   void write_done(write_outcome outcome, std::uint64_t revision, instant now);
 
@@ -114,6 +118,8 @@
   std::optional<coordinator_row> row_;
   std::uint64_t revision_ = 0;
   bool observed_ = false;
+  std::uint64_t heard_revision_ = 0;
+  instant heard_at_{};
   // When the present revision was first seen, and the latest moment at which it was still there.
   instant unchanged_since_{};
   instant unchanged_until_{};
--- a/Source/Proxy/fleet_exchange.h
+++ b/Source/Proxy/fleet_exchange.h
@@ -77,6 +77,8 @@
   fencing_token token;
   std::uint64_t view = 0;
   incarnation_id incarnation;
+  // Newest revision of the sender's row that it wrote; an unchanged one tells the lease's end.
+  std::uint64_t lease_revision = 0;
   // The receiver's clock in its newest report.
   instant echo_clock{};
   config_version configuration;
--- a/Source/Proxy/link_dispatcher.cxx
+++ b/Source/Proxy/link_dispatcher.cxx
@@ -97,15 +97,6 @@
     links_.begin(), links_.end(), [&](const auto& entry) { return entry.second->member == id; }));
 }
 
-std::size_t
-link_dispatcher::count_opening(const member_id& id) const
-{
-  return static_cast<std::size_t>(
-    std::count_if(links_.begin(), links_.end(), [&](const auto& entry) {
-      return entry.second->member == id && entry.second->state == member_link::link_state::opening;
-    }));
-}
-
 double
 link_dispatcher::expected_cost(const listed_member& member, instant now) const
 {
@@ -212,6 +203,8 @@
 link_dispatcher::try_grant(waiting_request& waiting, instant now)
 {
   const auto ranked = candidates(waiting.request, now);
+  // An idle connection of the workspace at any member beats a new one at a better member: connecting
+  // costs as much as a statement.
   for (const auto* member : ranked) {
     if (auto link = idle_link(*member, waiting.request)) {
       link->state = member_link::link_state::in_use;
@@ -221,26 +214,49 @@
       granted(std::move(link));
       return true;
     }
-    if (count_opening(member->id) > 0) {
-      continue;
-    }
+  }
+  const bool opening =
+    std::any_of(links_.begin(), links_.end(), [&](const auto& entry) {
+      const auto& link = *entry.second;
+      return link.state == member_link::link_state::opening &&
+             link.workspace == waiting.request.workspace &&
+             std::any_of(ranked.begin(), ranked.end(), [&](const listed_member* member) {
+               return member->id == link.member;
+             });
+    });
+  if (opening) {
+    return false;
+  }
+  for (const auto* member : ranked) {
     if (may_open(*member, now)) {
       open(*member, waiting.request.workspace, now);
-      continue;
+      return false;
     }
-    // All connections belong to other workspaces: replace one that is idle.
-    for (const auto& [number, link] : links_) {
-      if (link->member == member->id && link->state == member_link::link_state::idle &&
-          link->workspace != waiting.request.workspace) {
-        close_link(number);
-        open(*member, waiting.request.workspace, now);
-        break;
-      }
+  }
+  for (const auto* member : ranked) {
+    if (const auto number = replaceable_link(*member, waiting.request.workspace)) {
+      close_link(*number);
+      open(*member, waiting.request.workspace, now);
+      return false;
     }
   }
   return false;
 }
 
+// The idle connection of another workspace that was used longest ago.
+std::optional<link_number>
+link_dispatcher::replaceable_link(const listed_member& member, const workspace_id& workspace) const
+{
+  const member_link* oldest = nullptr;
+  for (const auto& [number, link] : links_) {
+    if (link->member == member.id && link->state == member_link::link_state::idle &&
+        link->workspace != workspace && (oldest == nullptr || link->changed < oldest->changed)) {
+      oldest = link.get();
+    }
+  }
+  return oldest == nullptr ? std::nullopt : std::optional<link_number>(oldest->number);
+}
+
 std::optional<std::string>
 link_dispatcher::hopeless(const waiting_request& waiting, instant now) const
 {
--- a/Source/Proxy/link_dispatcher.h
+++ b/Source/Proxy/link_dispatcher.h
@@ -119,7 +119,8 @@
   double expected_cost(const listed_member& member, instant now) const;
   std::shared_ptr<member_link> idle_link(const listed_member& member, const link_request& request);
   std::size_t count_links(const member_id& id) const;
-  std::size_t count_opening(const member_id& id) const;
+  std::optional<link_number> replaceable_link(const listed_member& member,
+                                              const workspace_id& workspace) const;
   std::size_t link_limit(const std::string& group) const;
   bool may_open(const listed_member& member, instant now) const;
   void open(const listed_member& member, const workspace_id& workspace, instant now);
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -143,6 +143,7 @@
   fleet_view view;
   view.holder = instance_id(from.holder());
   view.address = from.address();
+  view.lease_revision = from.lease_revision();
   view.token = fencing_token(from.token());
   view.view = from.view();
   view.incarnation = incarnation_id(from.incarnation());
@@ -251,6 +252,7 @@
   fleet_wire::fleet_view to;
   to.set_holder(view.holder.get());
   to.set_address(view.address);
+  to.set_lease_revision(view.lease_revision);
   to.set_token(view.token.get());
   to.set_view(view.view);
   to.set_incarnation(view.incarnation.get());
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -18,7 +18,7 @@
 // Reports and their answers carry evidence and shares; four a second keep both young.
 constexpr duration report_period = std::chrono::milliseconds(250);
 // Without a view for this long an instance reads the store by itself.
-constexpr duration view_silence = std::chrono::milliseconds(900);
+constexpr duration view_silence = std::chrono::milliseconds(700);
 // How long the store may hold a call of the coordinator; bounds the age of its evidence.
 // An answer that takes longer is taken for lost when tokens are wanted.
 constexpr duration answer_limit = std::chrono::milliseconds(40);
@@ -311,6 +311,7 @@
   if (view.shares) {
     last_view_ = now;
   }
+  lease_.hear(view.lease_revision, now);
   last_echo_ = std::max(last_echo_, view.echo_clock);
   instances_ = view.instances;
   const auto as_of = [&](const std::optional<duration>& age) { return view.echo_clock - *age; };
@@ -715,6 +716,7 @@
 {
   coordinator::hooks calls;
   calls.now = [] { return boot_now(); };
+  calls.lease_revision = [this] { return lease_.revision(); };
   calls.holds = [this] { return lease_.holds(boot_now()); };
   calls.send = [this](const std::string& address, const fleet_view& view) {
     if (address == address_) {
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -31,7 +31,7 @@
 // Resolution of the statement time limits and of the queue.
 constexpr duration tick_period = std::chrono::milliseconds(20);
 // Connecting takes a round trip and the member's set-up, which waits for a slot.
-constexpr duration link_open_timeout = std::chrono::milliseconds(900);
+constexpr duration link_open_timeout = std::chrono::milliseconds(450);
 // Key evidence ends this long before the bound, for the way of the statement to the member.
 constexpr duration key_margin = std::chrono::milliseconds(250);
 // Sessions are closed from this long after the order to stop: by then two readiness probes failed
