proxy: Keep tokens flowing while the store is away

Reports count once; a former holder answers until there is a new one; what an unheard instance may hold is bounded by the largest share.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -10,7 +10,7 @@
 // An instance that was silent this long counts as gone.
 constexpr duration silence_limit = std::chrono::milliseconds(2000);
 // Registered instances that were silent this long leave the register.
-constexpr duration vanished_limit = std::chrono::seconds(20);
+constexpr duration vanished_limit = std::chrono::seconds(8);
 // A recorded primary that lists itself as a replica this long has lost the lead some other way.
 constexpr duration mismatch_limit = std::chrono::seconds(3);
 // Before primaries are judged, reports of all instances should have come in.
@@ -63,7 +63,8 @@
 {
   const auto now = hooks_.now();
   auto& peer = peers_[report.instance];
-  if (peer.incarnation == report.incarnation && report.clock < peer.clock) {
+  // Reports overtake each other, and one that several instances passed on comes more than once.
+  if (peer.incarnation == report.incarnation && report.clock <= peer.clock) {
     return;
   }
   peer.address = report.address;
@@ -90,9 +91,6 @@
 void
 coordinator::draw_tokens(const instance_report& report, fleet_view& view)
 {
-  if (!view.shares) {
-    return;
-  }
   const auto now = hooks_.now();
   const auto& workspaces = knowledge_.configuration().configuration().workspaces;
   pool_.set_workspaces(workspaces, now);
@@ -101,7 +99,7 @@
   }
   pool_.settle(report, token_);
   view.grant = ++last_grant_;
-  view.tokens = pool_.draw(report, *view.shares, view.grant, now);
+  view.tokens = pool_.draw(report, shares_.granted(report.instance), view.grant, now);
 }
 
 fleet_view
--- a/Source/Proxy/fleet_knowledge.h
+++ b/Source/Proxy/fleet_knowledge.h
@@ -42,8 +42,9 @@
 };
 
 // Longest age of evidence for using a primary, and for passing on its commits.
-inline constexpr duration lead_send_limit = std::chrono::milliseconds(3000);
-inline constexpr duration lead_answer_limit = std::chrono::milliseconds(4000);
+// About as long as keys may be used: without keys nothing is served anyway.
+inline constexpr duration lead_send_limit = std::chrono::milliseconds(4300);
+inline constexpr duration lead_answer_limit = std::chrono::milliseconds(5000);
 
 // What one instance knows of configuration, members and leadership, and as of when. All instants
 // are of the clock that counts suspension, and never later than the moment the store answered for.
--- a/Source/Proxy/rate_shares.cxx
+++ b/Source/Proxy/rate_shares.cxx
@@ -48,11 +48,17 @@
   }
 }
 
-bool
-rate_shares::everything_known(instant now) const
+share_parts
+rate_shares::unknown_parts(instant now) const
 {
-  return all_known_ || now - began_ > share_lifetime ||
-         (registered_known_ && unheard_.empty());
+  if (all_known_ || now - began_ > share_lifetime) {
+    return 0;
+  }
+  if (!registered_known_) {
+    return whole_share;
+  }
+  const auto most = static_cast<std::uint64_t>(largest_share) * unheard_.size();
+  return static_cast<share_parts>(std::min<std::uint64_t>(whole_share, most));
 }
 
 void
@@ -115,7 +121,8 @@
     }
     (in_touch(holder, now) ? near : far) += std::max(found->second.held, found->second.granted);
   }
-  const double parts = everything_known(now) ? whole_share - far : near;
+  // Instances in touch have given up their shares in favour of the pool.
+  const double parts = std::max(near, whole_share - far - unknown_parts(now));
   return std::clamp(parts / whole_share, 0.0, 1.0);
 }
 
@@ -156,9 +163,9 @@
 }
 
 share_parts
-rate_shares::unheld(const workspace_id& workspace) const
+rate_shares::unheld(const workspace_id& workspace, instant now) const
 {
-  std::uint64_t held = 0;
+  std::uint64_t held = unknown_parts(now);
   for (const auto& [instance, holder] : holders_) {
     if (const auto found = holder.holdings.find(workspace); found != holder.holdings.end()) {
       held += std::max(found->second.held, found->second.granted);
@@ -177,18 +184,16 @@
     return shares;
   }
   auto& holder = found->second;
-  const bool known = everything_known(now);
   for (const auto& workspace : workspaces_) {
     auto& holding = holder.holdings[workspace];
-    const auto aim = static_cast<share_parts>(wanted(workspace, holder, now) * whole_share);
+    const auto aim =
+      std::min(largest_share, static_cast<share_parts>(wanted(workspace, holder, now) * whole_share));
     const auto current = std::max(holding.held, holding.granted);
     if (aim <= current) {
       holding.granted = aim;
-    } else if (known) {
-      holding.granted = current + std::min(aim - current, unheld(workspace));
-      holding.held = std::max(holding.held, holding.granted);
     } else {
-      holding.granted = current;
+      holding.granted = current + std::min(aim - current, unheld(workspace, now));
+      holding.held = std::max(holding.held, holding.granted);
     }
     if (holding.granted > 0) {
       shares[workspace] = holding.granted;
@@ -199,4 +204,20 @@
   return shares;
 }
 
+share_table_parts
+rate_shares::granted(const instance_id& instance) const
+{
+  share_table_parts shares;
+  const auto found = holders_.find(instance);
+  if (found == holders_.end()) {
+    return shares;
+  }
+  for (const auto& [workspace, holding] : found->second.holdings) {
+    if (holding.granted > 0) {
+      shares[workspace] = holding.granted;
+    }
+  }
+  return shares;
+}
+
 }
--- a/Source/Proxy/rate_shares.h
+++ b/Source/Proxy/rate_shares.h
@@ -12,6 +12,10 @@
 // than keys live without evidence, so that an outage of the store does not refuse more than they do.
 inline constexpr duration share_lifetime = std::chrono::milliseconds(5000);
 
+// Largest share of one instance. Bounds what an instance of an earlier coordinator may hold that the
+// present one has not heard.
+inline constexpr share_parts largest_share = whole_share / 3;
+
 // Splits each workspace's rate over the instances by demand. Held by the coordinator. The sum of
 // what the instances may use never exceeds the whole: a share that was lowered counts with its old
 // value until the holder reports the new one or its lifetime is over, and a new coordinator gives
@@ -34,6 +38,9 @@
   // Shares to send with view number `view`; counted as held until confirmed lower.
   share_table_parts grant(const instance_id& instance, std::uint64_t view, instant now);
 
+  // Shares in the newest grant.
+  share_table_parts granted(const instance_id& instance) const;
+
   // Part of the workspace's rate that no instance may use on its own at `now`: all but the shares
   // of instances that are out of touch, or that are not known.
   double central_part(const workspace_id& workspace, instant now) const;
@@ -61,9 +68,10 @@
 
   static bool in_touch(const share_holder& holder, instant now);
   void expire(instant now);
-  bool everything_known(instant now) const;
+  // Most that instances may hold of which nothing is known.
+  share_parts unknown_parts(instant now) const;
   double wanted(const workspace_id& workspace, const share_holder& of, instant now) const;
-  share_parts unheld(const workspace_id& workspace) const;
+  share_parts unheld(const workspace_id& workspace, instant now) const;
 
   instant began_;
   bool all_known_;
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -246,7 +246,7 @@
     coordinator_->report(report);
     return;
   }
-  const bool heard = now - last_view_ < view_silence && !coordinator_address_.empty();
+  const bool heard = now - last_echo_ < view_silence && !coordinator_address_.empty();
   report.seeking = !heard;
   for (const auto& target : report_targets(heard)) {
     send(target, encode_report(report));
@@ -295,13 +295,17 @@
 fleet_participant::apply_view(const fleet_view& view)
 {
   const auto now = boot_now();
-  if (view.incarnation != incarnation_ || view.token < token_ || view.echo_clock > now) {
+  if (view.incarnation != incarnation_ || view.token < std::max(token_, least_token_) ||
+      view.echo_clock > now) {
     return;
   }
   if (view.token == token_ && view.view <= view_) {
     return;
   }
   if (view.token > token_) {
+    if (coordinator_ && view.holder != settings_.name) {
+      retire_coordinator(now);
+    }
     log_.write("coordinator_known",
                { { "holder", view.holder.get() }, { "token", std::to_string(view.token.get()) } });
   }
@@ -365,7 +369,6 @@
   }
   if (view.released) {
     lease_.vacate(view.token);
-    coordinator_address_.clear();
     last_view_ = now - view_silence;
   }
   choose_sources(now);
@@ -541,8 +544,16 @@
     register_self(now);
   }
   lease_.observe(holder, holder_revision, as_of, now);
-  if (holder && !holder->holder.get().empty() && !coordinator_) {
+  if (holder && holder->token > least_token_) {
+    least_token_ = holder->token;
+    if (coordinator_ && holder->holder != settings_.name) {
+      retire_coordinator(now);
+    }
+  }
+  if (holder && !holder->holder.get().empty() && !coordinator_ &&
+      coordinator_address_ != holder->address) {
     coordinator_address_ = holder->address;
+    send_report(now);
   }
   if (coordinator_) {
     coordinator_->set_registered(registered_);
@@ -572,7 +583,7 @@
 void
 fleet_participant::remove_vanished(instant now)
 {
-  if (!coordinator_ || now - last_removal_ < removal_pause) {
+  if (now - last_removal_ < removal_pause) {
     return;
   }
   last_removal_ = now;
@@ -702,15 +713,26 @@
   log_.write(holding ? "duty_taken" : "duty_lost",
              { { "token", std::to_string(lease_.token().get()) }, { "reason", reason } });
   if (!holding) {
+    // Until another instance takes the duty, this one goes on to answer reports: its views carry no
+    // lease, but tokens and what it still knows.
     if (coordinator_) {
       coordinator_->duty_lost();
-      retired_.emplace_back(now + retirement, std::move(coordinator_));
     }
     return;
   }
+  retire_coordinator(now);
   start_coordinating(now);
 }
 
+void
+fleet_participant::retire_coordinator(instant now)
+{
+  if (coordinator_) {
+    coordinator_->duty_lost();
+    retired_.emplace_back(now + retirement, std::move(coordinator_));
+  }
+}
+
 void
 fleet_participant::start_coordinating(instant now)
 {
@@ -784,11 +806,11 @@
   if (now - last_report_ >= report_period) {
     send_report(now);
   }
-  if (coordinator_ && !lease_.holds(now)) {
-    coordinator_->release();
+  if (lease_.named() && !lease_.holds(now)) {
     lease_.resign();
+    coordinator_->release();
   }
-  if (coordinator_) {
+  if (coordinator_ && lease_.holds(now)) {
     coordinator_->tick(list_is_sound(now));
     remove_vanished(now);
   }
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -90,6 +90,7 @@
                std::function<void(promote_outcome)> done);
   void duty_changed(bool holding, const std::string& reason);
   void start_coordinating(instant now);
+  void retire_coordinator(instant now);
   void choose_sources(instant now);
   bool list_is_sound(instant now) const;
 
@@ -120,6 +121,8 @@
   bool shares_known_ = false;
   std::string coordinator_address_;
   fencing_token token_;
+  // Token of the newest row that was read: views of earlier coordinators are ignored.
+  fencing_token least_token_;
   std::uint64_t view_ = 0;
   instant last_view_{};
   // Clock of the report that the newest view answers.
--- a/Source/ProxyNode/store_follower.cxx
+++ b/Source/ProxyNode/store_follower.cxx
@@ -8,10 +8,10 @@
 namespace {
 
 // The store answers within some tens of milliseconds, or some hundreds when it is slow.
-constexpr duration call_timeout = std::chrono::milliseconds(1200);
+constexpr duration call_timeout = std::chrono::milliseconds(800);
 // Pauses after a failure: short at first, since most outages are partial and brief.
 constexpr duration first_pause = std::chrono::milliseconds(100);
-constexpr duration longest_pause = std::chrono::milliseconds(800);
+constexpr duration longest_pause = std::chrono::milliseconds(500);
 
 std::uint64_t
 milliseconds_of(duration time)
@@ -92,8 +92,10 @@
 void
 table_follower::read_feed()
 {
-  store_.get(platform::target_of_feed(table_, revision_, milliseconds_of(hold_)),
-             hold_ + call_timeout,
+  // After a failure the store is not asked to hold the call: an answer shows that it is back.
+  const auto hold = reachable_ ? hold_ : duration::zero();
+  store_.get(platform::target_of_feed(table_, revision_, milliseconds_of(hold)),
+             hold + call_timeout,
              [this](store_reply reply) { feed_arrived(reply); });
 }
 
