--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -444,9 +444,25 @@
   }
 }
 
+// The lead may change between the grant of a connection and the statement.
+bool
+caller_session::place_was_lost() const
+{
+  if (!work_->needs_primary || link_in_transaction_) {
+    return false;
+  }
+  const auto leader = hooks_->leader(link_->group);
+  return !leader || !leader->usable || leader->member != link_->member;
+}
+
 void
 caller_session::send_begin()
 {
+  if (place_was_lost()) {
+    release_link(duration::zero());
+    acquire();
+    return;
+  }
   if (!transaction_ || link_in_transaction_) {
     send_statement();
     return;
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -135,6 +135,7 @@
   void refused(statement_error error, const std::string& reason);
   void prepare_link();
   void run();
+  bool place_was_lost() const;
   void send_begin();
   void begin_answered(const member_reply& reply);
   void send_statement();
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -73,13 +73,7 @@
   peer.clock = report.clock;
   peer.members_digest = report.members_digest;
   peer.leaving = report.leaving;
-  // The report was made before now, so its observations are at least as old as they seem.
-  for (const auto& [group, position] : report.positions) {
-    const auto leader = knowledge_.leader(group, now);
-    if (leader && leader->usable) {
-      note_position(group, { position.position, now - (report.clock - position.seen) });
-    }
-  }
+  learn_positions(report, now);
   watch_.report(report, now);
   fence_.report(report);
   shares_.report(report, token_, now);
@@ -88,6 +82,23 @@
   hooks_.send(peer.address, view);
 }
 
+// A report may have waited long, here or on its way; its observations are dated by the view that it
+// followed, never by its arrival.
+void
+coordinator::learn_positions(const instance_report& report, instant now)
+{
+  if (!report.view_clock || report.token != token_) {
+    return;
+  }
+  const auto made_at_least = *report.view_clock + report.view_held;
+  for (const auto& [group, position] : report.positions) {
+    const auto leader = knowledge_.leader(group, now);
+    if (leader && leader->usable) {
+      note_position(group, { position.position, made_at_least - (report.clock - position.seen) });
+    }
+  }
+}
+
 void
 coordinator::draw_tokens(const instance_report& report, fleet_view& view)
 {
@@ -112,6 +123,7 @@
   fleet_view view;
   view.holder = own_;
   view.address = address_;
+  view.clock = now;
   view.lease_revision = hooks_.lease_revision();
   view.token = token_;
   view.view = ++last_view_;
@@ -226,7 +238,7 @@
     procedure->set_members(members, group.sync_replicas);
     const auto record = knowledge_.groups().find(group.name);
     if (!procedure->under_way() && record != knowledge_.groups().end() && record->second.changing) {
-      procedure->resume(record->second);
+      procedure->resume(record->second, knowledge_.groups_revision());
     }
     const auto leader = knowledge_.leader(group.name, now);
     if (!leader || procedure->under_way()) {
--- a/Source/Proxy/coordinator_lease.cxx
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -168,8 +168,8 @@
     wait += lease_takeover;
   }
   // Only what the store confirmed counts as unchanged.
-  if (unchanged_until_ - unchanged_since_ >= wait ||
-      (vacant && now - unchanged_since_ >= wait) || restarted) {
+  if (unchanged_until_ - unchanged_since_ >= wait || (vacant && now - unchanged_since_ >= wait) ||
+      restarted) {
     begin_write({ own_, incarnation_, next, address_, ++renewals_ }, now);
   }
 }
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -112,7 +112,7 @@
 }
 
 void
-failover::resume(const group_record& record)
+failover::resume(const group_record& record, std::uint64_t revision)
 {
   if (under_way()) {
     return;
@@ -123,7 +123,7 @@
   final_position_.reset();
   excluded_.clear();
   chosen_.reset();
-  recorded_revision_ = 0;
+  recorded_revision_ = revision;
   raise("resumed");
 }
 
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -34,22 +34,22 @@
   struct hooks
   {
     // Writes the group's record, conditional on still being the coordinator.
-    std::function<void(const group_record&, std::function<void(bool written, std::uint64_t revision)>)>
+    std::function<void(const group_record&,
+                       std::function<void(bool written, std::uint64_t revision)>)>
       record;
     // Sends a command to a member on a connection of its own; empty if no answer came.
-    std::function<void(const member_id&,
-                       member_command,
-                       std::function<void(std::optional<member_status>)>)>
+    std::function<
+      void(const member_id&, member_command, std::function<void(std::optional<member_status>)>)>
       ask;
-    std::function<void(const std::string& group,
-                       const member_id&,
-                       std::function<void(promote_outcome)>)>
+    std::function<
+      void(const std::string& group, const member_id&, std::function<void(promote_outcome)>)>
       promote;
     // True if the lease lasts long enough for one promotion call.
     std::function<bool()> may_promote;
     std::function<bool(std::uint64_t revision, instant recorded)> fence_complete;
     std::function<instant()> now;
-    std::function<void(const std::string& group, const std::string& event, const std::string& detail)>
+    std::function<
+      void(const std::string& group, const std::string& event, const std::string& detail)>
       log;
   };
 
@@ -62,8 +62,8 @@
 
   // Starts the replacement of `primary`, unless one is under way.
   void start(const member_id& primary, primary_trouble trouble);
-  // Goes on with a change that an earlier coordinator recorded.
-  void resume(const group_record& record);
+  // Goes on with a change that an earlier coordinator recorded, at this revision or before.
+  void resume(const group_record& record, std::uint64_t revision);
   void duty_lost();
   void tick();
 
--- a/Source/Proxy/fleet_exchange.h
+++ b/Source/Proxy/fleet_exchange.h
@@ -59,6 +59,10 @@
   std::map<workspace_id, double> waiting;
   // Time since the report that the newest applied view answers.
   duration view_age{};
+  // The coordinator's clock in the newest applied view, and how long ago that view arrived: the
+  // report was made no earlier than their sum. Empty if no view of this coordinator came.
+  std::optional<instant> view_clock;
+  duration view_held{};
   // On the sender's clock.
   std::map<std::string, dated_position> positions;
   std::vector<member_sight> sights;
@@ -79,6 +83,8 @@
   incarnation_id incarnation;
   // Newest revision of the sender's row that it wrote; an unchanged one tells the lease's end.
   std::uint64_t lease_revision = 0;
+  // The sender's clock.
+  instant clock{};
   // The receiver's clock in its newest report.
   instant echo_clock{};
   config_version configuration;
--- a/Source/Proxy/link_dispatcher.cxx
+++ b/Source/Proxy/link_dispatcher.cxx
@@ -203,8 +203,8 @@
 link_dispatcher::try_grant(waiting_request& waiting, instant now)
 {
   const auto ranked = candidates(waiting.request, now);
-  // An idle connection of the workspace at any member beats a new one at a better member: connecting
-  // costs as much as a statement.
+  // An idle connection of the workspace at any member beats a new one at a better member:
+  // connecting costs as much as a statement.
   for (const auto* member : ranked) {
     if (auto link = idle_link(*member, waiting.request)) {
       link->state = member_link::link_state::in_use;
@@ -215,15 +215,14 @@
       return true;
     }
   }
-  const bool opening =
-    std::any_of(links_.begin(), links_.end(), [&](const auto& entry) {
-      const auto& link = *entry.second;
-      return link.state == member_link::link_state::opening &&
-             link.workspace == waiting.request.workspace &&
-             std::any_of(ranked.begin(), ranked.end(), [&](const listed_member* member) {
-               return member->id == link.member;
-             });
-    });
+  const bool opening = std::any_of(links_.begin(), links_.end(), [&](const auto& entry) {
+    const auto& link = *entry.second;
+    return link.state == member_link::link_state::opening &&
+           link.workspace == waiting.request.workspace &&
+           std::any_of(ranked.begin(), ranked.end(), [&](const listed_member* member) {
+             return member->id == link.member;
+           });
+  });
   if (opening) {
     return false;
   }
--- a/Source/Proxy/primary_watch.cxx
+++ b/Source/Proxy/primary_watch.cxx
@@ -38,9 +38,8 @@
                      bool list_is_sound,
                      instant now) const
 {
-  const auto listed = std::find_if(members.begin(), members.end(), [&](const auto& member) {
-    return member.id == primary;
-  });
+  const auto listed = std::find_if(
+    members.begin(), members.end(), [&](const auto& member) { return member.id == primary; });
   if (listed == members.end()) {
     if (list_is_sound) {
       return primary_trouble::lost;
--- a/Source/Proxy/rate_limiter.cxx
+++ b/Source/Proxy/rate_limiter.cxx
@@ -129,9 +129,7 @@
 {
   const auto found = buckets_.find(workspace);
   const double rate =
-    found == buckets_.end()
-      ? 0.0
-      : found->second.rate * (pooled(now) ? 1.0 : part_of(workspace));
+    found == buckets_.end() ? 0.0 : found->second.rate * (pooled(now) ? 1.0 : part_of(workspace));
   if (rate <= 0) {
     return unknown_wait;
   }
--- a/Source/Proxy/rate_shares.cxx
+++ b/Source/Proxy/rate_shares.cxx
@@ -186,8 +186,8 @@
   auto& holder = found->second;
   for (const auto& workspace : workspaces_) {
     auto& holding = holder.holdings[workspace];
-    const auto aim =
-      std::min(largest_share, static_cast<share_parts>(wanted(workspace, holder, now) * whole_share));
+    const auto aim = std::min(
+      largest_share, static_cast<share_parts>(wanted(workspace, holder, now) * whole_share));
     const auto current = std::max(holding.held, holding.granted);
     if (aim <= current) {
       holding.granted = aim;
--- a/Source/Proxy/rate_shares.h
+++ b/Source/Proxy/rate_shares.h
@@ -9,11 +9,12 @@
 namespace persimmonshelf {
 
 // How long an instance may use shares after the report that the granting view answered. Longer
-// than keys live without evidence, so that an outage of the store does not refuse more than they do.
+// than keys live without evidence, so that an outage of the store does not refuse more than they
+// do.
 inline constexpr duration share_lifetime = std::chrono::milliseconds(5000);
 
-// Largest share of one instance. Bounds what an instance of an earlier coordinator may hold that the
-// present one has not heard.
+// Largest share of one instance. Bounds what an instance of an earlier coordinator may hold that
+// the present one has not heard.
 inline constexpr share_parts largest_share = whole_share / 3;
 
 // Splits each workspace's rate over the instances by demand. Held by the coordinator. The sum of
--- a/Source/Proxy/token_pool.cxx
+++ b/Source/Proxy/token_pool.cxx
@@ -37,7 +37,8 @@
 {
   const double elapsed = std::max(0.0, std::chrono::duration<double>(now - filled.filled).count());
   filled.filled = now;
-  filled.level = std::min(filled.burst * filled.part, filled.level + filled.rate * filled.part * elapsed);
+  filled.level =
+    std::min(filled.burst * filled.part, filled.level + filled.rate * filled.part * elapsed);
 }
 
 void
@@ -84,9 +85,8 @@
   for (auto& [workspace, pool] : pools_) {
     fill(pool, now);
     const auto weight = weights.find(workspace);
-    double tokens = weight == weights.end()
-                      ? 0.0
-                      : pool.level * ahead_part * weight->second / whole_share;
+    double tokens =
+      weight == weights.end() ? 0.0 : pool.level * ahead_part * weight->second / whole_share;
     if (const auto waiting = report.waiting.find(workspace); waiting != report.waiting.end()) {
       tokens = std::max(tokens, waiting->second + spare_tokens);
     }
--- a/Source/ProxyNode/caller_connection.cxx
+++ b/Source/ProxyNode/caller_connection.cxx
@@ -11,6 +11,8 @@
 
 constexpr duration unacknowledged_limit = std::chrono::seconds(5);
 constexpr duration idle_probe = std::chrono::seconds(10);
+// A caller gives up after two seconds; an instance that starts knows the configuration earlier.
+constexpr duration begin_limit = std::chrono::milliseconds(1500);
 // Messages that a caller may send ahead of the answers.
 constexpr std::size_t waiting_limit = 16;
 
@@ -50,8 +52,10 @@
 caller_connection::take_line(std::string_view line)
 {
   const auto self = shared_from_this();
-  if (!session_) {
-    start_session(line);
+  if (!session_ && !first_line_) {
+    first_line_ = std::string(line);
+    first_line_at_ = boot_now();
+    start_session();
     return;
   }
   if (waiting_.size() >= waiting_limit) {
@@ -63,9 +67,12 @@
 }
 
 void
-caller_connection::start_session(std::string_view line)
+caller_connection::start_session()
 {
-  const auto start = platform::parse_session_start(line);
+  if (!handlers_.can_begin()) {
+    return;
+  }
+  const auto start = platform::parse_session_start(*first_line_);
   if (!start) {
     stream_->write(platform::encode_error(statement_error::malformed, start.error().message));
     stream_->finish();
@@ -86,13 +93,14 @@
     return;
   }
   stream_->write(platform::encode_ready(transaction_state::idle, std::nullopt));
+  next_statement();
 }
 
 void
 caller_connection::next_statement()
 {
   // An answer that comes at once must not start the next statement inside this one.
-  if (handling_) {
+  if (handling_ || !session_) {
     return;
   }
   handling_ = true;
@@ -126,9 +134,22 @@
 void
 caller_connection::tick(instant now)
 {
-  if (session_ && !ended_) {
+  if (ended_) {
+    return;
+  }
+  if (session_) {
     session_->tick(now);
+    return;
+  }
+  if (!first_line_) {
+    return;
+  }
+  if (now - first_line_at_ > begin_limit) {
+    stream_->write(platform::encode_error(statement_error::busy, "no configuration is known yet"));
+    close();
+    return;
   }
+  start_session();
 }
 
 bool
--- a/Source/ProxyNode/caller_connection.h
+++ b/Source/ProxyNode/caller_connection.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace persimmonshelf {
@@ -19,6 +20,8 @@
   {
     // Hooks for a new session; the answer hook is set by the connection.
     std::function<session_hooks()> session;
+    // False while no configuration is known: sessions then wait to begin.
+    std::function<bool()> can_begin;
     std::function<void()> closed;
     // Reports each answered statement and the time it took.
     std::function<void(const statement_answer&, duration)> answered;
@@ -40,7 +43,7 @@
 private:
   caller_connection(boost::asio::ip::tcp::socket socket, handlers calls);
   void take_line(std::string_view line);
-  void start_session(std::string_view line);
+  void start_session();
   void next_statement();
   void answer(const statement_answer& reply);
   void ended();
@@ -48,6 +51,9 @@
   std::shared_ptr<line_stream> stream_;
   handlers handlers_;
   std::unique_ptr<caller_session> session_;
+  // First message of a session that waits to begin, and since when.
+  std::optional<std::string> first_line_;
+  instant first_line_at_{};
   std::deque<std::string> waiting_;
   instant statement_began_{};
   bool handling_ = false;
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -128,6 +128,10 @@
   }
   report.leaving = from.leaving();
   report.seeking = from.seeking();
+  if (from.view_clock_us() > 0) {
+    report.view_clock = instant(from_us(from.view_clock_us()));
+  }
+  report.view_held = from_us(from.view_held_us());
   report.grant = from.grant();
   for (const auto& entry : from.uses()) {
     report.used[workspace_id(entry.workspace())] = entry.used();
@@ -144,6 +148,7 @@
   view.holder = instance_id(from.holder());
   view.address = from.address();
   view.lease_revision = from.lease_revision();
+  view.clock = instant(from_us(from.clock_us()));
   view.token = fencing_token(from.token());
   view.view = from.view();
   view.incarnation = incarnation_id(from.incarnation());
@@ -228,6 +233,8 @@
   }
   to.set_leaving(report.leaving);
   to.set_seeking(report.seeking);
+  to.set_view_clock_us(report.view_clock ? to_us(*report.view_clock) : 0);
+  to.set_view_held_us(to_us(report.view_held));
   to.set_grant(report.grant);
   std::map<workspace_id, std::pair<double, double>> uses;
   for (const auto& [workspace, used] : report.used) {
@@ -253,6 +260,7 @@
   to.set_holder(view.holder.get());
   to.set_address(view.address);
   to.set_lease_revision(view.lease_revision);
+  to.set_clock_us(to_us(view.clock));
   to.set_token(view.token.get());
   to.set_view(view.view);
   to.set_incarnation(view.incarnation.get());
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -73,19 +73,20 @@
   , address_(text_of(settings.peers))
   , store_(context, settings.store)
   , duties_(context, settings.duties)
-  , configuration_rows_(
-      context,
-      store_,
-      std::string(platform::configuration_table),
-      store_hold,
-      true,
-      { [this](const auto& rows, std::uint64_t, instant as_of) { learn_configuration(rows, as_of); },
-        [this](bool reachable, const std::string& reason) {
-          log_.write("store",
-                     { { "table", "configuration" },
-                       { "reachable", reachable ? "yes" : "no" },
-                       { "reason", reason } });
-        } })
+  , configuration_rows_(context,
+                        store_,
+                        std::string(platform::configuration_table),
+                        store_hold,
+                        true,
+                        { [this](const auto& rows, std::uint64_t, instant as_of) {
+                           learn_configuration(rows, as_of);
+                         },
+                          [this](bool reachable, const std::string& reason) {
+                            log_.write("store",
+                                       { { "table", "configuration" },
+                                         { "reachable", reachable ? "yes" : "no" },
+                                         { "reason", reason } });
+                          } })
   , member_rows_(
       context,
       store_,
@@ -117,12 +118,13 @@
   , asker_(context)
   , socket_(context)
   , buffer_(datagram_limit)
-  , lease_(settings.name,
-           incarnation_,
-           address_,
-           claim_delay_of(settings.name),
-           { [this](const coordinator_row& row, std::uint64_t expected) { write_lease(row, expected); },
-             [this](bool holding, const std::string& reason) { duty_changed(holding, reason); } })
+  , lease_(
+      settings.name,
+      incarnation_,
+      address_,
+      claim_delay_of(settings.name),
+      { [this](const coordinator_row& row, std::uint64_t expected) { write_lease(row, expected); },
+        [this](bool holding, const std::string& reason) { duty_changed(holding, reason); } })
 {
 }
 
@@ -158,18 +160,17 @@
 void
 fleet_participant::receive()
 {
-  socket_.async_receive_from(
-    boost::asio::buffer(buffer_),
-    sender_,
-    [this](const boost::system::error_code& failure, std::size_t length) {
-      if (failure == boost::asio::error::operation_aborted) {
-        return;
-      }
-      if (!failure) {
-        take_datagram(std::string_view(buffer_.data(), length));
-      }
-      receive();
-    });
+  socket_.async_receive_from(boost::asio::buffer(buffer_),
+                             sender_,
+                             [this](const boost::system::error_code& failure, std::size_t length) {
+                               if (failure == boost::asio::error::operation_aborted) {
+                                 return;
+                               }
+                               if (!failure) {
+                                 take_datagram(std::string_view(buffer_.data(), length));
+                               }
+                               receive();
+                             });
 }
 
 void
@@ -240,6 +241,8 @@
   report.waiting = hooks_.waiting();
   report.used = limiter_.report_used(report.waiting);
   report.view_age = now - last_echo_;
+  report.view_clock = view_clock_;
+  report.view_held = now - view_arrived_;
   tokens_wanted_ = false;
   unanswered_report_ = now;
   if (coordinator_) {
@@ -315,6 +318,8 @@
   if (view.shares) {
     last_view_ = now;
   }
+  view_clock_ = view.clock;
+  view_arrived_ = now;
   lease_.hear(view.lease_revision, now);
   last_echo_ = std::max(last_echo_, view.echo_clock);
   instances_ = view.instances;
@@ -688,22 +693,22 @@
                            const member_id& member,
                            std::function<void(promote_outcome)> done)
 {
-  duties_.post_fresh(platform::promote_target,
-                     platform::encode_promote(group, member.get()),
-                     { { std::string(platform::holder_header), settings_.name.get() },
-                       { std::string(platform::token_header),
-                         std::to_string(lease_.token().get()) } },
-                     promote_timeout,
-                     [this, done = std::move(done)](const store_reply& reply) {
-                       log_.write("promote_answered", { { "status", std::to_string(reply.status) } });
-                       if (reply.status == platform::status_ok) {
-                         done(promote_outcome::accepted);
-                       } else if (reply.status == platform::status_conflict) {
-                         done(promote_outcome::refused);
-                       } else {
-                         done(promote_outcome::unanswered);
-                       }
-                     });
+  duties_.post_fresh(
+    platform::promote_target,
+    platform::encode_promote(group, member.get()),
+    { { std::string(platform::holder_header), settings_.name.get() },
+      { std::string(platform::token_header), std::to_string(lease_.token().get()) } },
+    promote_timeout,
+    [this, done = std::move(done)](const store_reply& reply) {
+      log_.write("promote_answered", { { "status", std::to_string(reply.status) } });
+      if (reply.status == platform::status_ok) {
+        done(promote_outcome::accepted);
+      } else if (reply.status == platform::status_conflict) {
+        done(promote_outcome::refused);
+      } else {
+        done(promote_outcome::unanswered);
+      }
+    });
 }
 
 void
@@ -770,9 +775,10 @@
     return lease_.holds(when) && lease_.left(when) > promote_timeout &&
            when - lease_.since() > promote_timeout + clock_margin;
   };
-  failovers.log = [this](const std::string& group, const std::string& event, const std::string& detail) {
-    log_.write("failover", { { "group", group }, { "step", event }, { "detail", detail } });
-  };
+  failovers.log =
+    [this](const std::string& group, const std::string& event, const std::string& detail) {
+      log_.write("failover", { { "group", group }, { "step", event }, { "detail", detail } });
+    };
   coordinator_ = std::make_unique<coordinator>(settings_.name,
                                                address_,
                                                lease_.token(),
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "Net/http_server.h"
 #include "Proxy/coordinator.h"
 #include "Proxy/coordinator_lease.h"
 #include "Proxy/fleet_knowledge.h"
 #include "Proxy/freshness.h"
 #include "Proxy/rate_limiter.h"
-#include "Net/http_server.h"
 #include "ProxyNode/decision_log.h"
 #include "ProxyNode/member_asker.h"
 #include "ProxyNode/node_settings.h"
@@ -125,6 +125,8 @@
   fencing_token least_token_;
   std::uint64_t view_ = 0;
   instant last_view_{};
+  std::optional<instant> view_clock_;
+  instant view_arrived_{};
   // Clock of the report that the newest view answers.
   instant last_echo_{};
   // A report without an answer yet was sent then.
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -223,6 +223,7 @@
       auto connection =
         caller_connection::create(std::move(socket),
                                   { [this] { return hooks_for_session(); },
+                                    [this] { return knowledge.has_configuration(); },
                                     [this, holder] { callers.erase(holder->lock()); },
                                     [](const statement_answer&, duration) {} });
       *holder = connection;
