proxy: Shorten the lease, judge contact at the instance that had it

The lease is now 1 s, 2.5 s while the store is slow; a new coordinator can use reports at once, since each instance itself leaves out what it failed to reach while it had no contact. A refused record is tried again after 100 ms, not every tick.

--- /dev/null
+++ b/Source/Proxy/contact_watch.cxx
@@ -0,0 +1,33 @@
+#include "Proxy/contact_watch.h"
+
+#include <algorithm>
+
+namespace persimmonshelf {
+
+namespace {
+
+// A longer time without contact is a cut; coordinators change within it.
+constexpr duration contact_gap = std::chrono::milliseconds(1500);
+// After a cut healed, a connection attempt that began before ends within this time.
+constexpr duration reconnect_time = std::chrono::milliseconds(700);
+
+}
+
+void
+contact_watch::note(instant now)
+{
+  if (now - last_ > contact_gap) {
+    since_ = now;
+  }
+  last_ = now;
+}
+
+duration
+contact_watch::counted(duration failing, instant now) const
+{
+  const auto in_contact = now - since_ - reconnect_time;
+  return std::clamp<duration>(
+    std::min<duration>(failing, in_contact), duration::zero(), std::max(failing, duration::zero()));
+}
+
+}
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -14,7 +14,7 @@
 // A recorded primary that lists itself as a replica this long has lost the lead some other way.
 constexpr duration mismatch_limit = std::chrono::seconds(3);
 // Before primaries are judged, reports of all instances should have come in.
-constexpr duration settling_time = std::chrono::milliseconds(700);
+constexpr duration settling_time = std::chrono::milliseconds(400);
 
 }
 
--- a/Source/Proxy/coordinator_lease.cxx
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -9,6 +9,9 @@
 
 // After a write that was not done or not answered; the row is read meanwhile.
 constexpr duration retry_pause = std::chrono::milliseconds(250);
+// Writes that take longer call for the long lease, and writes that take less for the short one.
+constexpr duration slow_write = std::chrono::milliseconds(250);
+constexpr duration quick_write = std::chrono::milliseconds(100);
 
 }
 
@@ -28,13 +31,13 @@
 bool
 coordinator_lease::holds(instant now) const
 {
-  return holding_ && now - renewed_ < lease_validity;
+  return holding_ && now - renewed_ < validity_;
 }
 
 duration
 coordinator_lease::left(instant now) const
 {
-  return holding_ ? std::max(duration::zero(), renewed_ + lease_validity - now) : duration::zero();
+  return holding_ ? std::max(duration::zero(), renewed_ + validity_ - now) : duration::zero();
 }
 
 void
@@ -91,6 +94,7 @@
     return;
   }
   renewed_ = std::max(renewed_, by.sent);
+  validity_ = by.row.validity;
   if (!std::exchange(holding_, true)) {
     token_ = by.row.token;
     renewed_ = by.sent;
@@ -105,11 +109,25 @@
   if (!holding_ || pending_ || leaving_) {
     return std::nullopt;
   }
-  coordinator_row row{ own_, incarnation_, token_, address_, ++renewals_ };
+  const auto row = own_row(token_);
   pending_ = pending_write{ row, now };
   return row;
 }
 
+coordinator_row
+coordinator_lease::own_row(fencing_token token)
+{
+  coordinator_row row;
+  row.holder = own_;
+  row.incarnation = incarnation_;
+  row.token = token;
+  row.address = address_;
+  row.renewal = ++renewals_;
+  const bool stay_long = validity_ == long_lease && write_time_ > quick_write;
+  row.validity = write_time_ > slow_write || stay_long ? long_lease : short_lease;
+  return row;
+}
+
 void
 coordinator_lease::begin_write(const coordinator_row& row, instant now)
 {
@@ -124,6 +142,7 @@
   if (!pending) {
     return;
   }
+  write_time_ = now - pending->sent;
   switch (outcome) {
     case write_outcome::written:
       row_ = pending->row;
@@ -143,6 +162,8 @@
       return;
     case write_outcome::unknown:
       unanswered_ = pending;
+      // If it was done, others count on the validity that it states.
+      validity_ = std::min(validity_, pending->row.validity);
       next_write_ = now + retry_pause;
       return;
   }
@@ -156,7 +177,7 @@
   }
   if (holding_) {
     if (now - renewed_ >= lease_renewal) {
-      begin_write({ own_, incarnation_, token_, address_, ++renewals_ }, now);
+      begin_write(own_row(token_), now);
     }
     return;
   }
@@ -165,12 +186,12 @@
   const bool vacant = !row_ || row_->holder.get().empty() || vacated_ == row_->token;
   duration wait = claim_delay_;
   if (!restarted && !vacant) {
-    wait += lease_takeover;
+    wait += row_->validity + takeover_margin;
   }
   // Only what the store confirmed counts as unchanged.
   if (unchanged_until_ - unchanged_since_ >= wait || (vacant && now - unchanged_since_ >= wait) ||
       restarted) {
-    begin_write({ own_, incarnation_, next, address_, ++renewals_ }, now);
+    begin_write(own_row(next), now);
   }
 }
 
@@ -191,7 +212,10 @@
 {
   leaving_ = true;
   if (holding_ && !pending_) {
-    begin_write({ instance_id(), incarnation_, token_, "", ++renewals_ }, now);
+    auto row = own_row(token_);
+    row.holder = instance_id();
+    row.address.clear();
+    begin_write(row, now);
   }
   lose("leaving");
 }
--- a/Source/Proxy/coordinator_lease.h
+++ b/Source/Proxy/coordinator_lease.h
@@ -9,6 +9,15 @@
 
 namespace persimmonshelf {
 
+// How long the holder relies on its last renewal, counted from before it was sent. The longer one
+// is chosen while the store takes long to answer.
+inline constexpr duration short_lease = std::chrono::milliseconds(1000);
+inline constexpr duration long_lease = std::chrono::milliseconds(2500);
+// How much longer than the holder's lease the row must stay unchanged before another instance takes
+// it: a call that the holder sent at its end is over by then.
+inline constexpr duration takeover_margin = std::chrono::milliseconds(750);
+inline constexpr duration lease_renewal = std::chrono::milliseconds(450);
+
 // The row of the store that names the coordinator.
 struct coordinator_row
 {
@@ -18,19 +27,14 @@
   fencing_token token;
   // Where the holder hears instances.
   std::string address;
+  // How long the holder relies on this write.
+  duration validity = short_lease;
   // Counts the holder's writes, so that a write whose answer was lost is recognised.
   std::uint64_t renewal = 0;
 
   friend bool operator==(const coordinator_row&, const coordinator_row&) = default;
 };
 
-// How long the holder relies on its last renewal, counted from before it was sent.
-inline constexpr duration lease_validity = std::chrono::milliseconds(1500);
-// How long the row must stay unchanged before another instance takes it. The difference to the
-// validity covers a call that the holder sent at its end.
-inline constexpr duration lease_takeover = std::chrono::milliseconds(2300);
-inline constexpr duration lease_renewal = std::chrono::milliseconds(600);
-
 // Decides when this instance takes, renews and gives up the duty of coordinator. Every change of
 // the row is conditional on its revision, so two instances never hold one token.
 class coordinator_lease
@@ -106,6 +110,7 @@
     instant sent{};
   };
 
+  coordinator_row own_row(fencing_token token);
   void begin_write(const coordinator_row& row, instant now);
   void lose(const std::string& reason);
   void became_holder(const pending_write& by, instant now, const std::string& reason);
@@ -127,6 +132,10 @@
   bool leaving_ = false;
   fencing_token token_;
   instant renewed_{};
+  // Of the newest write that may be in the store.
+  duration validity_ = short_lease;
+  // Time that the newest answered write took.
+  duration write_time_{};
   instant since_{};
   std::optional<pending_write> pending_;
   // Writes whose answer was lost; one of them may still be done.
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -11,6 +11,8 @@
 
 // Pause before members are compared or a record is written again.
 constexpr duration retry_pause = std::chrono::milliseconds(60);
+// Pause before a procedure that ended starts again, such as when the store refused its record.
+constexpr duration restart_pause = std::chrono::milliseconds(100);
 // How long a replica may take to receive what the old primary had when it stepped down.
 constexpr duration catch_up_limit = std::chrono::milliseconds(1500);
 // A promoted member leads after some hundred milliseconds.
@@ -61,6 +63,7 @@
            { "forget", [this] {
               ++run_;
               retry_wanted_ = false;
+              next_start_ = hooks_.now() + restart_pause;
             } } };
 }
 
@@ -96,7 +99,7 @@
 void
 failover::start(const member_id& primary, primary_trouble trouble)
 {
-  if (under_way() || trouble == primary_trouble::none) {
+  if (under_way() || trouble == primary_trouble::none || hooks_.now() < next_start_) {
     return;
   }
   ++run_;
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -115,6 +115,7 @@
   term chosen_above_;
   instant retry_at_{};
   bool retry_wanted_ = false;
+  instant next_start_{};
   instant confirm_until_{};
   // Rises when the procedure starts or ends: late answers of an earlier one are dropped.
   std::uint64_t run_ = 0;
--- a/Source/Proxy/primary_watch.cxx
+++ b/Source/Proxy/primary_watch.cxx
@@ -10,8 +10,6 @@
 constexpr duration opinion_life = std::chrono::milliseconds(1000);
 // Failing shorter than this may be a lost packet or a full queue of connections.
 constexpr duration failing_limit = std::chrono::milliseconds(400);
-// After a cut healed, an attempt that began before ends within this time.
-constexpr duration reconnect_time = std::chrono::milliseconds(700);
 // Share of the instances with an opinion that must find the primary unreachable. A replacement
 // stops the writes of all for about a second, a cut those of this share for its whole length.
 constexpr double unreachable_share = 0.3;
@@ -22,9 +20,6 @@
 primary_watch::report(const instance_report& report, instant now)
 {
   auto& opinion = opinions_[report.instance];
-  if (now - opinion.heard > opinion_life || report.view_age > opinion_life) {
-    opinion.in_touch_since = now;
-  }
   opinion.heard = now;
   opinion.failing.clear();
   for (const auto& sight : report.sights) {
@@ -55,7 +50,7 @@
       continue;
     }
     all += 1;
-    if (std::min(found->second, now - opinion.in_touch_since - reconnect_time) >= failing_limit) {
+    if (found->second >= failing_limit) {
       failing += 1;
     }
   }
--- a/Source/Proxy/primary_watch.h
+++ b/Source/Proxy/primary_watch.h
@@ -36,9 +36,6 @@
   struct instance_opinion
   {
     instant heard{};
-    // Since when it has answered views in time. What it failed to reach before tells of its own
-    // cut, not of the member.
-    instant in_touch_since{};
     std::map<member_id, duration> failing;
   };
   std::map<instance_id, instance_opinion> opinions_;
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -337,6 +337,7 @@
                          { "incarnation", std::to_string(row.incarnation.get()) },
                          { "token", row.token.get() },
                          { "address", row.address },
+                         { "validity_ms", row.validity.count() / 1000 },
                          { "renewal", row.renewal } });
 }
 
@@ -370,6 +371,8 @@
                     fields.integer("token", 0, std::numeric_limits<std::int64_t>::max()));
   row.token = fencing_token(static_cast<std::uint64_t>(token));
   BOOST_OUTCOME_TRY(row.address, fields.text("address"));
+  BOOST_OUTCOME_TRY(const auto validity, fields.integer("validity_ms", 1, 60'000));
+  row.validity = std::chrono::milliseconds(validity);
   BOOST_OUTCOME_TRY(const auto renewal,
                     fields.integer("renewal", 0, std::numeric_limits<std::int64_t>::max()));
   row.renewal = static_cast<std::uint64_t>(renewal);
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -30,7 +30,7 @@
 // Members announce that they leave many seconds ahead.
 constexpr duration members_period = std::chrono::milliseconds(1700);
 constexpr duration write_timeout = std::chrono::milliseconds(700);
-constexpr duration promote_timeout = std::chrono::milliseconds(800);
+constexpr duration promote_timeout = std::chrono::milliseconds(600);
 constexpr duration clock_margin = std::chrono::milliseconds(100);
 constexpr duration registration_pause = std::chrono::milliseconds(500);
 constexpr duration removal_pause = std::chrono::seconds(5);
@@ -241,6 +241,9 @@
     }
   }
   report.sights = hooks_.sights();
+  for (auto& sight : report.sights) {
+    sight.failing = contact_.counted(sight.failing, now);
+  }
   report.leaving = leaving_;
   report.grant = limiter_.grant();
   report.waiting = hooks_.waiting();
@@ -322,6 +325,7 @@
   // Without a lease the sender may be out of touch with the store.
   if (view.shares) {
     last_view_ = now;
+    contact_.note(now);
   }
   view_clock_ = view.clock;
   view_arrived_ = now;
@@ -512,6 +516,7 @@
                                instant as_of)
 {
   const auto now = boot_now();
+  contact_.note(now);
   std::optional<coordinator_row> holder;
   std::uint64_t holder_revision = 0;
   std::vector<group_record> groups;
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Net/http_server.h"
+#include "Proxy/contact_watch.h"
 #include "Proxy/coordinator.h"
 #include "Proxy/coordinator_lease.h"
 #include "Proxy/fleet_knowledge.h"
@@ -125,6 +126,7 @@
   fencing_token least_token_;
   std::uint64_t view_ = 0;
   instant last_view_{};
+  contact_watch contact_;
   std::optional<instant> view_clock_;
   instant view_arrived_{};
   // Clock of the report that the newest view answers.
