--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -61,6 +61,42 @@
     log;
 };
 
+// How far the statement in flight has come.
+enum class execution_step : std::uint8_t
+{
+  waiting_for_admission,
+  waiting_for_link,
+  preparing_link,
+  beginning,
+  running,
+};
+// The open transaction of a session.
+struct session_transaction
+{
+  bool read_only = false;
+  bool wrote = false;
+  // True once the operation was counted against the workspace's limit.
+  bool admitted = false;
+  proxy_route route;
+  instant resting_since{};
+};
+// The caller's statement in flight.
+struct statement_work
+{
+  statement request;
+  proxy_route route;
+  bool writes = false;
+  bool commits = false;
+  execution_step at = execution_step::waiting_for_admission;
+  instant arrived{};
+  instant expiry{};
+  bool needs_primary = false;
+  std::optional<log_point> after;
+  std::optional<member_id> avoid;
+  std::uint32_t attempts = 0;
+  std::optional<ticket_number> ticket;
+};
+
 // One session of a caller: its settings, prepared statements and transaction, and the connection
 // that an open transaction holds. Statements come one at a time; each gets exactly one answer.
 class caller_session
@@ -75,7 +111,7 @@
   std::optional<statement_error> check_start();
 
   // May be called only after the previous statement was answered.
-  void handle(statement next);
+  void handle(const statement& next);
 
   // Enforces the time limit of the statement in flight and of a resting transaction.
   void tick(instant now);
@@ -88,41 +124,7 @@
   const workspace_id& workspace() const { return workspace_; }
 
 private:
-  enum class step : std::uint8_t
-  {
-    waiting_for_admission,
-    waiting_for_link,
-    preparing_link,
-    beginning,
-    running,
-  };
-  struct transaction
-  {
-    bool read_only = false;
-    bool wrote = false;
-    // True once the operation was counted against the workspace's limit.
-    bool admitted = false;
-    proxy_route route;
-    instant resting_since{};
-  };
-  // The caller's statement in flight.
-  struct work
-  {
-    statement request;
-    proxy_route route;
-    bool writes = false;
-    bool commits = false;
-    step at = step::waiting_for_admission;
-    instant arrived{};
-    instant expiry{};
-    bool needs_primary = false;
-    std::optional<log_point> after;
-    std::optional<member_id> avoid;
-    std::uint32_t attempts = 0;
-    std::optional<ticket_number> ticket;
-  };
-
-  void answer(statement_answer reply);
+  void answer(const statement_answer& reply);
   void answer_done();
   void answer_error(statement_error error, std::string text);
   void fail_statement(statement_error error, const std::string& text);
@@ -160,8 +162,8 @@
   std::map<std::string, prepared_statement> prepared_;
   transaction_state state_ = transaction_state::idle;
   bool busy_ = false;
-  std::optional<transaction> transaction_;
-  std::optional<work> work_;
+  std::optional<session_transaction> transaction_;
+  std::optional<statement_work> work_;
   std::shared_ptr<member_link> link_;
   // True once a transaction was begun on the connection.
   bool link_in_transaction_ = false;
--- a/Source/Proxy/coordinator_lease.cxx
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -155,8 +155,6 @@
       return;
     case write_outcome::conflict:
       // The next observation tells whose the row is; without one the lease runs out.
-      next_write_ = now + retry_pause;
-      return;
     case write_outcome::refused:
       next_write_ = now + retry_pause;
       return;
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -93,7 +93,7 @@
   void publish();
   void ask_all(const std::vector<member_id>& members,
                const member_command& command,
-               std::function<void(const std::map<member_id, member_status>&)> done);
+               const std::function<void(const std::map<member_id, member_status>&)>& done);
   void learn_term(const member_status& status);
   const listed_member* listed(const member_id& id) const;
 
--- a/Source/ProxyNode/fleet_messages.h
+++ b/Source/ProxyNode/fleet_messages.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "Base/error.h"
-#include "Proxy/coordinator_lease.h"
 #include "Proxy/fleet_exchange.h"
 
 #include <optional>
@@ -25,23 +23,4 @@
 fleet_datagram
 decode_datagram(std::string_view bytes);
 
-// Rows of the fleet's own table in the store.
-inline constexpr std::string_view fleet_table = "persimmonshelf";
-inline constexpr std::string_view coordinator_key = "coordinator";
-inline constexpr std::string_view group_key_prefix = "group.";
-inline constexpr std::string_view instance_key_prefix = "instance.";
-
-std::string
-encode_coordinator(const coordinator_row& row);
-result<coordinator_row>
-decode_coordinator(std::string_view text);
-std::string
-encode_group(const group_record& record);
-result<group_record>
-decode_group(std::string_view text);
-std::string
-encode_instance(incarnation_id incarnation);
-result<incarnation_id>
-decode_instance(std::string_view text);
-
 }
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -26,6 +26,9 @@
 
 namespace persimmonshelf {
 
+// Longest wait for a write of the store, and for the configuration of the coordinator.
+inline constexpr duration write_timeout = std::chrono::milliseconds(700);
+
 // This instance's part in the fleet: it reports to the coordinator and learns from its views, reads
 // the store by itself while no views come, registers itself, and takes the duty of coordinator when
 // nobody holds it.
--- /dev/null
+++ b/Source/ProxyNode/fleet_participant_duty.cxx
@@ -0,0 +1,207 @@
+#include "ProxyNode/fleet_participant.h"
+
+#include "ProxyNode/boot_clock.h"
+#include "ProxyNode/fleet_messages.h"
+#include "ProxyNode/fleet_rows.h"
+#include "platform/store_format.h"
+
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// A promotion is acknowledged at once; the rest of the lease must cover this.
+constexpr duration promote_timeout = std::chrono::milliseconds(600);
+// Clocks of two machines run at slightly different speed.
+constexpr duration clock_margin = std::chrono::milliseconds(100);
+// Longest time in which a call of a former duty may be answered.
+constexpr duration retirement = std::chrono::seconds(10);
+
+}
+
+coordinator_lease::write_outcome
+fleet_participant::lease_outcome(const store_reply& reply, std::uint64_t& revision) const
+{
+  using write_outcome = coordinator_lease::write_outcome;
+  if (reply.status == platform::status_ok) {
+    const auto page = platform::parse_page(reply.body);
+    if (!page) {
+      return write_outcome::unknown;
+    }
+    revision = page.value().store_revision;
+    return write_outcome::written;
+  }
+  if (reply.status == platform::status_condition_failed) {
+    return write_outcome::conflict;
+  }
+  return reply.status == 0 ? write_outcome::unknown : write_outcome::refused;
+}
+
+void
+fleet_participant::write_lease(const coordinator_row& row, std::uint64_t expected)
+{
+  platform::store_write write;
+  write.table = fleet_table;
+  write.key = coordinator_key;
+  write.expected_revision = expected;
+  write.value = encode_coordinator(row);
+  store_.post(platform::write_target,
+              platform::encode_write({ write }),
+              write_timeout,
+              [this](const store_reply& reply) {
+                std::uint64_t revision = 0;
+                const auto outcome = lease_outcome(reply, revision);
+                lease_.write_done(outcome, revision, boot_now());
+                if (outcome != coordinator_lease::write_outcome::written) {
+                  fleet_rows_.hurry();
+                }
+              });
+}
+
+void
+fleet_participant::write_record(const group_record& record,
+                                std::function<void(bool written, std::uint64_t revision)> done)
+{
+  const auto now = boot_now();
+  const auto expected = lease_.revision();
+  const auto row = lease_.holds(now) ? lease_.begin_renewal(now) : std::nullopt;
+  if (!row) {
+    boost::asio::post(context_, [done = std::move(done)] { done(false, 0); });
+    return;
+  }
+  platform::store_write lease;
+  lease.table = fleet_table;
+  lease.key = coordinator_key;
+  lease.expected_revision = expected;
+  lease.value = encode_coordinator(*row);
+  platform::store_write group;
+  group.table = fleet_table;
+  group.key = std::string(group_key_prefix) + record.group;
+  group.value = encode_group(record);
+  group.conditional = false;
+  store_.post(platform::write_target,
+              platform::encode_write({ lease, group }),
+              write_timeout,
+              [this, record, now, done = std::move(done)](const store_reply& reply) {
+                std::uint64_t revision = 0;
+                const auto outcome = lease_outcome(reply, revision);
+                lease_.write_done(outcome, revision, boot_now());
+                const bool written = outcome == coordinator_lease::write_outcome::written;
+                if (written) {
+                  knowledge_.learn_groups({ record }, revision, now);
+                  hooks_.changed();
+                }
+                done(written, revision);
+                if (written && coordinator_) {
+                  coordinator_->push();
+                }
+              });
+}
+
+void
+fleet_participant::promote(const std::string& group,
+                           const member_id& member,
+                           std::function<void(promote_outcome)> done)
+{
+  duties_.post_fresh(
+    platform::promote_target,
+    platform::encode_promote(group, member.get()),
+    { { std::string(platform::holder_header), settings_.name.get() },
+      { std::string(platform::token_header), std::to_string(lease_.token().get()) } },
+    promote_timeout,
+    [this, done = std::move(done)](const store_reply& reply) {
+      log_.write("promote_answered", { { "status", std::to_string(reply.status) } });
+      if (reply.status == platform::status_ok) {
+        done(promote_outcome::accepted);
+      } else if (reply.status == platform::status_conflict) {
+        done(promote_outcome::refused);
+      } else {
+        done(promote_outcome::unanswered);
+      }
+    });
+}
+
+void
+fleet_participant::duty_changed(bool holding, const std::string& reason)
+{
+  const auto now = boot_now();
+  log_.write(holding ? "duty_taken" : "duty_lost",
+             { { "token", std::to_string(lease_.token().get()) }, { "reason", reason } });
+  if (!holding) {
+    // Until another instance takes the duty, this one goes on to answer reports: its views carry no
+    // lease, but tokens and what it still knows.
+    if (coordinator_) {
+      coordinator_->duty_lost();
+    }
+    return;
+  }
+  retire_coordinator(now);
+  start_coordinating(now);
+}
+
+void
+fleet_participant::retire_coordinator(instant now)
+{
+  if (coordinator_) {
+    coordinator_->duty_lost();
+    retired_.emplace_back(now + retirement, std::move(coordinator_));
+  }
+}
+
+void
+fleet_participant::start_coordinating(instant now)
+{
+  coordinator::hooks calls;
+  calls.now = [] { return boot_now(); };
+  calls.lease_revision = [this] { return lease_.revision(); };
+  calls.holds = [this] { return lease_.holds(boot_now()); };
+  calls.send = [this](const std::string& address, const fleet_view& view) {
+    if (address == address_) {
+      apply_view(view);
+      return;
+    }
+    send(address, encode_view(view));
+  };
+  auto& failovers = calls.failover_calls;
+  failovers.now = calls.now;
+  failovers.record = [this](const group_record& record, auto done) {
+    write_record(record, std::move(done));
+  };
+  failovers.ask = [this](const member_id& id, const member_command& command, auto done) {
+    for (const auto& member : knowledge_.members()) {
+      if (member.id == id) {
+        asker_.ask(member, command, std::move(done));
+        return;
+      }
+    }
+    boost::asio::post(context_, [done = std::move(done)] { done(std::nullopt); });
+  };
+  failovers.promote = [this](const std::string& group, const member_id& member, auto done) {
+    promote(group, member, std::move(done));
+  };
+  failovers.may_promote = [this] {
+    const auto when = boot_now();
+    // A call of the former holder may be under way until its timeout.
+    return lease_.holds(when) && lease_.left(when) > promote_timeout &&
+           when - lease_.since() > promote_timeout + clock_margin;
+  };
+  failovers.log =
+    [this](const std::string& group, const std::string& event, const std::string& detail) {
+      log_.write("failover", { { "group", group }, { "step", event }, { "detail", detail } });
+    };
+  coordinator_ = std::make_unique<coordinator>(settings_.name,
+                                               address_,
+                                               lease_.token(),
+                                               std::exchange(shares_known_, false),
+                                               settings_.replaces_primaries,
+                                               knowledge_,
+                                               positions_,
+                                               std::move(calls));
+  coordinator_->set_registered(registered_);
+  coordinator_address_ = address_;
+  choose_sources(now);
+  send_report(now);
+}
+
+}
--- /dev/null
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -0,0 +1,247 @@
+#include "ProxyNode/fleet_participant.h"
+
+#include "ProxyNode/boot_clock.h"
+#include "ProxyNode/fleet_messages.h"
+#include "ProxyNode/fleet_rows.h"
+#include "platform/store_format.h"
+
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// An instance that is not listed writes its row again after this pause.
+constexpr duration registration_pause = std::chrono::milliseconds(500);
+// Pause between removals of instances that vanished.
+constexpr duration removal_pause = std::chrono::seconds(5);
+// Where an instance serves the configuration that it holds.
+constexpr std::string_view configuration_path = "/v1/configuration";
+// Pause between two attempts to fetch a configuration.
+constexpr duration fetch_pause = std::chrono::milliseconds(50);
+
+}
+
+void
+fleet_participant::learn_configuration(const std::map<std::string, platform::store_row>& rows,
+                                       instant as_of)
+{
+  const auto row = rows.find(std::string(platform::configuration_key));
+  if (row == rows.end()) {
+    return;
+  }
+  accept_configuration(row->second.value, as_of, "store");
+}
+
+void
+fleet_participant::accept_configuration(const std::string& text,
+                                        instant as_of,
+                                        const std::string& source)
+{
+  auto parsed = platform::parse_configuration(text);
+  if (!parsed) {
+    log_.write("configuration_unreadable", { { "reason", parsed.error().message } });
+    return;
+  }
+  const auto version = parsed.value().version;
+  const auto held = knowledge_.configuration().configuration().version;
+  if (!knowledge_.learn_configuration(std::move(parsed.value()), as_of)) {
+    log_.write("configuration_older", { { "version", std::to_string(version.get()) } });
+    return;
+  }
+  if (version != held) {
+    configuration_text_ = text;
+    log_.write("configuration",
+               { { "version", std::to_string(version.get()) }, { "source", source } });
+    limiter_.set_workspaces(knowledge_.configuration().configuration().workspaces, boot_now());
+    hooks_.changed();
+    if (coordinator_) {
+      coordinator_->push();
+    }
+  }
+  choose_sources(boot_now());
+}
+
+// Fetches the version that the newest view named from the coordinator, which has read it from the
+// store; an instance that the store turns away gets it too.
+void
+fleet_participant::fetch_configuration(instant now)
+{
+  const bool newer = knowledge_.configuration().configuration().version < wanted_configuration_;
+  if (!newer || fetching_ || coordinator_ || now < next_fetch_ || coordinator_address_.empty()) {
+    return;
+  }
+  if (coordinator_calls_to_ != coordinator_address_) {
+    tcp_address address;
+    if (!parse_address(coordinator_address_, address)) {
+      return;
+    }
+    coordinator_calls_to_ = coordinator_address_;
+    coordinator_calls_ = std::make_unique<store_access>(context_, address);
+  }
+  fetching_ = true;
+  next_fetch_ = now + fetch_pause;
+  coordinator_calls_->get(
+    std::string(configuration_path), write_timeout, [this](const store_reply& reply) {
+      fetching_ = false;
+      if (reply.status == platform::status_ok) {
+        // Newer than the view's version or the same: nothing newer than it was there at that time.
+        accept_configuration(reply.body, wanted_as_of_, "coordinator");
+      } else {
+        log_.write("configuration_fetch_failed", { { "status", std::to_string(reply.status) } });
+      }
+    });
+}
+
+void
+fleet_participant::serve_peers(const http_request& request,
+                               const http_server::responder& send) const
+{
+  http_response response;
+  if (request.method == "GET" && request.target == configuration_path &&
+      !configuration_text_.empty()) {
+    response.body = configuration_text_;
+  } else {
+    response.status = 404;
+  }
+  send(std::move(response));
+}
+
+void
+fleet_participant::learn_members(const std::map<std::string, platform::store_row>& rows,
+                                 instant as_of)
+{
+  std::vector<listed_member> members;
+  for (const auto& [key, row] : rows) {
+    auto parsed = platform::parse_member_row(row);
+    if (!parsed) {
+      log_.write("member_unreadable", { { "reason", parsed.error().message } });
+      continue;
+    }
+    members.push_back(std::move(parsed.value()));
+  }
+  const auto digest = digest_of(members);
+  if (!knowledge_.learn_members(std::move(members), as_of)) {
+    return;
+  }
+  if (digest != members_digest_) {
+    members_digest_ = digest;
+    log_.write("members", { { "count", std::to_string(knowledge_.members().size()) } });
+    hooks_.changed();
+    if (coordinator_) {
+      coordinator_->push();
+    }
+  }
+}
+
+void
+fleet_participant::learn_fleet(const std::map<std::string, platform::store_row>& rows,
+                               std::uint64_t revision,
+                               instant as_of)
+{
+  const auto now = boot_now();
+  contact_.note(now);
+  std::optional<coordinator_row> holder;
+  std::uint64_t holder_revision = 0;
+  std::vector<group_record> groups;
+  std::map<instance_id, incarnation_id> registered;
+  for (const auto& [key, row] : rows) {
+    if (key == coordinator_key) {
+      if (auto parsed = decode_coordinator(row.value)) {
+        holder = std::move(parsed.value());
+      } else {
+        log_.write("row_unreadable", { { "key", key }, { "reason", parsed.error().message } });
+      }
+      holder_revision = row.revision;
+    } else if (key.starts_with(group_key_prefix)) {
+      if (auto parsed = decode_group(row.value)) {
+        groups.push_back(std::move(parsed.value()));
+      } else {
+        log_.write("row_unreadable", { { "key", key }, { "reason", parsed.error().message } });
+      }
+    } else if (key.starts_with(instance_key_prefix)) {
+      if (auto parsed = decode_instance(row.value)) {
+        registered[instance_id(key.substr(instance_key_prefix.size()))] = parsed.value();
+      } else {
+        log_.write("row_unreadable", { { "key", key }, { "reason", parsed.error().message } });
+      }
+    }
+  }
+  if (!std::exchange(fleet_read_, true)) {
+    // No coordinator ever was, so no shares can be out.
+    shares_known_ = !holder;
+  }
+  registered_ = registered;
+  const auto own = registered.find(settings_.name);
+  if (own != registered.end() && own->second == incarnation_) {
+    const auto before = knowledge_.groups();
+    knowledge_.learn_groups(groups, revision, as_of);
+    if (before != knowledge_.groups()) {
+      hooks_.changed();
+      send_report(now);
+    }
+  } else {
+    register_self(now);
+  }
+  lease_.observe(holder, holder_revision, as_of, now);
+  if (holder && holder->token > least_token_) {
+    least_token_ = holder->token;
+    if (coordinator_ && holder->holder != settings_.name) {
+      retire_coordinator(now);
+    }
+  }
+  if (holder && !holder->holder.get().empty() && !coordinator_ &&
+      coordinator_address_ != holder->address) {
+    coordinator_address_ = holder->address;
+    send_report(now);
+  }
+  if (coordinator_) {
+    coordinator_->set_registered(registered_);
+  }
+}
+
+void
+fleet_participant::register_self(instant now)
+{
+  if (now - last_registration_ < registration_pause) {
+    return;
+  }
+  last_registration_ = now;
+  platform::store_write row;
+  row.table = fleet_table;
+  row.key = std::string(instance_key_prefix) + settings_.name.get();
+  row.value = encode_instance(incarnation_);
+  store_.post(platform::write_target,
+              platform::encode_put(row),
+              write_timeout,
+              [this](const store_reply& reply) {
+                log_.write("registered", { { "status", std::to_string(reply.status) } });
+                fleet_rows_.hurry();
+              });
+}
+
+void
+fleet_participant::remove_vanished(instant now)
+{
+  if (now - last_removal_ < removal_pause) {
+    return;
+  }
+  last_removal_ = now;
+  std::vector<std::string> keys;
+  for (const auto& instance : coordinator_->vanished()) {
+    keys.push_back(std::string(instance_key_prefix) + instance.get());
+  }
+  if (keys.empty()) {
+    return;
+  }
+  store_.post(platform::write_target,
+              platform::encode_remove(fleet_table, keys),
+              write_timeout,
+              [this, count = keys.size()](const store_reply& reply) {
+                log_.write("unregistered",
+                           { { "instances", std::to_string(count) },
+                             { "status", std::to_string(reply.status) } });
+              });
+}
+
+}
--- /dev/null
+++ b/Source/ProxyNode/fleet_rows.cxx
@@ -0,0 +1,110 @@
+#include "ProxyNode/fleet_rows.h"
+
+#include "Base/json_fields.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <limits>
+
+namespace persimmonshelf {
+
+namespace {
+
+constexpr auto unreadable = result_code::malformed_answer;
+
+}
+
+std::string
+encode_coordinator(const coordinator_row& row)
+{
+  return boost::json::serialize(
+    boost::json::object{ { "holder", row.holder.get() },
+                         { "incarnation", std::to_string(row.incarnation.get()) },
+                         { "token", row.token.get() },
+                         { "address", row.address },
+                         { "validity_ms", row.validity.count() / 1000 },
+                         { "renewal", row.renewal } });
+}
+
+namespace {
+
+result<incarnation_id>
+incarnation_field(json_fields& fields)
+{
+  BOOST_OUTCOME_TRY(const auto text, fields.text("incarnation"));
+  // Incarnations use all 64 bits, which JSON numbers do not carry.
+  char* end = nullptr;
+  const auto value = std::strtoull(text.c_str(), &end, 10);
+  if (text.empty() || *end != '\0') {
+    return fail(unreadable, fields.place() + ".incarnation: \"" + text + "\" is no number");
+  }
+  return incarnation_id(value);
+}
+
+}
+
+result<coordinator_row>
+decode_coordinator(std::string_view text)
+{
+  BOOST_OUTCOME_TRY(const auto value, parse_json(text, unreadable));
+  BOOST_OUTCOME_TRY(auto fields, json_fields::create(value, "coordinator", unreadable));
+  coordinator_row row;
+  BOOST_OUTCOME_TRY(const auto holder, fields.text("holder"));
+  row.holder = instance_id(holder);
+  BOOST_OUTCOME_TRY(row.incarnation, incarnation_field(fields));
+  BOOST_OUTCOME_TRY(const auto token,
+                    fields.integer("token", 0, std::numeric_limits<std::int64_t>::max()));
+  row.token = fencing_token(static_cast<std::uint64_t>(token));
+  BOOST_OUTCOME_TRY(row.address, fields.text("address"));
+  BOOST_OUTCOME_TRY(const auto validity, fields.integer("validity_ms", 1, 60'000));
+  row.validity = std::chrono::milliseconds(validity);
+  BOOST_OUTCOME_TRY(const auto renewal,
+                    fields.integer("renewal", 0, std::numeric_limits<std::int64_t>::max()));
+  row.renewal = static_cast<std::uint64_t>(renewal);
+  return row;
+}
+
+std::string
+encode_group(const group_record& record)
+{
+  return boost::json::serialize(boost::json::object{ { "group", record.group },
+                                                     { "primary", record.primary.get() },
+                                                     { "changing", record.changing },
+                                                     { "stepped_down", record.stepped_down },
+                                                     { "term", record.in_term.get() } });
+}
+
+result<group_record>
+decode_group(std::string_view text)
+{
+  BOOST_OUTCOME_TRY(const auto value, parse_json(text, unreadable));
+  BOOST_OUTCOME_TRY(auto fields, json_fields::create(value, "group", unreadable));
+  group_record record;
+  BOOST_OUTCOME_TRY(record.group, fields.text("group"));
+  BOOST_OUTCOME_TRY(const auto primary, fields.text("primary"));
+  record.primary = member_id(primary);
+  BOOST_OUTCOME_TRY(record.changing, fields.boolean_or("changing", true));
+  BOOST_OUTCOME_TRY(record.stepped_down, fields.boolean_or("stepped_down", false));
+  BOOST_OUTCOME_TRY(const auto number,
+                    fields.integer("term", 0, std::numeric_limits<std::int64_t>::max()));
+  record.in_term = term(static_cast<std::uint64_t>(number));
+  return record;
+}
+
+std::string
+encode_instance(incarnation_id incarnation)
+{
+  return boost::json::serialize(
+    boost::json::object{ { "incarnation", std::to_string(incarnation.get()) } });
+}
+
+result<incarnation_id>
+decode_instance(std::string_view text)
+{
+  BOOST_OUTCOME_TRY(const auto value, parse_json(text, unreadable));
+  BOOST_OUTCOME_TRY(auto fields, json_fields::create(value, "instance", unreadable));
+  return incarnation_field(fields);
+}
+
+}
--- a/Source/ProxyNode/line_stream.cxx
+++ b/Source/ProxyNode/line_stream.cxx
@@ -104,7 +104,7 @@
 }
 
 void
-line_stream::write(std::string text)
+line_stream::write(std::string_view text)
 {
   if (!open_ || finishing_) {
     return;
--- a/Source/ProxyNode/line_stream.h
+++ b/Source/ProxyNode/line_stream.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace persimmonshelf {
 
@@ -32,7 +33,7 @@
   void set_timeouts(duration unacknowledged, duration idle_probe);
 
   void start(handlers calls);
-  void write(std::string text);
+  void write(std::string_view text);
 
   // Closes after what was written has been sent.
   void finish();
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -1,4 +1,4 @@
-#include "ProxyNode/proxy_node.h"
+#include "ProxyNode/proxy_node_state.h"
 
 #include "Net/http_server.h"
 #include "Proxy/admission.h"
@@ -31,8 +31,6 @@
 
 // Resolution of the statement time limits and of the queue.
 constexpr duration tick_period = std::chrono::milliseconds(20);
-// Connecting takes a round trip and the member's set-up, which waits for a slot.
-constexpr duration link_open_timeout = std::chrono::milliseconds(450);
 // Key evidence ends this long before the bound, for the way of the statement to the member.
 constexpr duration key_margin = std::chrono::milliseconds(250);
 // Sessions are closed from this long after the order to stop: by then two readiness probes failed
@@ -46,49 +44,6 @@
 
 }
 
-struct proxy_node::state
-{
-  explicit state(const node_settings& own);
-
-  result<void> listen();
-  void start();
-  void accept();
-  void tick();
-  void serve_readiness();
-  bool ready() const;
-  void stop();
-  session_hooks hooks_for_session();
-  void open_link(const member_link& link, const listed_member& member);
-  void close_link(link_number number);
-  void fleet_changed();
-  std::vector<member_sight> sights() const;
-  node_metrics::sample sample() const;
-  duration silence_of(const member_id& member, instant now) const;
-  void wait_for_signal();
-  void drain(instant now);
-
-  node_settings settings;
-  boost::asio::io_context context;
-  decision_log log;
-  fleet_knowledge knowledge;
-  freshness positions;
-  rate_limiter limiter;
-  admission operations;
-  link_dispatcher links;
-  fleet_participant fleet;
-  std::map<link_number, std::shared_ptr<member_connection>> connections;
-  // When a member last answered anything.
-  std::map<member_id, instant> last_answers;
-  std::set<std::shared_ptr<caller_connection>> callers;
-  tcp::acceptor acceptor;
-  std::unique_ptr<http_server> readiness;
-  std::unique_ptr<node_metrics> metrics;
-  boost::asio::steady_timer timer;
-  boost::asio::signal_set signals;
-  bool stopping = false;
-  instant stop_began{};
-};
-
 proxy_node::state::state(const node_settings& own)
   : settings(own)
   , context(1)
@@ -338,106 +293,6 @@
   }
 }
 
-session_hooks
-proxy_node::state::hooks_for_session()
-{
-  session_hooks hooks;
-  hooks.configuration = [this]() -> const configuration_index& {
-    return knowledge.configuration();
-  };
-  hooks.key_evidence_missing = [this] { return knowledge.key_evidence_missing(boot_now()); };
-  hooks.admit = [this](const workspace_id& workspace, admission::handler done) {
-    operations.admit(workspace, std::move(done), boot_now());
-  };
-  hooks.acquire = [this](link_request request,
-                         link_dispatcher::grant_handler granted,
-                         link_dispatcher::refuse_handler refused) {
-    return links.acquire(std::move(request), std::move(granted), std::move(refused), boot_now());
-  };
-  hooks.cancel = [this](ticket_number ticket) { links.cancel(ticket); };
-  hooks.release = [this](link_number number, duration elapsed) {
-    links.release(number, elapsed, boot_now());
-  };
-  hooks.send = [this](link_number number,
-                      const member_command& command,
-                      std::function<void(member_reply)> done) {
-    const auto found = connections.find(number);
-    if (found == connections.end()) {
-      boost::asio::post(context, [done = std::move(done)] { done({ .lost = true }); });
-      return;
-    }
-    found->second->send(command,
-                        [this, member = member_id(found->second->member()), done = std::move(done)](
-                          member_reply reply) {
-                          if (!reply.lost) {
-                            last_answers[member] = reply.received;
-                          }
-                          done(std::move(reply));
-                        });
-  };
-  hooks.abandon = [this](link_number number) {
-    close_link(number);
-    links.link_closed(number, false, boot_now());
-  };
-  hooks.leader = [this](const std::string& group) { return knowledge.leader(group, boot_now()); };
-  hooks.commit_is_valid = [this](const std::string& group, const member_id& member) {
-    return knowledge.commit_is_valid(group, member, boot_now());
-  };
-  hooks.fresh_position = [this](const std::string& group, duration bound) {
-    return positions.position_for(group, bound, boot_now());
-  };
-  hooks.observe_lag = [this](const member_id& member, bool lagging) {
-    if (lagging) {
-      links.note_lagging(member, boot_now());
-    } else {
-      links.note_fresh(member);
-    }
-  };
-  hooks.observe_position = [this](const std::string& group,
-                                  const member_id& member,
-                                  const log_point& position,
-                                  instant sent) {
-    const auto leader = knowledge.leader(group, boot_now());
-    if (leader && leader->usable && leader->member == member) {
-      positions.observe(group, position, sent);
-    }
-  };
-  hooks.now = [] { return boot_now(); };
-  hooks.log = [this](const std::string& event, const std::string& id, const std::string& detail) {
-    log.write(event, { { "request", id }, { "detail", detail } });
-  };
-  return hooks;
-}
-
-void
-proxy_node::state::open_link(const member_link& link, const listed_member& member)
-{
-  const auto number = link.number;
-  auto connection = member_connection::create(
-    context,
-    { member.address, member.group, link.workspace.get(), member.id.get() },
-    { [this, number] { links.link_opened(number, boot_now()); },
-      [this, number, id = member.id](bool refused_full, const std::string& reason) {
-        log.write("link_closed", { { "member", id.get() }, { "reason", reason } });
-        connections.erase(number);
-        links.link_closed(number, refused_full, boot_now());
-      } });
-  connections.emplace(number, connection);
-  connection->open(link_open_timeout);
-}
-
-void
-proxy_node::state::close_link(link_number number)
-{
-  const auto found = connections.find(number);
-  if (found == connections.end()) {
-    return;
-  }
-  const auto connection = found->second;
-  connections.erase(found);
-  connection->abandon();
-}
-
 result<std::unique_ptr<proxy_node>>
 proxy_node::create(const node_settings& settings)
 {
--- /dev/null
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "ProxyNode/proxy_node.h"
+
+#include "Net/http_server.h"
+#include "Proxy/admission.h"
+#include "Proxy/fleet_knowledge.h"
+#include "Proxy/freshness.h"
+#include "Proxy/link_dispatcher.h"
+#include "Proxy/rate_limiter.h"
+#include "ProxyNode/caller_connection.h"
+#include "ProxyNode/decision_log.h"
+#include "ProxyNode/fleet_participant.h"
+#include "ProxyNode/member_connection.h"
+#include "ProxyNode/node_metrics.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
+namespace persimmonshelf {
+
+// Everything that one proxy instance owns, on one io_context.
+struct proxy_node::state
+{
+  explicit state(const node_settings& own);
+
+  result<void> listen();
+  void start();
+  void accept();
+  void tick();
+  void serve_readiness();
+  bool ready() const;
+  void stop();
+  session_hooks hooks_for_session();
+  void open_link(const member_link& link, const listed_member& member);
+  void close_link(link_number number);
+  void fleet_changed();
+  std::vector<member_sight> sights() const;
+  node_metrics::sample sample() const;
+  duration silence_of(const member_id& member, instant now) const;
+  void wait_for_signal();
+  void drain(instant now);
+
+  node_settings settings;
+  boost::asio::io_context context;
+  decision_log log;
+  fleet_knowledge knowledge;
+  freshness positions;
+  rate_limiter limiter;
+  admission operations;
+  link_dispatcher links;
+  fleet_participant fleet;
+  std::map<link_number, std::shared_ptr<member_connection>> connections;
+  // When a member last answered anything.
+  std::map<member_id, instant> last_answers;
+  std::set<std::shared_ptr<caller_connection>> callers;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::unique_ptr<http_server> readiness;
+  std::unique_ptr<node_metrics> metrics;
+  boost::asio::steady_timer timer;
+  boost::asio::signal_set signals;
+  bool stopping = false;
+  instant stop_began{};
+};
+
+}
--- a/Source/ProxyNode/store_follower.cxx
+++ b/Source/ProxyNode/store_follower.cxx
@@ -84,9 +84,9 @@
 void
 table_follower::read_page()
 {
-  store_.get(platform::target_of_read(table_, from_key_), call_timeout, [this](store_reply reply) {
-    page_arrived(reply);
-  });
+  store_.get(platform::target_of_read(table_, from_key_),
+             call_timeout,
+             [this](const store_reply& reply) { page_arrived(reply); });
 }
 
 void
@@ -96,7 +96,7 @@
   const auto hold = reachable_ ? hold_ : duration::zero();
   store_.get(platform::target_of_feed(table_, revision_, milliseconds_of(hold)),
              hold + call_timeout,
-             [this](store_reply reply) { feed_arrived(reply); });
+             [this](const store_reply& reply) { feed_arrived(reply); });
 }
 
 // True if the call failed; another one is then due.
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include "ProxyNode/fleet_messages.h"
+#include "ProxyNode/fleet_rows.h"
 #include "ProxyNode/node_settings.h"
 #include "platform/base64.h"
 #include "platform/line_protocol.h"
