--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -363,7 +363,8 @@
   // the reply's owner, so that the member is not interrupted.
   const auto hooks = hooks_;
   const auto number = link_->number;
-  const bool in_transaction = link_in_transaction_;
+  // A BEGIN that is on its way may take effect.
+  const bool in_transaction = link_in_transaction_ || work_->at == execution_step::beginning;
   link_->values.clear();
   link_->prepared.clear();
   link_.reset();
@@ -374,9 +375,14 @@
   hooks->send(number,
               { .kind = member_command::command_kind::reset },
               [hooks, number](const member_reply& reply) {
-                if (!reply.lost) {
-                  hooks->release(number, duration::zero());
+                if (reply.lost) {
+                  return;
                 }
+                if (reply.answer.state != transaction_state::idle) {
+                  hooks->abandon(number);
+                  return;
+                }
+                hooks->release(number, duration::zero());
               });
 }
 
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -144,7 +144,7 @@
   void begin_answered(const member_reply& reply);
   void send_statement();
   void statement_answered(const member_reply& reply);
-  bool try_elsewhere(statement_error error);
+  bool try_elsewhere(statement_error error, transaction_state state);
   void reply_lost();
   void finish(const member_reply& reply);
   void release_link(duration elapsed);
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -233,7 +233,7 @@
     return;
   }
   if (reply.answer.error) {
-    if (try_elsewhere(*reply.answer.error)) {
+    if (try_elsewhere(*reply.answer.error, reply.answer.state)) {
       return;
     }
     drop_link();
@@ -284,7 +284,8 @@
   if (reply.answer.position) {
     hooks_->observe_position(link_->group, link_->member, *reply.answer.position, reply.sent);
   }
-  if (reply.answer.error && !transaction_ && try_elsewhere(*reply.answer.error)) {
+  if (reply.answer.error && !transaction_ &&
+      try_elsewhere(*reply.answer.error, reply.answer.state)) {
     return;
   }
   finish(reply);
@@ -293,7 +294,7 @@
 // A member answered that it ran nothing: asks another one while time is left. Inside a begun
 // transaction there is no other place.
 bool
-caller_session::try_elsewhere(statement_error error)
+caller_session::try_elsewhere(statement_error error, transaction_state state)
 {
   if (error == statement_error::lagging) {
     hooks_->observe_lag(link_->member, true);
@@ -307,7 +308,7 @@
     link_->prepared.clear();
   }
   const auto member = link_->member;
-  if (error == statement_error::misrouted) {
+  if (error == statement_error::misrouted || state != transaction_state::idle) {
     drop_link();
   } else {
     release_link(duration::zero());
@@ -384,8 +385,13 @@
   }
   const auto elapsed = std::chrono::duration_cast<duration>(reply.received - reply.sent);
   if (!transaction_) {
+    // A connection that is not idle by the member's own word is not shared.
+    if (result.state == transaction_state::idle) {
+      release_link(elapsed);
+    } else {
+      drop_link();
+    }
     result.state = transaction_state::idle;
-    release_link(elapsed);
   } else if (work_->commits) {
     transaction_.reset();
     link_in_transaction_ = false;
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -67,6 +67,14 @@
   if (peer.incarnation == report.incarnation && report.clock <= peer.clock) {
     return;
   }
+  if (report.tokens_only) {
+    // The rest is known from the last whole report.
+    if (peer.incarnation == report.incarnation) {
+      peer.clock = report.clock;
+      answer_ask(report, peer);
+    }
+    return;
+  }
   peer.address = report.address;
   peer.incarnation = report.incarnation;
   peer.heard = now;
@@ -99,6 +107,24 @@
   }
 }
 
+// Asks come in bursts when many operations find no token, so they are answered with little work.
+void
+coordinator::answer_ask(const instance_report& report, const known_peer& from)
+{
+  fleet_view view;
+  view.holder = own_;
+  view.address = address_;
+  view.token = token_;
+  view.view = ++last_view_;
+  view.incarnation = from.incarnation;
+  view.echo_clock = from.clock;
+  view.tokens_only = true;
+  pool_.settle(report, token_);
+  view.grant = ++last_grant_;
+  view.tokens = pool_.draw(report, shares_.granted(report.instance), view.grant, hooks_.now());
+  hooks_.send(from.address, view);
+}
+
 void
 coordinator::draw_tokens(const instance_report& report, fleet_view& view)
 {
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -75,6 +75,7 @@
 
   fleet_view make_view(const instance_id& instance, const known_peer& to);
   void learn_positions(const instance_report& report, instant now);
+  void answer_ask(const instance_report& report, const known_peer& from);
   void draw_tokens(const instance_report& report, fleet_view& view);
   void watch_groups(bool list_is_sound);
   void note_position(const std::string& group, const dated_position& position);
--- a/Source/Proxy/fleet_exchange.h
+++ b/Source/Proxy/fleet_exchange.h
@@ -67,6 +67,8 @@
   std::map<std::string, dated_position> positions;
   std::vector<member_sight> sights;
   bool leaving = false;
+  // True if the report only asks for tokens and leaves out all else.
+  bool tokens_only = false;
   // True if the sender does not hear the coordinator: whoever does passes the report on.
   bool seeking = false;
 };
@@ -97,6 +99,8 @@
   std::optional<std::vector<listed_member>> members;
   // Empty if the sender's lease has run out: the receiver's shares live no longer than they do.
   std::optional<share_table_parts> shares;
+  // True if the view answers a report that only asked for tokens.
+  bool tokens_only = false;
   // Tokens until the next report; zero if the view grants none.
   std::uint64_t grant = 0;
   std::map<workspace_id, double> tokens;
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -127,6 +127,7 @@
     report.sights.push_back({ member_id(entry.member()), from_us(entry.failing_us()) });
   }
   report.leaving = from.leaving();
+  report.tokens_only = from.tokens_only();
   report.seeking = from.seeking();
   if (from.view_clock_us() > 0) {
     report.view_clock = instant(from_us(from.view_clock_us()));
@@ -146,6 +147,7 @@
 {
   fleet_view view;
   view.holder = instance_id(from.holder());
+  view.tokens_only = from.tokens_only();
   view.address = from.address();
   view.lease_revision = from.lease_revision();
   view.clock = instant(from_us(from.clock_us()));
@@ -232,6 +234,7 @@
     entry->set_failing_us(to_us(sight.failing));
   }
   to.set_leaving(report.leaving);
+  to.set_tokens_only(report.tokens_only);
   to.set_seeking(report.seeking);
   to.set_view_clock_us(report.view_clock ? to_us(*report.view_clock) : 0);
   to.set_view_held_us(to_us(report.view_held));
@@ -258,6 +261,7 @@
 {
   fleet_wire::fleet_view to;
   to.set_holder(view.holder.get());
+  to.set_tokens_only(view.tokens_only);
   to.set_address(view.address);
   to.set_lease_revision(view.lease_revision);
   to.set_clock_us(to_us(view.clock));
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -20,8 +20,6 @@
 constexpr duration report_period = std::chrono::milliseconds(250);
 // Without a view for this long an instance reads the store by itself.
 constexpr duration view_silence = std::chrono::milliseconds(700);
-// An answer that takes longer is taken for lost when tokens are wanted.
-constexpr duration answer_limit = std::chrono::milliseconds(40);
 // How long the store may hold a call; bounds the age of what it proves.
 constexpr duration configuration_hold = std::chrono::milliseconds(1000);
 // An instance on its own needs the group records as young as a view would tell them.
@@ -236,14 +234,9 @@
     sight.failing = contact_.counted(sight.failing, now);
   }
   report.leaving = leaving_;
-  report.grant = limiter_.grant();
-  report.waiting = hooks_.waiting();
-  report.used = limiter_.report_used(report.waiting);
-  report.view_age = now - last_echo_;
+  add_token_use(report, now);
   report.view_clock = view_clock_;
   report.view_held = now - view_arrived_;
-  tokens_wanted_ = false;
-  unanswered_report_ = now;
   if (coordinator_) {
     coordinator_->report(report);
     return;
@@ -275,24 +268,50 @@
   return targets;
 }
 
+void
+fleet_participant::add_token_use(instance_report& report, instant now)
+{
+  report.grant = limiter_.grant();
+  report.waiting = hooks_.waiting();
+  report.used = limiter_.report_used(report.waiting);
+  report.view_age = now - last_echo_;
+  pacer_.sent(now);
+}
+
 void
 fleet_participant::ask_for_tokens()
 {
-  const auto now = boot_now();
-  if (unanswered_report_ && now - *unanswered_report_ < answer_limit) {
-    tokens_wanted_ = true;
-    return;
-  }
+  pacer_.want();
   // Not from within the caller: the answer may come at once.
-  if (!std::exchange(tokens_wanted_, true)) {
+  if (!std::exchange(ask_posted_, true)) {
     boost::asio::post(context_, [this] {
-      if (tokens_wanted_) {
-        send_report(boot_now());
-      }
+      ask_posted_ = false;
+      send_ask(boot_now());
     });
   }
 }
 
+void
+fleet_participant::send_ask(instant now)
+{
+  if (!pacer_.due(now) || coordinator_address_.empty()) {
+    return;
+  }
+  instance_report report;
+  report.instance = settings_.name;
+  report.incarnation = incarnation_;
+  report.clock = now;
+  report.token = token_;
+  report.view = view_;
+  report.tokens_only = true;
+  add_token_use(report, now);
+  if (coordinator_) {
+    coordinator_->report(report);
+  } else {
+    send(coordinator_address_, encode_report(report));
+  }
+}
+
 void
 fleet_participant::apply_view(const fleet_view& view)
 {
@@ -311,6 +330,12 @@
     log_.write("coordinator_known",
                { { "holder", view.holder.get() }, { "token", std::to_string(view.token.get()) } });
   }
+  if (view.tokens_only && view.token == token_) {
+    view_ = view.view;
+    last_echo_ = std::max(last_echo_, view.echo_clock);
+    apply_tokens(view, now);
+    return;
+  }
   token_ = view.token;
   view_ = view.view;
   // Without a lease the sender may be out of touch with the store.
@@ -346,14 +371,7 @@
   if (view.shares) {
     limiter_.set_shares(*view.shares, view.echo_clock + share_lifetime, now);
   }
-  if (view.grant > 0) {
-    unanswered_report_.reset();
-    limiter_.set_tokens(view.tokens, view.grant, view.echo_clock, now);
-    hooks_.tokens_granted();
-    if (std::exchange(tokens_wanted_, false)) {
-      ask_for_tokens();
-    }
-  }
+  apply_tokens(view, now);
   for (const auto& [group, position] : view.positions) {
     const auto leader = knowledge_.leader(group, now);
     if (leader && leader->usable) {
@@ -379,6 +397,18 @@
   choose_sources(now);
 }
 
+void
+fleet_participant::apply_tokens(const fleet_view& view, instant now)
+{
+  if (view.grant == 0) {
+    return;
+  }
+  pacer_.answered();
+  limiter_.set_tokens(view.tokens, view.grant, view.echo_clock, now);
+  hooks_.tokens_granted();
+  send_ask(now);
+}
+
 void
 fleet_participant::choose_sources(instant now)
 {
@@ -408,6 +438,7 @@
   if (now - last_report_ >= report_period) {
     send_report(now);
   }
+  send_ask(now);
   if (lease_.named() && !lease_.holds(now)) {
     lease_.resign();
     coordinator_->release();
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Net/http_server.h"
+#include "Proxy/ask_pacer.h"
 #include "Proxy/contact_watch.h"
 #include "Proxy/coordinator.h"
 #include "Proxy/coordinator_lease.h"
@@ -72,8 +73,11 @@
   void take_report(const instance_report& report);
   void send(const std::string& address, const std::string& bytes);
   void send_report(instant now);
+  void send_ask(instant now);
+  void add_token_use(instance_report& report, instant now);
   std::vector<std::string> report_targets(bool heard) const;
   void apply_view(const fleet_view& view);
+  void apply_tokens(const fleet_view& view, instant now);
   void learn_configuration(const std::map<std::string, platform::store_row>& rows, instant as_of);
   void learn_members(const std::map<std::string, platform::store_row>& rows, instant as_of);
   void learn_fleet(const std::map<std::string, platform::store_row>& rows,
@@ -134,9 +138,8 @@
   instant view_arrived_{};
   // Clock of the report that the newest view answers.
   instant last_echo_{};
-  // A report without an answer yet was sent then.
-  std::optional<instant> unanswered_report_;
-  bool tokens_wanted_ = false;
+  ask_pacer pacer_;
+  bool ask_posted_ = false;
   instant last_report_{};
   instant last_registration_{};
   instant last_removal_{};
--- a/Tests/Proxy/rates_test.cxx
+++ b/Tests/Proxy/rates_test.cxx
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "Proxy/admission.h"
+#include "Proxy/ask_pacer.h"
 #include "Proxy/rate_limiter.h"
 #include "Proxy/rate_shares.h"
 #include "Proxy/token_pool.h"
@@ -236,6 +237,25 @@
   CHECK(shares.central_part(workspace, later) == doctest::Approx(1.0));
 }
 
+// Answers the pattern of a coordinator that is slow after a herd of restarts. Guards against the
+// refusals of a day on a larger deployment: one lost answer kept an instance from asking again.
+TEST_CASE("a lost answer delays the next request for tokens, it does not prevent it")
+{
+  ask_pacer pacer;
+  CHECK_FALSE(pacer.due(at(0)));
+  pacer.want();
+  REQUIRE(pacer.due(at(0)));
+  pacer.sent(at(0));
+  pacer.want();
+  CHECK_FALSE(pacer.due(at(20)));
+  CHECK(pacer.due(at(60)));
+  pacer.sent(at(60));
+  pacer.answered();
+  CHECK_FALSE(pacer.due(at(61)));
+  pacer.want();
+  CHECK(pacer.due(at(61)));
+}
+
 // Guards against operations that wait for tokens for their whole time limit.
 TEST_CASE("an operation waits for the pool briefly and is then refused with a time to come back")
 {
--- a/Tests/Proxy/session_test.cxx
+++ b/Tests/Proxy/session_test.cxx
@@ -246,3 +246,28 @@
   session_bench other("writes");
   CHECK(bench.links.link_count() == 1);
 }
+
+// Guards against the statement of a hunted day that ran inside another session's transaction: the
+// caller had left while its BEGIN was on the way, and the connection was given to the next session.
+TEST_CASE("a connection on which a transaction may have begun is not shared when its caller leaves")
+{
+  session_bench bench("writes");
+  bench.say(statement_kind::begin, "BEGIN");
+  bench.say(statement_kind::write, "WRITE a x");
+  REQUIRE(bench.command().kind == command_kind::begin);
+  bench.session->abandon();
+  while (!bench.commands.empty()) {
+    bench.reply(std::nullopt, transaction_state::open);
+  }
+  CHECK(bench.closed.size() == 1);
+  CHECK(bench.links.link_count() == 0);
+}
+
+// Guards against the same after any other command: the member's own word on the state decides.
+TEST_CASE("a connection that the member calls busy with a transaction is closed")
+{
+  session_bench bench("writes");
+  bench.say(statement_kind::write, "WRITE a x");
+  bench.reply(std::nullopt, transaction_state::open, point(3, 11));
+  CHECK(bench.links.link_count() == 0);
+}
