--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -76,7 +76,13 @@
 caller_session::fail_statement(statement_error error, const std::string& text)
 {
   if (work_) {
-    hooks_->log("statement_failed", work_->request.id, text);
+    const auto waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(hooks_->now() - work_->arrived);
+    hooks_->log("statement_failed",
+                work_->request.id,
+                std::string(name_of(error)) + ": " + text + "; group " + work_->route.group +
+                  ", workspace " + workspace_.get() + ", after " + std::to_string(waited.count()) +
+                  " ms, attempts " + std::to_string(work_->attempts + 1));
     if (work_->ticket) {
       hooks_->cancel(*work_->ticket);
     }
@@ -261,6 +267,8 @@
   if (transaction_) {
     transaction_->admitted = true;
   }
+  work_->admitted_at = hooks_->now();
+  work_->granted_at = work_->admitted_at;
   choose_place();
   run();
 }
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -89,6 +89,9 @@
   bool commits = false;
   execution_step at = execution_step::waiting_for_admission;
   instant arrived{};
+  // When the operation was admitted and when the newest connection was granted.
+  instant admitted_at{};
+  instant granted_at{};
   instant expiry{};
   bool needs_primary = false;
   std::optional<log_point> after;
@@ -147,6 +150,7 @@
   bool try_elsewhere(statement_error error, transaction_state state);
   void reply_lost();
   void finish(const member_reply& reply);
+  void log_if_late(const member_reply& reply) const;
   void release_link(duration elapsed);
   void drop_link();
   void roll_back_link();
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -117,6 +117,7 @@
 {
   link_ = std::move(link);
   link_in_transaction_ = false;
+  work_->granted_at = hooks_->now();
   work_->ticket.reset();
   prepare_link();
 }
@@ -357,9 +358,29 @@
                  "the answer was lost");
 }
 
+// A statement that took longer than the whole operation should: says where the time went.
+void
+caller_session::log_if_late(const member_reply& reply) const
+{
+  if (reply.received - work_->arrived <= work_->route.target_latency) {
+    return;
+  }
+  const auto text = [](instant from, instant to) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count());
+  };
+  hooks_->log("late",
+              work_->request.id,
+              "admission " + text(work_->arrived, work_->admitted_at) + " ms, connection " +
+                text(work_->admitted_at, work_->granted_at) + " ms, preparation " +
+                text(work_->granted_at, reply.sent) + " ms, member " +
+                text(reply.sent, reply.received) + " ms, member " + link_->member.get() +
+                ", attempts " + std::to_string(work_->attempts + 1));
+}
+
 void
 caller_session::finish(const member_reply& reply)
 {
+  log_if_late(reply);
   auto result = reply.answer;
   const bool succeeded = !result.error;
   if (succeeded && work_->after) {
--- a/Source/Proxy/statement.h
+++ b/Source/Proxy/statement.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace persimmonshelf {
@@ -71,6 +72,10 @@
   other,
 };
 
+// Name in logs.
+std::string_view
+name_of(statement_error error);
+
 // True if the error tells the caller that nothing of its attempt is kept.
 bool
 keeps_nothing(statement_error error);
--- a/Source/ProxyNode/node_settings.cxx
+++ b/Source/ProxyNode/node_settings.cxx
@@ -132,6 +132,7 @@
   if (!settings) {
     return fail(invalid, path + ": " + settings.error().message);
   }
+  settings.value().path = path;
   return settings;
 }
 
--- a/Source/ProxyNode/node_settings.h
+++ b/Source/ProxyNode/node_settings.h
@@ -14,6 +14,8 @@
 // Settings of one proxy instance, from a JSON file.
 struct node_settings
 {
+  // File that the settings were read from; empty if they came from elsewhere.
+  std::string path;
   instance_id name;
   zone_id zone;
   // IP numbers of instances that may be there at start. All instances use one port for peers.
@@ -33,6 +35,8 @@
   duration key_revocation{};
   duration stop_grace{};
   duration rate_window{};
+
+  friend bool operator==(const node_settings&, const node_settings&) = default;
 };
 
 // Fails with settings_invalid and the name of the field.
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -165,6 +165,20 @@
   return longest;
 }
 
+// Checks the settings file again. A process keeps the settings that it started with; what changed
+// takes effect when it starts again.
+void
+proxy_node::state::reload()
+{
+  const auto next = load_node_settings(settings.path);
+  if (!next) {
+    log.write("reload_refused", { { "reason", next.error().message } });
+    return;
+  }
+  const bool same = next.value() == settings;
+  log.write("reload", { { "settings", same ? "unchanged" : "changed, used from the next start" } });
+}
+
 void
 proxy_node::state::wait_for_signal()
 {
@@ -175,7 +189,7 @@
     if (number == SIGTERM && !stopping) {
       stop();
     } else if (number == SIGHUP) {
-      log.write("reload", { { "detail", "addresses and bounds are read at start only" } });
+      reload();
     }
     wait_for_signal();
   });
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -40,6 +40,7 @@
   std::vector<member_sight> sights() const;
   node_metrics::sample sample() const;
   duration silence_of(const member_id& member, instant now) const;
+  void reload();
   void wait_for_signal();
   void drain(instant now);
 
