--- a/Source/Adapters/platform_adapter.h
+++ b/Source/Adapters/platform_adapter.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "Net/platform_client.h"
 #include "Base/table.h"
 #include "Control/membership.h"
+#include "Net/platform_client.h"
 
 #include <functional>
 #include <map>
--- a/Source/Group/promotion.h
+++ b/Source/Group/promotion.h
@@ -3,9 +3,9 @@
 #include "Base/error.h"
 #include "Base/ids.h"
 #include "Base/instant.h"
+#include "Base/state_chart.h"
 #include "Group/group_view.h"
 #include "Group/observation.h"
-#include "Base/state_chart.h"
 
 #include <cstddef>
 #include <functional>
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -264,7 +264,8 @@
         members.push_back(member);
       }
     }
-    procedure->set_members(members, group.sync_replicas);
+    procedure->set_members(
+      members, group.sync_replicas, knowledge_.possible_holders(group.name, now));
     const auto record = knowledge_.groups().find(group.name);
     if (!procedure->under_way() && record != knowledge_.groups().end() && record->second.changing) {
       procedure->resume(record->second, knowledge_.groups_revision());
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -80,8 +80,11 @@
 }
 
 void
-failover::set_members(std::vector<listed_member> members, std::uint32_t sync_replicas)
+failover::set_members(std::vector<listed_member> members,
+                      std::uint32_t sync_replicas,
+                      std::map<member_id, std::string> possible_holders)
 {
+  possible_holders_ = std::move(possible_holders);
   members_ = std::move(members);
   sync_replicas_ = sync_replicas;
 }
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -57,8 +57,10 @@
   failover(const failover&) = delete;
   failover& operator=(const failover&) = delete;
 
-  // Members of the group as listed, and its sync setting.
-  void set_members(std::vector<listed_member> members, std::uint32_t sync_replicas);
+  // Members of the group as listed, its sync setting, and all members that may hold commits.
+  void set_members(std::vector<listed_member> members,
+                   std::uint32_t sync_replicas,
+                   std::map<member_id, std::string> possible_holders);
 
   // Starts the replacement of `primary`, unless one is under way.
   void start(const member_id& primary, primary_trouble trouble);
@@ -102,6 +104,7 @@
   std::optional<state_chart> chart_;
   std::vector<listed_member> members_;
   std::uint32_t sync_replicas_ = 0;
+  std::map<member_id, std::string> possible_holders_;
   group_record record_;
   // Newest term that any member reported.
   term newest_term_;
--- a/Source/Proxy/failover_choice.cxx
+++ b/Source/Proxy/failover_choice.cxx
@@ -93,12 +93,8 @@
 failover::pick(const std::map<member_id, member_status>& answers)
 {
   const member_status* best = nullptr;
-  std::size_t replicas = 0;
   std::optional<member_id> furthest;
   for (const auto& member : members_) {
-    if (member.id != record_.primary) {
-      ++replicas;
-    }
     const auto found = answers.find(member.id);
     const bool fit = found != answers.end() && !member.draining && !excluded_.contains(member.id) &&
                      (member.id != record_.primary || record_.stepped_down);
@@ -125,7 +121,16 @@
     return;
   }
   // One replica that did not answer may be the only one that holds an acknowledged commit.
-  if (sync_replicas_ > 0 && !record_.stepped_down && answers.size() < replicas) {
+  const bool all_answered =
+    std::all_of(possible_holders_.begin(), possible_holders_.end(), [&](const auto& holder) {
+      const auto& [id, address] = holder;
+      const bool succeeded =
+        std::any_of(members_.begin(), members_.end(), [&](const listed_member& member) {
+          return member.address == address && answers.contains(member.id);
+        });
+      return id == record_.primary || answers.contains(id) || succeeded;
+    });
+  if (sync_replicas_ > 0 && !record_.stepped_down && !all_answered) {
     raise("none_fit");
     return;
   }
--- a/Source/Proxy/fleet_knowledge.cxx
+++ b/Source/Proxy/fleet_knowledge.cxx
@@ -11,6 +11,10 @@
 // refuse at once what would not be served in time.
 constexpr duration replacement_time = std::chrono::milliseconds(900);
 
+// How long a member that vanished from the list counts as one that may be cut off but alive; longer
+// than the cuts that the deployments know.
+constexpr duration holder_memory = std::chrono::seconds(30);
+
 std::string
 age_text(const std::optional<instant>& as_of, instant now)
 {
@@ -59,11 +63,36 @@
   if (members_as_of_ && as_of < *members_as_of_) {
     return false;
   }
+  for (const auto& member : members_) {
+    vanished_[member.id] = { member.group, member.address, as_of };
+  }
+  for (const auto& member : members) {
+    vanished_.erase(member.id);
+  }
+  std::erase_if(vanished_,
+                [&](const auto& entry) { return as_of - entry.second.at > holder_memory; });
   members_ = std::move(members);
   members_as_of_ = as_of;
   return true;
 }
 
+std::map<member_id, std::string>
+fleet_knowledge::possible_holders(const std::string& group, instant now) const
+{
+  std::map<member_id, std::string> holders;
+  for (const auto& member : members_) {
+    if (member.group == group) {
+      holders.emplace(member.id, member.address);
+    }
+  }
+  for (const auto& [id, vanished] : vanished_) {
+    if (vanished.group == group && now - vanished.at <= holder_memory) {
+      holders.emplace(id, vanished.address);
+    }
+  }
+  return holders;
+}
+
 bool
 fleet_knowledge::learn_groups(const std::vector<group_record>& records,
                               std::uint64_t revision,
--- a/Source/Proxy/fleet_knowledge.h
+++ b/Source/Proxy/fleet_knowledge.h
@@ -69,6 +69,10 @@
   const configuration_index& configuration() const { return configuration_; }
   bool has_configuration() const { return configuration_as_of_.has_value(); }
   const std::vector<listed_member>& members() const { return members_; }
+  // Members of the group that may hold commits, with their addresses: the listed ones, and those
+  // that vanished from the list lately, since a member that is cut from the store is taken off the
+  // list while it goes on. A member that left hands its log to the next one at its address.
+  std::map<member_id, std::string> possible_holders(const std::string& group, instant now) const;
   const std::map<std::string, group_record>& groups() const { return groups_; }
   std::uint64_t groups_revision() const { return groups_revision_; }
   std::optional<instant> configuration_as_of() const { return configuration_as_of_; }
@@ -91,6 +95,13 @@
   evidence_limits limits_;
   configuration_index configuration_;
   std::vector<listed_member> members_;
+  struct vanished_member
+  {
+    std::string group;
+    std::string address;
+    instant at{};
+  };
+  std::map<member_id, vanished_member> vanished_;
   std::map<std::string, group_record> groups_;
   std::uint64_t groups_revision_ = 0;
   std::optional<instant> configuration_as_of_;
--- a/Source/ProxyNode/caller_connection.cxx
+++ b/Source/ProxyNode/caller_connection.cxx
@@ -118,7 +118,7 @@
       break;
     }
     statement_began_ = boot_now();
-    session_->handle(std::move(*message.value()));
+    session_->handle(*message.value());
   }
   handling_ = false;
 }
--- a/Tests/Proxy/failover_test.cxx
+++ b/Tests/Proxy/failover_test.cxx
@@ -68,7 +68,12 @@
     for (const auto& name : names) {
       listed.push_back(make_member(name, "z", name == "m1"));
     }
-    procedure->set_members(listed, sync_replicas);
+    std::map<member_id, std::string> holders = vanished;
+    for (auto& member : listed) {
+      member.address = "10.0.0.1:" + member.id.get();
+      holders.emplace(member.id, member.address);
+    }
+    procedure->set_members(listed, sync_replicas, holders);
   }
 
   std::optional<member_status> answer(const std::string& name, const member_command& command)
@@ -94,6 +99,7 @@
   instant now = at(1000);
   std::map<std::string, member_status> members;
   std::set<std::string> unreachable;
+  std::map<member_id, std::string> vanished;
   std::vector<group_record> records;
   std::vector<std::pair<member_id, command_kind>> asked;
   std::vector<member_id> promoted;
@@ -160,6 +166,40 @@
   CHECK(bench.promoted[0] == member_id("m3"));
 }
 
+// Guards against the lost commits of a hunted day with a confirming replica: that replica was cut
+// off together with the primary, and fell off the members' list before the comparison.
+TEST_CASE("with confirming replicas one that vanished from the list is waited for")
+{
+  failover_bench bench;
+  bench.vanished = { { member_id("m3"), "10.0.0.1:m3" } };
+  bench.set_members({ "m1", "m2" }, 1);
+  bench.unreachable = { "m1", "m3" };
+  bench.fenced = true;
+  bench.procedure->start(member_id("m1"), primary_trouble::lost);
+  bench.run(3000);
+  CHECK(bench.promoted.empty());
+  bench.vanished.clear();
+  bench.unreachable = { "m1" };
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.run(300);
+  REQUIRE(bench.promoted.size() == 1);
+  CHECK(bench.promoted[0] == member_id("m3"));
+}
+
+// Guards against a group that stays without a primary because a member left as planned: its log is
+// at the next member of its address.
+TEST_CASE("the successor at a member's address answers for it")
+{
+  failover_bench bench;
+  bench.vanished = { { member_id("m0"), "10.0.0.1:m3" } };
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.unreachable = { "m1" };
+  bench.fenced = true;
+  bench.procedure->start(member_id("m1"), primary_trouble::lost);
+  bench.run(300);
+  CHECK(bench.promoted.size() == 1);
+}
+
 // Guards against calls that are sent without a lease, or twice to two members because an answer was
 // lost.
 TEST_CASE("a promotion without an answer is checked before anything else is tried")
--- a/Tests/Proxy/knowledge_test.cxx
+++ b/Tests/Proxy/knowledge_test.cxx
@@ -80,3 +80,20 @@
   knowledge.learn_groups({ { "g", member_id("m2"), false, true, term(4) } }, 8, at(400));
   CHECK(knowledge.leader("g", at(400))->member == member_id("m2"));
 }
+
+// Guards against a comparison that leaves out a member which is alive but cut from the store, even
+// one that had announced that it leaves: it confirms commits until it ends.
+TEST_CASE("a member that vanished from the list may still hold commits for a while")
+{
+  fleet_knowledge knowledge({ ms(4750), lead_send_limit, lead_answer_limit });
+  auto leaving = make_member("m3", "z", false);
+  leaving.draining = true;
+  knowledge.learn_members({ make_member("m1", "z", true), make_member("m2", "z", false), leaving },
+                          at(1000));
+  knowledge.learn_members({ make_member("m1", "z", true) }, at(5000));
+  CHECK(knowledge.possible_holders("g", at(6000)).size() == 3);
+  CHECK(knowledge.possible_holders("g", at(36'000)).size() == 1);
+  knowledge.learn_members({ make_member("m1", "z", true), make_member("m2", "z", false) },
+                          at(7000));
+  CHECK(knowledge.possible_holders("g", at(60'000)).size() == 2);
+}
