--- a/Source/Proxy/failover_choice.cxx
+++ b/Source/Proxy/failover_choice.cxx
@@ -123,7 +123,8 @@
   // One replica that did not answer may be the only one that holds an acknowledged commit.
   const bool all_answered =
     std::all_of(possible_holders_.begin(), possible_holders_.end(), [&](const auto& holder) {
-      const auto& [id, address] = holder;
+      const auto& id = holder.first;
+      const auto& address = holder.second;
       const bool succeeded =
         std::any_of(members_.begin(), members_.end(), [&](const listed_member& member) {
           return member.address == address && answers.contains(member.id);
