--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -70,6 +70,7 @@
   beginning,
   running,
 };
+
 // The open transaction of a session.
 struct session_transaction
 {
@@ -80,6 +81,7 @@
   proxy_route route;
   instant resting_since{};
 };
+
 // The caller's statement in flight.
 struct statement_work
 {
--- a/Source/Proxy/link_dispatcher.cxx
+++ b/Source/Proxy/link_dispatcher.cxx
@@ -193,9 +193,9 @@
   link.state = member_link::link_state::idle;
   link.changed = now;
   const auto* listed = member(link.member);
-  if (draining_ || listed == nullptr || listed->draining) {
+  if (listed == nullptr || listed->draining) {
     const auto leader = hooks_.leader(link.group);
-    if (draining_ || !leader || leader->member != link.member) {
+    if (!leader || leader->member != link.member) {
       close_link(number);
     }
   }
@@ -264,19 +264,4 @@
   hooks_.close(number);
 }
 
-void
-link_dispatcher::drain()
-{
-  draining_ = true;
-  std::vector<link_number> idle;
-  for (const auto& [number, link] : links_) {
-    if (link->state == member_link::link_state::idle) {
-      idle.push_back(number);
-    }
-  }
-  for (const auto number : idle) {
-    close_link(number);
-  }
-}
-
 }
--- a/Source/Proxy/link_dispatcher.h
+++ b/Source/Proxy/link_dispatcher.h
@@ -90,9 +90,6 @@
   // Refuses what expired and grants what can be granted.
   void tick(instant now);
 
-  // Closes all idle connections and those that become idle.
-  void drain();
-
   const listed_member* member(const member_id& id) const;
   const std::map<member_id, listed_member>& members() const { return members_; }
   std::size_t waiting() const { return waiting_.size(); }
@@ -144,7 +141,6 @@
   std::list<waiting_request> waiting_;
   std::uint64_t last_ticket_ = 0;
   std::uint64_t last_link_ = 0;
-  bool draining_ = false;
 };
 
 }
--- a/Source/Proxy/link_dispatcher_choice.cxx
+++ b/Source/Proxy/link_dispatcher_choice.cxx
@@ -105,7 +105,7 @@
 bool
 link_dispatcher::may_open(const listed_member& member, instant now) const
 {
-  if (draining_ || count_links(member.id) >= link_limit(member.group)) {
+  if (count_links(member.id) >= link_limit(member.group)) {
     return false;
   }
   const auto found = health_.find(member.id);
