proxy: Remove settings nothing reads, split two long sources, log the store once

Found in a last read of the change: three settings were parsed and never used, three tables had the same handler for losing and regaining the store, one field of the coordinator was dead and one comment stale.

--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -98,7 +98,6 @@
   // When a group was last seen in the middle of a change, or its listed primary as recorded.
   std::map<std::string, instant> settled_;
   std::map<std::string, dated_position> positions_;
-  std::uint64_t members_digest_ = 0;
   std::uint64_t last_view_ = 0;
   std::uint64_t last_grant_ = 0;
 };
--- a/Source/Proxy/rate_shares.h
+++ b/Source/Proxy/rate_shares.h
@@ -51,7 +51,7 @@
   {
     // Largest share that the instance may still use.
     share_parts held = 0;
-    // Share in the newest view, its number, and the end of its life.
+    // Share in the newest view.
     share_parts granted = 0;
     double demand = 0;
   };
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -18,8 +18,6 @@
 
 // Reports and their answers carry evidence and shares; four a second keep both young.
 constexpr duration report_period = std::chrono::milliseconds(250);
-// Without a view for this long an instance reads the store by itself.
-constexpr duration view_silence = std::chrono::milliseconds(700);
 // How long the store may hold a call; bounds the age of what it proves.
 constexpr duration configuration_hold = std::chrono::milliseconds(1000);
 // An instance on its own needs the group records as young as a view would tell them.
@@ -76,10 +74,7 @@
                            learn_configuration(rows, as_of);
                          },
                           [this](bool reachable, const std::string& reason) {
-                            log_.write("store",
-                                       { { "table", "configuration" },
-                                         { "reachable", reachable ? "yes" : "no" },
-                                         { "reason", reason } });
+                            log_reachable("configuration", reachable, reason);
                           } })
   , member_rows_(
       context,
@@ -90,10 +85,7 @@
       { [this](const auto& rows, std::uint64_t, instant as_of) { learn_members(rows, as_of); },
         [this](bool reachable, const std::string& reason) {
           list_failed_ = boot_now();
-          log_.write("store",
-                     { { "table", "members" },
-                       { "reachable", reachable ? "yes" : "no" },
-                       { "reason", reason } });
+          log_reachable("members", reachable, reason);
         } })
   , fleet_rows_(context,
                 store_,
@@ -104,10 +96,7 @@
                    learn_fleet(rows, revision, as_of);
                  },
                   [this](bool reachable, const std::string& reason) {
-                    log_.write("store",
-                               { { "table", "fleet" },
-                                 { "reachable", reachable ? "yes" : "no" },
-                                 { "reason", reason } });
+                    log_reachable("fleet", reachable, reason);
                   } })
   , asker_(context)
   , socket_(context)
@@ -151,6 +140,16 @@
   return success();
 }
 
+void
+fleet_participant::log_reachable(const std::string& table,
+                                 bool reachable,
+                                 const std::string& reason)
+{
+  log_.write(
+    "store",
+    { { "table", table }, { "reachable", reachable ? "yes" : "no" }, { "reason", reason } });
+}
+
 void
 fleet_participant::receive()
 {
@@ -312,103 +311,6 @@
   }
 }
 
-void
-fleet_participant::apply_view(const fleet_view& view)
-{
-  const auto now = boot_now();
-  if (view.incarnation != incarnation_ || view.token < std::max(token_, least_token_) ||
-      view.echo_clock > now) {
-    return;
-  }
-  if (view.token == token_ && view.view <= view_) {
-    return;
-  }
-  if (view.token > token_) {
-    if (coordinator_ && view.holder != settings_.name) {
-      retire_coordinator(now);
-    }
-    log_.write("coordinator_known",
-               { { "holder", view.holder.get() }, { "token", std::to_string(view.token.get()) } });
-  }
-  if (view.tokens_only && view.token == token_) {
-    view_ = view.view;
-    last_echo_ = std::max(last_echo_, view.echo_clock);
-    apply_tokens(view, now);
-    return;
-  }
-  token_ = view.token;
-  view_ = view.view;
-  // Without a lease the sender may be out of touch with the store.
-  if (view.shares) {
-    last_view_ = now;
-    contact_.note(now);
-  }
-  view_clock_ = view.clock;
-  view_arrived_ = now;
-  lease_.hear(view.lease_revision, now);
-  last_echo_ = std::max(last_echo_, view.echo_clock);
-  instances_ = view.instances;
-  const auto as_of = [&](const std::optional<duration>& age) { return view.echo_clock - *age; };
-  if (view.configuration_age) {
-    knowledge_.confirm_configuration(view.configuration, as_of(view.configuration_age));
-    if (view.configuration >= wanted_configuration_) {
-      wanted_configuration_ = view.configuration;
-      wanted_as_of_ = as_of(view.configuration_age);
-    }
-  }
-  coordinator_address_ = view.address;
-  fetch_configuration(now);
-  const auto groups_before = knowledge_.groups();
-  registered_in_view_ = view.registered;
-  if (view.groups_age && view.registered) {
-    knowledge_.learn_groups(view.groups, view.groups_revision, as_of(view.groups_age));
-  }
-  if (view.members_age && view.members &&
-      knowledge_.learn_members(*view.members, as_of(view.members_age))) {
-    members_digest_ = view.members_digest;
-    hooks_.changed();
-  }
-  if (view.shares) {
-    limiter_.set_shares(*view.shares, view.echo_clock + share_lifetime, now);
-  }
-  apply_tokens(view, now);
-  for (const auto& [group, position] : view.positions) {
-    const auto leader = knowledge_.leader(group, now);
-    if (leader && leader->usable) {
-      positions_.observe(group, position.first, view.echo_clock - position.second);
-    }
-  }
-  if (groups_before != knowledge_.groups()) {
-    for (const auto& [group, record] : knowledge_.groups()) {
-      log_.write("group",
-                 { { "group", group },
-                   { "primary", record.primary.get() },
-                   { "changing", record.changing ? "yes" : "no" },
-                   { "revision", std::to_string(view.groups_revision) } });
-    }
-    hooks_.changed();
-    // The coordinator waits for the confirmation.
-    send_report(now);
-  }
-  if (view.released) {
-    lease_.vacate(view.token);
-    last_view_ = now - view_silence;
-  }
-  choose_sources(now);
-}
-
-void
-fleet_participant::apply_tokens(const fleet_view& view, instant now)
-{
-  if (view.grant == 0) {
-    return;
-  }
-  pacer_.answered();
-  limiter_.set_tokens(view.tokens, view.grant, view.echo_clock, now);
-  hooks_.tokens_granted();
-  send_ask(now);
-}
-
 void
 fleet_participant::choose_sources(instant now)
 {
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -30,6 +30,9 @@
 // Longest wait for a write of the store, and for the configuration of the coordinator.
 inline constexpr duration write_timeout = std::chrono::milliseconds(700);
 
+// Without a view for this long an instance reads the store by itself.
+inline constexpr duration view_silence = std::chrono::milliseconds(700);
+
 // This instance's part in the fleet: it reports to the coordinator and learns from its views, reads
 // the store by itself while no views come, registers itself, and takes the duty of coordinator when
 // nobody holds it.
@@ -69,6 +72,7 @@
 
 private:
   void receive();
+  void log_reachable(const std::string& table, bool reachable, const std::string& reason);
   void take_datagram(std::string_view bytes);
   void take_report(const instance_report& report);
   void send(const std::string& address, const std::string& bytes);
--- a/Source/ProxyNode/node_settings.cxx
+++ b/Source/ProxyNode/node_settings.cxx
@@ -110,11 +110,8 @@
     settings.seeds.push_back(address.address);
   }
   BOOST_OUTCOME_TRYV(parse_addresses(fields, settings));
-  BOOST_OUTCOME_TRY(settings.first_start, fields.boolean_or("first_start", false));
-  BOOST_OUTCOME_TRY(settings.member_heartbeat, milliseconds_field(fields, "member_heartbeat_ms"));
   BOOST_OUTCOME_TRY(settings.key_revocation, milliseconds_field(fields, "key_revocation_ms"));
   BOOST_OUTCOME_TRY(settings.stop_grace, seconds_field(fields, "stop_grace_s"));
-  BOOST_OUTCOME_TRY(settings.rate_window, seconds_field(fields, "rate_window_s"));
   BOOST_OUTCOME_TRYV(fields.finish());
   return settings;
 }
--- a/Source/ProxyNode/node_settings.h
+++ b/Source/ProxyNode/node_settings.h
@@ -28,13 +28,9 @@
   tcp_address duties;
   // True if the platform asks the fleet to replace primaries.
   bool replaces_primaries = false;
-  // True only when the whole fleet starts for the first time.
-  bool first_start = false;
-  duration member_heartbeat{};
   // A key that was withdrawn this long ago must not work any more.
   duration key_revocation{};
   duration stop_grace{};
-  duration rate_window{};
 
   friend bool operator==(const node_settings&, const node_settings&) = default;
 };
