--- a/Source/Adapters/daemon_state.cxx
+++ b/Source/Adapters/daemon_state.cxx
@@ -55,8 +55,7 @@
       [this](accepted_number, const http_request& request, http_server::responder respond) {
         serve_operator(request, std::move(respond));
       }));
-  const auto peer_place =
-    settings.peer_address.address + ":" + std::to_string(settings.peer_address.port);
+  const auto peer_place = format_address(settings.peer_address);
   BOOST_OUTCOME_TRY(
     peers,
     peer_transport::create(peer_thread.context(), peer_place, [this](wire::envelope message) {
@@ -113,8 +112,7 @@
   core_settings.instance = settings.instance;
   core_settings.incarnation = incarnation_id(random_bits());
   core_settings.zone = settings.zone;
-  core_settings.peer_address =
-    settings.peer_address.address + ":" + std::to_string(settings.peer_address.port);
+  core_settings.peer_address = format_address(settings.peer_address);
   core_settings.seed_peers = settings.seed_peers;
   core_settings.session_secret = settings.session_secret;
   core_settings.start_sequence = static_cast<std::uint64_t>(read_utc_seconds()) * 1000;
--- a/Source/Adapters/metrics.cxx
+++ b/Source/Adapters/metrics.cxx
@@ -63,7 +63,7 @@
 result<std::unique_ptr<metrics>>
 metrics::create(const tcp_address& address)
 {
-  const auto place = address.address + ":" + std::to_string(address.port);
+  const auto place = format_address(address);
   auto owned = std::make_unique<state>();
   // The exposer reports a busy port by an exception.
   try {
--- a/Source/Net/http_connection.cxx
+++ b/Source/Net/http_connection.cxx
@@ -241,6 +241,12 @@
   return static_cast<bool>(state_->on_response);
 }
 
+std::string
+format_address(const tcp_address& address)
+{
+  return address.address + ":" + std::to_string(address.port);
+}
+
 bool
 parse_address(const std::string& text, tcp_address& address)
 {
--- a/Source/Net/http_connection.h
+++ b/Source/Net/http_connection.h
@@ -73,4 +73,8 @@
 bool
 parse_address(const std::string& text, tcp_address& address);
 
+// The text that parse_address reads.
+std::string
+format_address(const tcp_address& address);
+
 }
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -15,6 +15,12 @@
 constexpr duration mismatch_limit = std::chrono::seconds(3);
 // Before primaries are judged, reports of all instances should have come in.
 constexpr duration settling_time = std::chrono::milliseconds(400);
+// The first plan is made when the fleet has started: this long after the duty was taken, and when
+// no new instance was heard for a while.
+constexpr duration first_plan_time = std::chrono::milliseconds(1200);
+constexpr duration quiet_time = std::chrono::milliseconds(600);
+// Pause between two examinations of the plan.
+constexpr duration plan_period = std::chrono::milliseconds(500);
 
 }
 
@@ -36,6 +42,7 @@
   , shares_(shares_known, hooks_.now())
   , fence_(hooks_.now())
   , began_(hooks_.now())
+  , newest_peer_(began_)
 {
 }
 
@@ -62,6 +69,9 @@
 coordinator::report(const instance_report& report)
 {
   const auto now = hooks_.now();
+  if (!peers_.contains(report.instance)) {
+    newest_peer_ = now;
+  }
   auto& peer = peers_[report.instance];
   // Reports overtake each other, and one that several instances passed on comes more than once.
   if (peer.incarnation == report.incarnation && report.clock <= peer.clock) {
@@ -81,6 +91,15 @@
   peer.clock = report.clock;
   peer.members_digest = report.members_digest;
   peer.leaving = report.leaving;
+  peer.zone = report.zone;
+  peer.relay_address = report.relay_address;
+  peer.capacity = report.capacity;
+  peer.plan = report.plan;
+  peer.plan_only = report.plan_only;
+  if (report.plan_only) {
+    hooks_.send(peer.address, make_plan_view(peer));
+    return;
+  }
   learn_positions(report, now);
   watch_.report(report, now);
   fence_.report(report);
@@ -185,9 +204,72 @@
   view.instances = live_instances();
   const auto registered = registered_.find(instance);
   view.registered = registered != registered_.end();
+  if (const auto& plan = hooks_.plan(); plan.decided() && plan.version != to.plan) {
+    view.plan = plan;
+  }
   return view;
 }
 
+// All that an instance without sessions needs.
+fleet_view
+coordinator::make_plan_view(const known_peer& to)
+{
+  fleet_view view;
+  view.holder = own_;
+  view.address = address_;
+  view.clock = hooks_.now();
+  view.lease_revision = hooks_.lease_revision();
+  view.token = token_;
+  view.view = ++last_view_;
+  view.incarnation = to.incarnation;
+  view.echo_clock = to.clock;
+  view.instances = live_instances();
+  view.plan_only = true;
+  const auto& plan = hooks_.plan();
+  if (plan.decided() && plan.version != to.plan) {
+    view.plan = plan;
+  }
+  return view;
+}
+
+// Carriers that this coordinator has not heard for long leave the plan; what it cannot know yet
+// stays.
+void
+coordinator::revise_plan()
+{
+  const auto now = hooks_.now();
+  const auto& former = hooks_.plan();
+  const auto& groups = knowledge_.configuration().configuration().groups;
+  if (groups.empty() || now - plan_examined_ < plan_period) {
+    return;
+  }
+  if (!former.decided() && (now - began_ < first_plan_time || now - newest_peer_ < quiet_time)) {
+    return;
+  }
+  plan_examined_ = now;
+  std::uint32_t connections = groups.front().max_connections;
+  for (const auto& group : groups) {
+    connections = std::min(connections, group.max_connections);
+  }
+  std::vector<carrier> live;
+  for (const auto& [instance, peer] : peers_) {
+    if (!peer.leaving && now - peer.heard < vanished_limit) {
+      live.push_back({ instance, peer.zone, peer.relay_address, peer.capacity });
+    }
+  }
+  if (now - began_ < vanished_limit) {
+    for (const auto& entry : former.carriers) {
+      if (!peers_.contains(entry.instance)) {
+        live.push_back(entry);
+      }
+    }
+  }
+  const auto next = choose_carriers(former, std::move(live), connections);
+  if (next.version != former.version) {
+    hooks_.record_plan(next);
+  }
+}
+
 std::uint32_t
 coordinator::live_instances() const
 {
@@ -220,18 +302,29 @@
 {
   const auto now = hooks_.now();
   for (const auto& [instance, peer] : peers_) {
-    if (now - peer.heard < silence_limit) {
+    if (now - peer.heard < silence_limit && !peer.plan_only) {
       hooks_.send(peer.address, make_view(instance, peer));
     }
   }
 }
 
+void
+coordinator::push_plan()
+{
+  for (const auto& [instance, peer] : peers_) {
+    if (peer.plan_only) {
+      hooks_.send(peer.address, make_plan_view(peer));
+    }
+  }
+  push();
+}
+
 void
 coordinator::release()
 {
   const auto now = hooks_.now();
   for (const auto& [instance, peer] : peers_) {
-    if (now - peer.heard < silence_limit && instance != own_) {
+    if (now - peer.heard < silence_limit && instance != own_ && !peer.plan_only) {
       auto view = make_view(instance, peer);
       view.released = true;
       hooks_.send(peer.address, view);
@@ -292,6 +385,9 @@
 void
 coordinator::tick(bool list_is_sound)
 {
+  if (hooks_.holds()) {
+    revise_plan();
+  }
   if (replaces_primaries_ && hooks_.now() - began_ > settling_time) {
     watch_groups(list_is_sound);
   }
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -30,6 +30,9 @@
     // True while the lease lasts; shares are granted only then.
     std::function<bool()> holds;
     std::function<std::uint64_t()> lease_revision;
+    // The carrier plan that the store has, and the request to replace it.
+    std::function<const carrier_plan&()> plan;
+    std::function<void(const carrier_plan&)> record_plan;
   };
 
   // `shares_known`: no earlier coordinator can have given out shares. `replaces_primaries` is false
@@ -49,8 +52,10 @@
   // Answers with a view. The coordinator's own report passes through here as well.
   void report(const instance_report& report);
 
-  // Sends every instance a view at once: something changed that is worth the bytes.
+  // Sends every carrier a view at once: something changed that is worth the bytes.
   void push();
+  // As push, to all instances: the plan changed.
+  void push_plan();
 
   // The list of members is sound while the store answers and has done so for a while.
   void tick(bool list_is_sound);
@@ -71,9 +76,16 @@
     instant clock{};
     std::uint64_t members_digest = 0;
     bool leaving = false;
+    zone_id zone;
+    std::string relay_address;
+    double capacity = 0;
+    std::uint64_t plan = 0;
+    bool plan_only = false;
   };
 
   fleet_view make_view(const instance_id& instance, const known_peer& to);
+  fleet_view make_plan_view(const known_peer& to);
+  void revise_plan();
   void learn_positions(const instance_report& report, instant now);
   void answer_ask(const instance_report& report, const known_peer& from);
   void draw_tokens(const instance_report& report, fleet_view& view);
@@ -100,6 +112,9 @@
   std::map<std::string, dated_position> positions_;
   std::uint64_t last_view_ = 0;
   std::uint64_t last_grant_ = 0;
+  // When an instance was heard for the first time, and when the plan was last examined.
+  instant newest_peer_;
+  instant plan_examined_{};
 };
 
 }
--- a/Source/Proxy/fleet_exchange.h
+++ b/Source/Proxy/fleet_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Proxy/carriers.h"
 #include "Proxy/fleet_knowledge.h"
 
 #include <cstdint>
@@ -40,6 +41,13 @@
   incarnation_id incarnation;
   // Where the sender receives views.
   std::string address;
+  // Where it would run sessions for others, and its part of a processor core.
+  std::string relay_address;
+  double capacity = 0;
+  // Version of the carrier plan that the sender obeys.
+  std::uint64_t plan = 0;
+  // True if the sender runs no sessions: it needs the plan and nothing else.
+  bool plan_only = false;
   // The sender's clock.
   instant clock{};
   // Whose shares the sender holds; zero if none.
@@ -109,6 +117,10 @@
   std::uint32_t instances = 0;
   bool registered = false;
   bool released = false;
+  // Left out if the receiver has it.
+  std::optional<carrier_plan> plan;
+  // True if the view answers a report that only needs the plan.
+  bool plan_only = false;
 };
 
 // Digest of a members' list, so that it is sent only when it changed.
--- a/Source/ProxyNode/caller_connection.h
+++ b/Source/ProxyNode/caller_connection.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Proxy/caller_session.h"
 #include "ProxyNode/line_stream.h"
+#include "ProxyNode/session_port.h"
 
 #include <deque>
 #include <functional>
@@ -11,20 +11,16 @@
 
 namespace persimmonshelf {
 
-// Network side of one caller: reads its first message, then feeds statements to its session one at
-// a time and writes the answers.
+// Network side of one caller: reads its messages for its session, and writes the answers.
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
   struct handlers
   {
-    // Hooks for a new session; the answer hook is set by the connection.
-    std::function<session_hooks()> session;
-    // False while no configuration is known: sessions then wait to begin.
-    std::function<bool()> can_begin;
+    // Begins the session, here or elsewhere, once the caller's first message is known. Empty while
+    // it is not decided which instances run sessions: the caller then waits.
+    std::function<std::optional<session_port>(const std::string& first_line, caller_port)> session;
     std::function<void()> closed;
-    // Reports each answered statement and the time it took.
-    std::function<void(const statement_answer&, duration)> answered;
   };
 
   static std::shared_ptr<caller_connection> create(boost::asio::ip::tcp::socket socket,
@@ -43,20 +39,17 @@
 private:
   caller_connection(boost::asio::ip::tcp::socket socket, handlers calls);
   void take_line(std::string_view line);
-  void start_session();
-  void next_statement();
-  void answer(const statement_answer& reply);
+  void begin();
   void ended();
 
   std::shared_ptr<line_stream> stream_;
   handlers handlers_;
-  std::unique_ptr<caller_session> session_;
+  std::optional<session_port> session_;
   // First message of a session that waits to begin, and since when.
   std::optional<std::string> first_line_;
   instant first_line_at_{};
-  std::deque<std::string> waiting_;
-  instant statement_began_{};
-  bool handling_ = false;
+  // Messages that came before the session began.
+  std::deque<std::string> early_;
   bool ended_ = false;
 };
 
--- /dev/null
+++ b/Source/ProxyNode/carrier_link.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Proxy/carriers.h"
+#include "ProxyNode/line_stream.h"
+#include "ProxyNode/relay_message.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace persimmonshelf {
+
+// This instance's connection to one carrier, which carries many sessions. Connects again by itself;
+// a carrier that answers no ping counts as gone.
+class carrier_link : public std::enable_shared_from_this<carrier_link>
+{
+public:
+  // One session; the handlers are dropped once `closed` ran or the session was closed here.
+  struct stream_handlers
+  {
+    // A message to the caller, without its end of line.
+    std::function<void(std::string_view line)> line;
+    // The carrier names the key by which a better home is found.
+    std::function<void(const std::string& home_key)> moved;
+    // `by_carrier` is false if the connection broke.
+    std::function<void(bool by_carrier)> closed;
+  };
+  struct hooks
+  {
+    std::function<void(std::uint64_t version)> version;
+    std::function<void(bool up, const std::string& reason)> changed;
+    // Sent first on a new connection.
+    std::function<std::uint64_t()> highest_version;
+  };
+
+  static std::shared_ptr<carrier_link> create(boost::asio::io_context& context,
+                                              std::string address,
+                                              hooks calls);
+
+  void tick(instant now);
+
+  // True if sessions may begin on the carrier.
+  bool usable() const { return up_ && !leaving_; }
+  bool leaving() const { return leaving_; }
+
+  std::uint64_t open(const std::string& first_line, bool insisting, stream_handlers calls);
+  void send(std::uint64_t stream, std::string_view line);
+  void close(std::uint64_t stream);
+  void send_version(std::uint64_t version);
+
+  // Ends all sessions.
+  void shut();
+
+private:
+  carrier_link(boost::asio::io_context& context, std::string address, hooks calls);
+  void connect(instant now);
+  void connected(const boost::system::error_code& failure);
+  void take_line(std::string_view line);
+  void broken(const std::string& reason);
+  void write(relay_message::message_kind kind, std::uint64_t number, std::string_view text);
+
+  boost::asio::io_context& context_;
+  std::string address_;
+  hooks hooks_;
+  std::shared_ptr<line_stream> stream_;
+  std::map<std::uint64_t, stream_handlers> sessions_;
+  std::uint64_t last_stream_ = 0;
+  std::uint64_t last_ping_ = 0;
+  instant pinged_{};
+  // When the carrier last sent anything, or when the attempt to connect began.
+  instant heard_{};
+  instant retry_at_{};
+  bool connecting_ = false;
+  bool up_ = false;
+  bool leaving_ = false;
+  bool shut_ = false;
+};
+
+}
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -109,6 +109,10 @@
   report.zone = zone_id(from.zone());
   report.incarnation = incarnation_id(from.incarnation());
   report.address = from.address();
+  report.relay_address = from.relay_address();
+  report.capacity = from.capacity();
+  report.plan = from.plan_version();
+  report.plan_only = from.plan_only();
   report.clock = instant(from_us(from.clock_us()));
   report.token = fencing_token(from.token());
   report.view = from.view();
@@ -188,6 +192,18 @@
   view.instances = from.instances();
   view.registered = from.registered();
   view.released = from.released();
+  view.plan_only = from.plan_only();
+  if (from.plan_version() > 0) {
+    view.plan.emplace();
+    view.plan->version = from.plan_version();
+    view.plan->everyone = from.everyone_carries();
+    for (const auto& entry : from.carriers()) {
+      view.plan->carriers.push_back({ instance_id(entry.instance()),
+                                      zone_id(entry.zone()),
+                                      entry.address(),
+                                      entry.capacity() });
+    }
+  }
   return view;
 }
 
@@ -209,6 +225,10 @@
   to.set_zone(report.zone.get());
   to.set_incarnation(report.incarnation.get());
   to.set_address(report.address);
+  to.set_relay_address(report.relay_address);
+  to.set_capacity(static_cast<float>(report.capacity));
+  to.set_plan_version(report.plan);
+  to.set_plan_only(report.plan_only);
   to.set_clock_us(to_us(report.clock));
   to.set_token(report.token.get());
   to.set_view(report.view);
@@ -308,6 +328,18 @@
   to.set_instances(view.instances);
   to.set_registered(view.registered);
   to.set_released(view.released);
+  to.set_plan_only(view.plan_only);
+  if (view.plan) {
+    to.set_plan_version(view.plan->version);
+    to.set_everyone_carries(view.plan->everyone);
+    for (const auto& entry : view.plan->carriers) {
+      auto* carrier_to = to.add_carriers();
+      carrier_to->set_instance(entry.instance.get());
+      carrier_to->set_zone(entry.zone.get());
+      carrier_to->set_address(entry.address);
+      carrier_to->set_capacity(static_cast<float>(entry.capacity));
+    }
+  }
   return marked(view_mark, to);
 }
 
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -20,6 +20,16 @@
 constexpr duration report_period = std::chrono::milliseconds(250);
 // How long the store may hold a call; bounds the age of what it proves.
 constexpr duration configuration_hold = std::chrono::milliseconds(1000);
+// Without any view for this long such an instance looks for the coordinator in the store, and then
+// as often again.
+constexpr duration plan_silence = std::chrono::milliseconds(3000);
+constexpr std::uint64_t plan_silence_spread_ms = 1000;
+// After this long without a coordinator it would become one itself.
+constexpr duration last_resort_silence = std::chrono::seconds(7);
+// When the whole fleet starts, an instance waits this long, divided by its part of a core, before
+// it looks for a coordinator in the store: stronger ones come first.
+constexpr duration start_delay_of_core = std::chrono::milliseconds(100);
+constexpr duration longest_start_delay = std::chrono::milliseconds(2000);
 // An instance on its own needs the group records as young as a view would tell them.
 constexpr duration fleet_hold = std::chrono::milliseconds(400);
 // The coordinator itself changes the records; it only has to hear of registrations.
@@ -34,15 +44,26 @@
 constexpr std::size_t datagram_limit = 65507;
 
 duration
-claim_delay_of(const instance_id& instance)
+start_delay_of(const node_settings& settings)
 {
-  return std::chrono::milliseconds(stable_hash(instance.get()) % claim_spread_ms);
+  if (!settings.first_start) {
+    return duration::zero();
+  }
+  const auto delay = static_cast<double>(start_delay_of_core.count()) / settings.capacity;
+  return std::min(longest_start_delay, duration(static_cast<std::int64_t>(delay)));
 }
 
-std::string
-text_of(const tcp_address& address)
+duration
+plan_silence_of(const instance_id& instance)
+{
+  return plan_silence +
+         std::chrono::milliseconds(stable_hash(instance.get()) % plan_silence_spread_ms);
+}
+
+duration
+claim_delay_of(const instance_id& instance)
 {
-  return address.address + ":" + std::to_string(address.port);
+  return std::chrono::milliseconds(stable_hash(instance.get()) % claim_spread_ms);
 }
 
 }
@@ -62,7 +83,7 @@
   , log_(log)
   , hooks_(std::move(calls))
   , incarnation_(random_bits())
-  , address_(text_of(settings.peers))
+  , address_(format_address(settings.peers))
   , store_(context, settings.store)
   , duties_(context, settings.duties)
   , configuration_rows_(context,
@@ -135,7 +156,7 @@
       }));
   receive();
   const auto now = boot_now();
-  last_view_ = now - view_silence;
+  last_view_ = now - view_silence + start_delay_of(settings_);
   choose_sources(now);
   return success();
 }
@@ -206,65 +227,12 @@
   socket_.send_to(boost::asio::buffer(bytes), endpoint, 0, failure);
 }
 
-void
-fleet_participant::send_report(instant now)
-{
-  last_report_ = now;
-  instance_report report;
-  report.instance = settings_.name;
-  report.zone = settings_.zone;
-  report.incarnation = incarnation_;
-  report.address = address_;
-  report.clock = now;
-  report.token = token_;
-  report.view = view_;
-  report.configuration = knowledge_.configuration().configuration().version;
-  report.members_digest = members_digest_;
-  report.groups_revision = knowledge_.groups_revision();
-  report.shares = limiter_.shares();
-  report.demands = limiter_.demands(now);
-  for (const auto& group : knowledge_.configuration().configuration().groups) {
-    if (const auto newest = positions_.newest(group.name)) {
-      report.positions[group.name] = { newest->position, newest->sent };
-    }
-  }
-  report.sights = hooks_.sights();
-  for (auto& sight : report.sights) {
-    sight.failing = contact_.counted(sight.failing, now);
-  }
-  report.leaving = leaving_;
-  add_token_use(report, now);
-  report.view_clock = view_clock_;
-  report.view_held = now - view_arrived_;
-  if (coordinator_) {
-    coordinator_->report(report);
-    return;
-  }
-  const bool heard = now - last_echo_ < view_silence && !coordinator_address_.empty();
-  report.seeking = !heard;
-  for (const auto& target : report_targets(heard)) {
-    send(target, encode_report(report));
-  }
-}
-
-// The coordinator; while it does not answer, also the seeds, which may know another one.
-std::vector<std::string>
-fleet_participant::report_targets(bool heard) const
+// Instances that run no sessions read little, so they take the duty only when nobody else does.
+bool
+fleet_participant::may_claim(instant now) const
 {
-  std::vector<std::string> targets;
-  if (!coordinator_address_.empty() && coordinator_address_ != address_) {
-    targets.push_back(coordinator_address_);
-  }
-  if (heard) {
-    return targets;
-  }
-  for (const auto& seed : settings_.seeds) {
-    const auto address = text_of({ seed, settings_.peers.port });
-    if (address != address_ && address != coordinator_address_) {
-      targets.push_back(address);
-    }
-  }
-  return targets;
+  return coordinator_ || lease_.named() || carries() || !plan_.decided() ||
+         now - last_view_ > last_resort_silence;
 }
 
 void
@@ -315,10 +283,16 @@
 fleet_participant::choose_sources(instant now)
 {
   const bool alone = coordinator_ != nullptr || now - last_view_ >= view_silence;
-  configuration_rows_.set_active(alone || !knowledge_.has_configuration());
-  member_rows_.set_active(alone || !knowledge_.members_as_of());
+  const bool runs_sessions = carries() || coordinator_;
+  configuration_rows_.set_active(runs_sessions && (alone || !knowledge_.has_configuration()));
+  member_rows_.set_active(runs_sessions && (alone || !knowledge_.members_as_of()));
   fleet_rows_.set_hold(lease_.holds(now) ? coordinator_fleet_hold : fleet_hold);
-  fleet_rows_.set_active(alone || !registered_in_view_);
+  if (runs_sessions || !plan_.decided()) {
+    fleet_rows_.set_active(alone || (carries() && !registered_in_view_));
+    return;
+  }
+  const auto silence = plan_silence_of(settings_.name);
+  fleet_rows_.set_active(now - last_view_ > silence && now - fleet_read_at_ > silence);
 }
 
 bool
@@ -334,10 +308,13 @@
   while (!retired_.empty() && now > retired_.front().first) {
     retired_.erase(retired_.begin());
   }
-  lease_.tick(now);
+  if (may_claim(now)) {
+    lease_.tick(now);
+  }
   choose_sources(now);
   fetch_configuration(now);
-  if (now - last_report_ >= report_period) {
+  const bool rarely = plan_.decided() && !carries() && !coordinator_;
+  if (now - last_report_ >= (rarely ? plan_report_period : report_period)) {
     send_report(now);
   }
   send_ask(now);
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -2,6 +2,7 @@
 
 #include "Net/http_server.h"
 #include "Proxy/ask_pacer.h"
+#include "Proxy/carriers.h"
 #include "Proxy/contact_watch.h"
 #include "Proxy/coordinator.h"
 #include "Proxy/coordinator_lease.h"
@@ -30,6 +31,9 @@
 // Longest wait for a write of the store, and for the configuration of the coordinator.
 inline constexpr duration write_timeout = std::chrono::milliseconds(700);
 
+// An instance without sessions only tells that it lives.
+inline constexpr duration plan_report_period = std::chrono::milliseconds(1000);
+
 // Without a view for this long an instance reads the store by itself.
 inline constexpr duration view_silence = std::chrono::milliseconds(700);
 
@@ -47,6 +51,8 @@
     // Operations that wait for tokens, and the news that tokens came.
     std::function<std::map<workspace_id, double>()> waiting;
     std::function<void()> tokens_granted;
+    // Other instances run sessions than before.
+    std::function<void()> plan_changed;
   };
 
   fleet_participant(boost::asio::io_context& context,
@@ -68,6 +74,8 @@
   // Live instances as the coordinator counts them; zero if no view came.
   std::uint32_t instances() const { return instances_; }
   bool coordinates() const { return coordinator_ != nullptr; }
+  // Which instances run sessions; undecided until the fleet's first coordinator has counted them.
+  const carrier_plan& plan() const { return plan_; }
   std::uint64_t store_calls() const { return store_.call_count() + duties_.call_count(); }
 
 private:
@@ -81,6 +89,12 @@
   void add_token_use(instance_report& report, instant now);
   std::vector<std::string> report_targets(bool heard) const;
   void apply_view(const fleet_view& view);
+  void apply_plan_view(const fleet_view& view, instant now);
+  void learn_plan(const carrier_plan& plan, const std::string& source);
+  void record_plan(const carrier_plan& plan);
+  bool carries() const { return plan_.decided() && plan_.carries(settings_.name); }
+  bool may_claim(instant now) const;
+  std::vector<std::string> seeking_targets() const;
   void apply_tokens(const fleet_view& view, instant now);
   void learn_configuration(const std::map<std::string, platform::store_row>& rows, instant as_of);
   void learn_members(const std::map<std::string, platform::store_row>& rows, instant as_of);
@@ -160,6 +174,10 @@
   instant next_fetch_{};
   std::unique_ptr<http_server> peer_server_;
   bool registered_in_view_ = true;
+  carrier_plan plan_;
+  bool recording_plan_ = false;
+  // When the fleet's table was last read.
+  instant fleet_read_at_{};
   bool leaving_ = false;
 };
 
--- a/Source/ProxyNode/fleet_participant_duty.cxx
+++ b/Source/ProxyNode/fleet_participant_duty.cxx
@@ -99,6 +99,40 @@
               });
 }
 
+void
+fleet_participant::record_plan(const carrier_plan& plan)
+{
+  const auto now = boot_now();
+  const auto expected = lease_.revision();
+  const auto row = lease_.holds(now) && !recording_plan_ ? lease_.begin_renewal(now) : std::nullopt;
+  if (!row) {
+    return;
+  }
+  recording_plan_ = true;
+  platform::store_write lease;
+  lease.table = fleet_table;
+  lease.key = coordinator_key;
+  lease.expected_revision = expected;
+  lease.value = encode_coordinator(*row);
+  platform::store_write record;
+  record.table = fleet_table;
+  record.key = plan_key;
+  record.value = encode_plan(plan);
+  record.conditional = false;
+  store_.post(platform::write_target,
+              platform::encode_write({ lease, record }),
+              write_timeout,
+              [this, plan](const store_reply& reply) {
+                recording_plan_ = false;
+                std::uint64_t revision = 0;
+                const auto outcome = lease_outcome(reply, revision);
+                lease_.write_done(outcome, revision, boot_now());
+                if (outcome == coordinator_lease::write_outcome::written) {
+                  learn_plan(plan, "decided here");
+                }
+              });
+}
+
 void
 fleet_participant::promote(const std::string& group,
                            const member_id& member,
@@ -163,6 +197,8 @@
     }
     send(address, encode_view(view));
   };
+  calls.plan = [this]() -> const carrier_plan& { return plan_; };
+  calls.record_plan = [this](const carrier_plan& plan) { record_plan(plan); };
   auto& failovers = calls.failover_calls;
   failovers.now = calls.now;
   failovers.record = [this](const group_record& record, auto done) {
--- /dev/null
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -0,0 +1,112 @@
+#include "ProxyNode/fleet_participant.h"
+
+#include "ProxyNode/boot_clock.h"
+#include "ProxyNode/fleet_messages.h"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// Carriers that are asked for the coordinator, beside the seeds.
+constexpr std::size_t asked_carriers = 2;
+
+}
+
+void
+fleet_participant::send_report(instant now)
+{
+  last_report_ = now;
+  instance_report report;
+  report.instance = settings_.name;
+  report.zone = settings_.zone;
+  report.incarnation = incarnation_;
+  report.address = address_;
+  report.relay_address = format_address(settings_.relay);
+  report.capacity = settings_.capacity;
+  report.plan = plan_.version;
+  report.clock = now;
+  report.token = token_;
+  report.view = view_;
+  report.leaving = leaving_;
+  report.plan_only = !carries();
+  const bool heard = now - last_echo_ < view_silence && !coordinator_address_.empty();
+  report.seeking = report.plan_only ? now - last_view_ >= plan_report_period * 2 : !heard;
+  if (report.plan_only) {
+    if (coordinator_) {
+      coordinator_->report(report);
+      return;
+    }
+    for (const auto& target : report_targets(!report.seeking)) {
+      send(target, encode_report(report));
+    }
+    return;
+  }
+  report.configuration = knowledge_.configuration().configuration().version;
+  report.members_digest = members_digest_;
+  report.groups_revision = knowledge_.groups_revision();
+  report.shares = limiter_.shares();
+  report.demands = limiter_.demands(now);
+  for (const auto& group : knowledge_.configuration().configuration().groups) {
+    if (const auto newest = positions_.newest(group.name)) {
+      report.positions[group.name] = { newest->position, newest->sent };
+    }
+  }
+  report.sights = hooks_.sights();
+  for (auto& sight : report.sights) {
+    sight.failing = contact_.counted(sight.failing, now);
+  }
+  add_token_use(report, now);
+  report.view_clock = view_clock_;
+  report.view_held = now - view_arrived_;
+  if (coordinator_) {
+    coordinator_->report(report);
+    return;
+  }
+  for (const auto& target : report_targets(heard)) {
+    send(target, encode_report(report));
+  }
+}
+
+// The coordinator; while it does not answer, also the seeds, which may know another one.
+std::vector<std::string>
+fleet_participant::report_targets(bool heard) const
+{
+  std::vector<std::string> targets;
+  if (!coordinator_address_.empty() && coordinator_address_ != address_) {
+    targets.push_back(coordinator_address_);
+  }
+  if (heard) {
+    return targets;
+  }
+  for (const auto& address : seeking_targets()) {
+    if (address != address_ && address != coordinator_address_) {
+      targets.push_back(address);
+    }
+  }
+  return targets;
+}
+
+// Instances that may know the coordinator: the seeds, and the carriers that follow this instance's
+// name in their order.
+std::vector<std::string>
+fleet_participant::seeking_targets() const
+{
+  std::vector<std::string> targets;
+  for (const auto& seed : settings_.seeds) {
+    targets.push_back(format_address({ seed, settings_.peers.port }));
+  }
+  for (const auto* entry : rank_homes(plan_, settings_.name.get())) {
+    tcp_address relay;
+    if (targets.size() < settings_.seeds.size() + asked_carriers &&
+        parse_address(entry->address, relay)) {
+      targets.push_back(format_address({ relay.address, settings_.peers.port }));
+    }
+  }
+  return targets;
+}
+
+}
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -68,7 +68,8 @@
 fleet_participant::fetch_configuration(instant now)
 {
   const bool newer = knowledge_.configuration().configuration().version < wanted_configuration_;
-  if (!newer || fetching_ || coordinator_ || now < next_fetch_ || coordinator_address_.empty()) {
+  if (!newer || !carries() || fetching_ || coordinator_ || now < next_fetch_ ||
+      coordinator_address_.empty()) {
     return;
   }
   if (coordinator_calls_to_ != coordinator_address_) {
@@ -141,6 +142,7 @@
 {
   const auto now = boot_now();
   contact_.note(now);
+  fleet_read_at_ = now;
   std::optional<coordinator_row> holder;
   std::uint64_t holder_revision = 0;
   std::vector<group_record> groups;
@@ -159,6 +161,12 @@
       } else {
         log_.write("row_unreadable", { { "key", key }, { "reason", parsed.error().message } });
       }
+    } else if (key == plan_key) {
+      if (auto parsed = decode_plan(row.value)) {
+        learn_plan(parsed.value(), "store");
+      } else {
+        log_.write("row_unreadable", { { "key", key }, { "reason", parsed.error().message } });
+      }
     } else if (key.starts_with(instance_key_prefix)) {
       if (auto parsed = decode_instance(row.value)) {
         registered[instance_id(key.substr(instance_key_prefix.size()))] = parsed.value();
@@ -173,14 +181,15 @@
   }
   registered_ = registered;
   const auto own = registered.find(settings_.name);
-  if (own != registered.end() && own->second == incarnation_) {
+  const bool listed = own != registered.end() && own->second == incarnation_;
+  if (listed || (coordinator_ && !carries())) {
     const auto before = knowledge_.groups();
     knowledge_.learn_groups(groups, revision, as_of);
     if (before != knowledge_.groups()) {
       hooks_.changed();
       send_report(now);
     }
-  } else {
+  } else if (carries()) {
     register_self(now);
   }
   lease_.observe(holder, holder_revision, as_of, now);
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -33,6 +33,13 @@
   }
   token_ = view.token;
   view_ = view.view;
+  if (view.plan) {
+    learn_plan(*view.plan, "coordinator");
+  }
+  if (view.plan_only) {
+    apply_plan_view(view, now);
+    return;
+  }
   // Without a lease the sender may be out of touch with the store.
   if (view.shares) {
     last_view_ = now;
@@ -92,6 +99,36 @@
   choose_sources(now);
 }
 
+void
+fleet_participant::apply_plan_view(const fleet_view& view, instant now)
+{
+  last_view_ = now;
+  last_echo_ = std::max(last_echo_, view.echo_clock);
+  lease_.hear(view.lease_revision, now);
+  instances_ = view.instances;
+  coordinator_address_ = view.address;
+  choose_sources(now);
+}
+
+void
+fleet_participant::learn_plan(const carrier_plan& plan, const std::string& source)
+{
+  if (plan.version <= plan_.version) {
+    return;
+  }
+  plan_ = plan;
+  log_.write("plan",
+             { { "version", std::to_string(plan.version) },
+               { "carriers", plan.everyone ? "everyone" : std::to_string(plan.carriers.size()) },
+               { "carries", carries() ? "yes" : "no" },
+               { "source", source } });
+  hooks_.plan_changed();
+  if (coordinator_) {
+    coordinator_->push_plan();
+  }
+  choose_sources(boot_now());
+}
+
 void
 fleet_participant::apply_tokens(const fleet_view& view, instant now)
 {
--- a/Source/ProxyNode/fleet_rows.cxx
+++ b/Source/ProxyNode/fleet_rows.cxx
@@ -2,9 +2,11 @@
 
 #include "Base/json_fields.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <cmath>
 #include <limits>
 
 namespace persimmonshelf {
@@ -12,6 +14,8 @@
 namespace {
 
 constexpr auto unreadable = result_code::malformed_answer;
+// Capacities are stored in millionths of a core.
+constexpr std::int64_t parts_of_core = 1'000'000;
 
 }
 
@@ -107,4 +111,48 @@
   return incarnation_field(fields);
 }
 
+std::string
+encode_plan(const carrier_plan& plan)
+{
+  boost::json::array carriers;
+  for (const auto& entry : plan.carriers) {
+    carriers.push_back(boost::json::object{
+      { "instance", entry.instance.get() },
+      { "zone", entry.zone.get() },
+      { "address", entry.address },
+      { "capacity_ppm", static_cast<std::int64_t>(std::lround(entry.capacity * parts_of_core)) } });
+  }
+  return boost::json::serialize(boost::json::object{
+    { "version", plan.version }, { "everyone", plan.everyone }, { "carriers", carriers } });
+}
+
+result<carrier_plan>
+decode_plan(std::string_view text)
+{
+  BOOST_OUTCOME_TRY(const auto value, parse_json(text, unreadable));
+  BOOST_OUTCOME_TRY(auto fields, json_fields::create(value, "plan", unreadable));
+  carrier_plan plan;
+  BOOST_OUTCOME_TRY(const auto version,
+                    fields.integer("version", 1, std::numeric_limits<std::int64_t>::max()));
+  plan.version = static_cast<std::uint64_t>(version);
+  BOOST_OUTCOME_TRY(plan.everyone, fields.boolean_or("everyone", false));
+  const auto* list = fields.find("carriers");
+  if (list == nullptr || !list->is_array()) {
+    return fail(unreadable, "plan.carriers: a list is expected");
+  }
+  for (const auto& element : list->as_array()) {
+    BOOST_OUTCOME_TRY(auto entry, json_fields::create(element, "plan.carriers", unreadable));
+    carrier next;
+    BOOST_OUTCOME_TRY(const auto instance, entry.text("instance"));
+    next.instance = instance_id(instance);
+    BOOST_OUTCOME_TRY(const auto zone, entry.text("zone"));
+    next.zone = zone_id(zone);
+    BOOST_OUTCOME_TRY(next.address, entry.text("address"));
+    BOOST_OUTCOME_TRY(const auto capacity, entry.integer("capacity_ppm", 1, 1'000 * parts_of_core));
+    next.capacity = static_cast<double>(capacity) / parts_of_core;
+    plan.carriers.push_back(std::move(next));
+  }
+  return plan;
+}
+
 }
--- a/Source/ProxyNode/fleet_rows.h
+++ b/Source/ProxyNode/fleet_rows.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/error.h"
+#include "Proxy/carriers.h"
 #include "Proxy/coordinator_lease.h"
 #include "Proxy/fleet_knowledge.h"
 
@@ -13,6 +14,7 @@
 inline constexpr std::string_view fleet_table = "persimmonshelf";
 inline constexpr std::string_view coordinator_key = "coordinator";
 inline constexpr std::string_view group_key_prefix = "group.";
+inline constexpr std::string_view plan_key = "carriers";
 inline constexpr std::string_view instance_key_prefix = "instance.";
 
 std::string
@@ -27,5 +29,9 @@
 encode_instance(incarnation_id incarnation);
 result<incarnation_id>
 decode_instance(std::string_view text);
+std::string
+encode_plan(const carrier_plan& plan);
+result<carrier_plan>
+decode_plan(std::string_view text);
 
 }
--- a/Source/ProxyNode/node_settings.cxx
+++ b/Source/ProxyNode/node_settings.cxx
@@ -14,6 +14,7 @@
 
 constexpr auto invalid = result_code::settings_invalid;
 constexpr std::int64_t longest_ms = 3'600'000;
+constexpr double most_cores = 1024;
 
 result<tcp_address>
 address_field(json_fields& fields, std::string_view name)
@@ -41,6 +42,20 @@
   return duration(std::chrono::seconds(value));
 }
 
+// Cores of a processor, a number above zero.
+result<double>
+capacity_field(json_fields& fields)
+{
+  const auto* value = fields.find("processor_cores");
+  const auto number = value != nullptr && value->is_number() ? value->to_number<double>() : 0.0;
+  if (number <= 0 || number > most_cores) {
+    return fail(invalid,
+                fields.place() + ".processor_cores: a number above 0 and at most " +
+                  std::to_string(static_cast<int>(most_cores)) + " is expected");
+  }
+  return number;
+}
+
 result<std::vector<std::string>>
 text_list(const boost::json::value* value, const std::string& place)
 {
@@ -78,6 +93,7 @@
   BOOST_OUTCOME_TRY(settings.readiness, address_field(listen, "readiness"));
   BOOST_OUTCOME_TRY(settings.metrics, address_field(listen, "metrics"));
   BOOST_OUTCOME_TRY(settings.peers, address_field(listen, "peers"));
+  BOOST_OUTCOME_TRY(settings.relay, address_field(listen, "relay"));
   BOOST_OUTCOME_TRYV(listen.finish());
   BOOST_OUTCOME_TRY(auto store, section(fields, "store"));
   BOOST_OUTCOME_TRY(settings.store, address_field(store, "address"));
@@ -112,6 +128,10 @@
   BOOST_OUTCOME_TRYV(parse_addresses(fields, settings));
   BOOST_OUTCOME_TRY(settings.key_revocation, milliseconds_field(fields, "key_revocation_ms"));
   BOOST_OUTCOME_TRY(settings.stop_grace, seconds_field(fields, "stop_grace_s"));
+  BOOST_OUTCOME_TRY(settings.configuration_limit,
+                    milliseconds_field(fields, "configuration_limit_ms"));
+  BOOST_OUTCOME_TRY(settings.capacity, capacity_field(fields));
+  BOOST_OUTCOME_TRY(settings.first_start, fields.boolean_or("first_start", false));
   BOOST_OUTCOME_TRYV(fields.finish());
   return settings;
 }
--- a/Source/ProxyNode/node_settings.h
+++ b/Source/ProxyNode/node_settings.h
@@ -24,6 +24,8 @@
   tcp_address readiness;
   tcp_address metrics;
   tcp_address peers;
+  // Where instances that pass sessions on connect.
+  tcp_address relay;
   tcp_address store;
   tcp_address duties;
   // True if the platform asks the fleet to replace primaries.
@@ -31,6 +33,12 @@
   // A key that was withdrawn this long ago must not work any more.
   duration key_revocation{};
   duration stop_grace{};
+  // A newer configuration must hold this long after it was stored.
+  duration configuration_limit{};
+  // Part of a processor core that the instance has.
+  double capacity = 0;
+  // True if the whole fleet starts for the first time.
+  bool first_start = false;
 
   friend bool operator==(const node_settings&, const node_settings&) = default;
 };
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -38,9 +38,6 @@
 constexpr duration stop_notice = std::chrono::milliseconds(2300);
 // The process ends this long before the platform would kill it.
 constexpr duration stop_margin = std::chrono::milliseconds(400);
-// Connections of a member that stay free for replacements: a killed instance's connections count
-// until the member drops them.
-constexpr std::uint32_t spare_connections = 2;
 
 }
 
@@ -64,7 +61,13 @@
           { [this] { fleet_changed(); },
             [this] { return sights(); },
             [this] { return operations.waiting(); },
-            [this] { operations.granted(boot_now()); } })
+            [this] { operations.granted(boot_now()); },
+            [this] { plan_changed(); } })
+  , router(context,
+           settings.name,
+           log,
+           { [this](const std::string& first_line) { return home_key(first_line); },
+             [this](std::uint64_t version) { versions_changed(version); } })
   , acceptor(context)
   , timer(context)
   , signals(context)
@@ -85,8 +88,7 @@
   }
   if (failure) {
     return fail(result_code::address_unavailable,
-                settings.callers.address + ":" + std::to_string(settings.callers.port) + ": " +
-                  failure.message());
+                format_address(settings.callers) + ": " + failure.message());
   }
   http_server_options options;
   options.address = settings.readiness.address;
@@ -103,6 +105,15 @@
       }));
   BOOST_OUTCOME_TRY(metrics,
                     node_metrics::create(context, settings.metrics, [this] { return sample(); }));
+  BOOST_OUTCOME_TRY(
+    relays,
+    relay_server::create(
+      context,
+      settings.relay,
+      { [this](caller_port to) { return run_session(std::move(to), true); },
+        [this](const std::string& first_line) { return better_home(first_line); },
+        [this](std::uint64_t version) { versions_changed(version); },
+        [this] { return knowledge.configuration().configuration().version.get(); } }));
   log.set_counter([this](const std::string& event) { metrics->decided(event); });
   return fleet.start();
 }
@@ -110,8 +121,11 @@
 bool
 proxy_node::state::ready() const
 {
-  return !stopping && knowledge.has_configuration() && !knowledge.members().empty() &&
-         !knowledge.key_evidence_missing(boot_now());
+  if (!stopping && fleet.plan().decided() && !fleet.plan().carries(settings.name)) {
+    return router.can_open();
+  }
+  return !stopping && fleet.plan().decided() && knowledge.has_configuration() &&
+         !knowledge.members().empty() && !knowledge.key_evidence_missing(boot_now());
 }
 
 void
@@ -199,11 +213,12 @@
 proxy_node::state::fleet_changed()
 {
   const auto now = boot_now();
-  const auto instances = std::max<std::uint32_t>(1, fleet.instances());
+  versions_changed(knowledge.configuration().configuration().version.get());
   for (const auto& group : knowledge.configuration().configuration().groups) {
-    if (group.max_connections > spare_connections && fleet.instances() > 0) {
-      const auto limit = (group.max_connections - spare_connections) / instances;
-      links.set_link_limit(group.name, std::max<std::uint32_t>(1, limit));
+    if (fleet.instances() > 0 && group.max_connections > 0) {
+      links.set_link_limit(
+        group.name,
+        connection_limit(fleet.plan(), settings.name, group.max_connections, fleet.instances()));
     }
   }
   links.set_members(knowledge.members(), now);
@@ -240,12 +255,10 @@
       auto holder = std::make_shared<std::weak_ptr<caller_connection>>();
       auto connection =
         caller_connection::create(std::move(socket),
-                                  { [this] { return hooks_for_session(); },
-                                    [this] { return knowledge.has_configuration(); },
-                                    [this, holder] { callers.erase(holder->lock()); },
-                                    [this](const statement_answer& reply, duration elapsed) {
-                                      metrics->answered(reply, elapsed);
-                                    } });
+                                  { [this](const std::string& first_line, caller_port to) {
+                                     return begin_session(first_line, std::move(to));
+                                   },
+                                    [this, holder] { callers.erase(holder->lock()); } });
       *holder = connection;
       callers.insert(connection);
       connection->start();
@@ -261,6 +274,8 @@
   fleet.tick(now);
   operations.tick(now);
   links.tick(now);
+  router.tick(now);
+  relays->tick(now);
   const auto current = callers;
   for (const auto& caller : current) {
     caller->tick(now);
@@ -282,7 +297,10 @@
   stopping = true;
   stop_began = boot_now();
   fleet.leave();
-  log.write("stop", { { "callers", std::to_string(callers.size()) } });
+  relays->leave();
+  log.write("stop",
+            { { "callers", std::to_string(callers.size()) },
+              { "relayed", std::to_string(relays->session_count()) } });
 }
 
 // Closes sessions that rest, first those without a transaction, and ends the process once none is
@@ -301,7 +319,11 @@
       caller->close();
     }
   }
-  if (callers.empty() || elapsed > settings.stop_grace - stop_margin) {
+  if (transactions_too) {
+    relays->end_resting(true);
+  }
+  if ((callers.empty() && relays->session_count() == 0) ||
+      elapsed > settings.stop_grace - stop_margin) {
     log.write("stopped", { { "callers", std::to_string(callers.size()) } });
     context.stop();
   }
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -1,9 +1,11 @@
 #include "ProxyNode/proxy_node_state.h"
 
 #include "ProxyNode/boot_clock.h"
+#include "platform/line_protocol.h"
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace persimmonshelf {
@@ -12,6 +14,8 @@
 
 // Connecting takes a round trip and the member's set-up, which waits for a slot.
 constexpr duration link_open_timeout = std::chrono::milliseconds(450);
+// Evidence for relayed sessions ends this long before the bound on changes of the configuration.
+constexpr duration relay_margin = std::chrono::milliseconds(250);
 
 }
 
@@ -86,6 +90,108 @@
   return hooks;
 }
 
+// A machine that passes a session on may be in touch with the store while this one is not, so a
+// relayed session needs evidence that is younger than the bound on changes of the configuration.
+std::optional<std::string>
+proxy_node::state::relay_evidence_missing() const
+{
+  const auto now = boot_now();
+  const auto as_of = knowledge.configuration_as_of();
+  if (!as_of || now - *as_of > settings.configuration_limit - relay_margin) {
+    return "the configuration was not confirmed lately";
+  }
+  return knowledge.key_evidence_missing(now);
+}
+
+session_port
+proxy_node::state::run_session(caller_port to, bool relayed)
+{
+  const auto driver = session_driver::create({
+    [this, relayed] {
+      auto hooks = hooks_for_session();
+      if (relayed) {
+        hooks.key_evidence_missing = [this] { return relay_evidence_missing(); };
+      }
+      return hooks;
+    },
+    [this] { return knowledge.has_configuration(); },
+    [this] { return behind(); },
+    to.write,
+    to.finish,
+    [this](const statement_answer& reply, duration elapsed) { metrics->answered(reply, elapsed); },
+  });
+  return { [driver](std::string_view line) { driver->take_line(line); },
+           [driver](instant now) { driver->tick(now); },
+           [driver] { return driver->idle(); },
+           [driver] { return driver->resting(); },
+           [driver] { driver->abandon(); } };
+}
+
+std::optional<session_port>
+proxy_node::state::begin_session(const std::string& first_line, caller_port to)
+{
+  if (!fleet.plan().decided()) {
+    return std::nullopt;
+  }
+  return router.runs_here(first_line) ? run_session(std::move(to), false)
+                                      : router.relay(std::move(to));
+}
+
+// Sessions of one workspace at one group share a home, since a connection to a member serves one
+// workspace.
+std::optional<std::string>
+proxy_node::state::home_key(const std::string& first_line) const
+{
+  const auto start = platform::parse_session_start(first_line);
+  if (!knowledge.has_configuration() || !start) {
+    return std::nullopt;
+  }
+  const auto& configuration = knowledge.configuration();
+  const auto* route = configuration.route_of(database_id(start.value().database));
+  const auto* workspace = configuration.workspace_of_key(start.value().key);
+  return (workspace == nullptr ? std::string() : workspace->name.get()) + "/" +
+         (route == nullptr ? std::string() : route->group);
+}
+
+std::optional<std::string>
+proxy_node::state::better_home(const std::string& first_line) const
+{
+  const auto key = home_key(first_line);
+  if (!key || !fleet.plan().decided()) {
+    return std::nullopt;
+  }
+  const auto home = router.home_of(*key);
+  return home && *home != settings.name && !stopping ? key : std::nullopt;
+}
+
+void
+proxy_node::state::plan_changed()
+{
+  router.set_plan(fleet.plan());
+  fleet_changed();
+}
+
+// A version counts as shown once it is known here, since statements obey it from then on.
+void
+proxy_node::state::versions_changed(std::uint64_t shown)
+{
+  const auto own = knowledge.configuration().configuration().version.get();
+  const auto highest = std::max(own, shown);
+  if (highest <= router.highest_version()) {
+    return;
+  }
+  router.raise_version(highest);
+  if (relays) {
+    relays->send_version(highest);
+  }
+}
+
+bool
+proxy_node::state::behind() const
+{
+  return knowledge.configuration().configuration().version.get() < router.highest_version();
+}
+
 void
 proxy_node::state::open_link(const member_link& link, const listed_member& member)
 {
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -13,6 +13,9 @@
 #include "ProxyNode/fleet_participant.h"
 #include "ProxyNode/member_connection.h"
 #include "ProxyNode/node_metrics.h"
+#include "ProxyNode/relay_router.h"
+#include "ProxyNode/relay_server.h"
+#include "ProxyNode/session_driver.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -34,6 +37,15 @@
   bool ready() const;
   void stop();
   session_hooks hooks_for_session();
+  // `relayed` sessions belong to callers of another instance.
+  session_port run_session(caller_port to, bool relayed);
+  std::optional<session_port> begin_session(const std::string& first_line, caller_port to);
+  std::optional<std::string> relay_evidence_missing() const;
+  std::optional<std::string> home_key(const std::string& first_line) const;
+  std::optional<std::string> better_home(const std::string& first_line) const;
+  void plan_changed();
+  void versions_changed(std::uint64_t shown);
+  bool behind() const;
   void open_link(const member_link& link, const listed_member& member);
   void close_link(link_number number);
   void fleet_changed();
@@ -57,6 +69,8 @@
   // When a member last answered anything.
   std::map<member_id, instant> last_answers;
   std::set<std::shared_ptr<caller_connection>> callers;
+  relay_router router;
+  std::unique_ptr<relay_server> relays;
   boost::asio::ip::tcp::acceptor acceptor;
   std::unique_ptr<http_server> readiness;
   std::unique_ptr<node_metrics> metrics;
--- /dev/null
+++ b/Source/ProxyNode/relay_message.cxx
@@ -0,0 +1,75 @@
+#include "ProxyNode/relay_message.h"
+
+#include <array>
+#include <charconv>
+
+namespace persimmonshelf {
+
+namespace {
+
+using message_kind = relay_message::message_kind;
+
+struct named_kind
+{
+  char name;
+  message_kind kind;
+};
+
+constexpr std::array<named_kind, 9> kinds{ {
+  { 'V', message_kind::version },
+  { 'P', message_kind::ping },
+  { 'Q', message_kind::pong },
+  { 'L', message_kind::leaving },
+  { 'O', message_kind::open },
+  { 'I', message_kind::open_insisting },
+  { 'M', message_kind::moved },
+  { 'D', message_kind::data },
+  { 'C', message_kind::close },
+} };
+
+}
+
+std::string
+encode_relay(const relay_message& message)
+{
+  std::string line;
+  for (const auto& entry : kinds) {
+    if (entry.kind == message.kind) {
+      line += entry.name;
+    }
+  }
+  line += std::to_string(message.number);
+  line += ' ';
+  line += message.text;
+  line += "\r\n";
+  return line;
+}
+
+result<relay_message>
+parse_relay(std::string_view line)
+{
+  relay_message message;
+  const auto malformed = [&line] {
+    return fail(result_code::malformed_answer,
+                "relay: \"" + std::string(line.substr(0, 20)) + "\" is no message");
+  };
+  if (line.empty()) {
+    return malformed();
+  }
+  bool known = false;
+  for (const auto& entry : kinds) {
+    if (entry.name == line.front()) {
+      message.kind = entry.kind;
+      known = true;
+    }
+  }
+  const auto* end = line.data() + line.size();
+  const auto number = std::from_chars(line.data() + 1, end, message.number);
+  if (!known || number.ec != std::errc() || number.ptr == end || *number.ptr != ' ') {
+    return malformed();
+  }
+  message.text = std::string(number.ptr + 1, end);
+  return message;
+}
+
+}
--- /dev/null
+++ b/Source/ProxyNode/relay_server.cxx
@@ -0,0 +1,286 @@
+#include "ProxyNode/relay_server.h"
+
+#include "ProxyNode/relay_message.h"
+#include "platform/line_protocol.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace persimmonshelf {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using message_kind = relay_message::message_kind;
+
+constexpr duration unacknowledged_limit = std::chrono::milliseconds(2000);
+constexpr duration idle_probe = std::chrono::seconds(2);
+// Kind, number and blank before a caller's message.
+constexpr std::size_t header_bytes = 32;
+constexpr std::string_view line_end = "\r\n";
+
+}
+
+// The connection of one other instance with the sessions of its callers.
+class relay_server::peer : public std::enable_shared_from_this<relay_server::peer>
+{
+public:
+  peer(relay_server& server, tcp::socket socket)
+    : server_(server)
+    , stream_(line_stream::create(std::move(socket), platform::line_limit_bytes + header_bytes))
+  {
+  }
+
+  void start()
+  {
+    stream_->set_timeouts(unacknowledged_limit, idle_probe);
+    std::weak_ptr<peer> weak = weak_from_this();
+    stream_->start({ [weak](std::string_view line) {
+                      if (const auto self = weak.lock()) {
+                        self->take_line(line);
+                      }
+                    },
+                     [weak](const std::string&) {
+                       if (const auto self = weak.lock()) {
+                         self->ended();
+                       }
+                     } });
+    send(message_kind::version, server_.hooks_.own_version(), {});
+    if (server_.leaving_) {
+      send(message_kind::leaving, 0, {});
+    }
+  }
+
+  void send(message_kind kind, std::uint64_t number, std::string_view text)
+  {
+    stream_->write(encode_relay({ kind, number, std::string(text) }));
+  }
+
+  void tick(instant now)
+  {
+    for (const auto& number : numbers()) {
+      if (const auto found = sessions_.find(number); found != sessions_.end()) {
+        const auto session = found->second;
+        session.tick(now);
+      }
+    }
+  }
+
+  void end_resting(bool transactions_too)
+  {
+    for (const auto& number : numbers()) {
+      const auto found = sessions_.find(number);
+      if (found != sessions_.end() &&
+          (found->second.idle() || (transactions_too && found->second.resting()))) {
+        const auto session = found->second;
+        session.abandon();
+        end(number);
+      }
+    }
+  }
+
+  std::size_t session_count() const { return sessions_.size(); }
+
+private:
+  std::vector<std::uint64_t> numbers() const
+  {
+    std::vector<std::uint64_t> numbers;
+    numbers.reserve(sessions_.size());
+    for (const auto& [number, session] : sessions_) {
+      numbers.push_back(number);
+    }
+    return numbers;
+  }
+
+  void take_line(std::string_view line)
+  {
+    const auto self = shared_from_this();
+    const auto parsed = parse_relay(line);
+    if (!parsed) {
+      stream_->close();
+      ended();
+      return;
+    }
+    const auto& message = parsed.value();
+    switch (message.kind) {
+      case message_kind::version:
+        server_.hooks_.version(message.number);
+        return;
+      case message_kind::ping:
+        send(message_kind::pong, message.number, {});
+        return;
+      case message_kind::open:
+      case message_kind::open_insisting:
+        open(message);
+        return;
+      case message_kind::data:
+        if (const auto found = sessions_.find(message.number); found != sessions_.end()) {
+          const auto session = found->second;
+          session.take_line(message.text);
+        }
+        return;
+      case message_kind::close:
+        if (const auto found = sessions_.find(message.number); found != sessions_.end()) {
+          const auto session = std::move(found->second);
+          sessions_.erase(found);
+          session.abandon();
+        }
+        return;
+      case message_kind::pong:
+      case message_kind::leaving:
+      case message_kind::moved:
+        // Only carriers send these.
+        return;
+    }
+  }
+
+  void open(const relay_message& message)
+  {
+    if (message.kind == message_kind::open) {
+      if (const auto home_key = server_.hooks_.better_home(message.text)) {
+        send(message_kind::moved, message.number, *home_key);
+        return;
+      }
+    }
+    std::weak_ptr<peer> weak = weak_from_this();
+    const auto number = message.number;
+    const auto session = server_.hooks_.session({ [weak, number](std::string_view text) {
+                                                   if (const auto self = weak.lock()) {
+                                                     self->write(number, text);
+                                                   }
+                                                 },
+                                                  [weak, number] {
+                                                    if (const auto self = weak.lock()) {
+                                                      self->end(number);
+                                                    }
+                                                  } });
+    sessions_[number] = session;
+    session.take_line(message.text);
+  }
+
+  void write(std::uint64_t number, std::string_view text)
+  {
+    while (!text.empty()) {
+      const auto end = text.find(line_end);
+      send(message_kind::data, number, text.substr(0, end));
+      text.remove_prefix(end == std::string_view::npos ? text.size() : end + line_end.size());
+    }
+  }
+
+  void end(std::uint64_t number)
+  {
+    if (sessions_.erase(number) > 0) {
+      send(message_kind::close, number, {});
+    }
+  }
+
+  void ended()
+  {
+    const auto self = shared_from_this();
+    const auto sessions = std::exchange(sessions_, {});
+    for (const auto& [number, session] : sessions) {
+      session.abandon();
+    }
+    server_.peers_.erase(self);
+  }
+
+  relay_server& server_;
+  std::shared_ptr<line_stream> stream_;
+  std::map<std::uint64_t, session_port> sessions_;
+};
+
+relay_server::relay_server(boost::asio::io_context& context, hooks calls)
+  : acceptor_(context)
+  , hooks_(std::move(calls))
+{
+}
+
+relay_server::~relay_server() = default;
+
+result<std::unique_ptr<relay_server>>
+relay_server::create(boost::asio::io_context& context, const tcp_address& address, hooks calls)
+{
+  std::unique_ptr<relay_server> made(new relay_server(context, std::move(calls)));
+  boost::system::error_code failure;
+  const tcp::endpoint endpoint(boost::asio::ip::make_address(address.address, failure),
+                               address.port);
+  auto& acceptor = made->acceptor_;
+  acceptor.open(endpoint.protocol(), failure);
+  acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+  acceptor.bind(endpoint, failure);
+  if (!failure) {
+    acceptor.listen(boost::asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return fail(result_code::address_unavailable,
+                format_address(address) + ": " + failure.message());
+  }
+  made->accept();
+  return made;
+}
+
+void
+relay_server::accept()
+{
+  acceptor_.async_accept([this](const boost::system::error_code& failure, tcp::socket socket) {
+    if (failure == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (!failure) {
+      const auto made = std::make_shared<peer>(*this, std::move(socket));
+      peers_.insert(made);
+      made->start();
+    }
+    accept();
+  });
+}
+
+void
+relay_server::tick(instant now)
+{
+  const auto current = peers_;
+  for (const auto& entry : current) {
+    entry->tick(now);
+  }
+}
+
+void
+relay_server::send_version(std::uint64_t version)
+{
+  const auto current = peers_;
+  for (const auto& entry : current) {
+    entry->send(message_kind::version, version, {});
+  }
+}
+
+void
+relay_server::leave()
+{
+  leaving_ = true;
+  const auto current = peers_;
+  for (const auto& entry : current) {
+    entry->send(message_kind::leaving, 0, {});
+  }
+}
+
+void
+relay_server::end_resting(bool transactions_too)
+{
+  const auto current = peers_;
+  for (const auto& entry : current) {
+    entry->end_resting(transactions_too);
+  }
+}
+
+std::size_t
+relay_server::session_count() const
+{
+  std::size_t count = 0;
+  for (const auto& entry : peers_) {
+    count += entry->session_count();
+  }
+  return count;
+}
+
+}
--- /dev/null
+++ b/Source/ProxyNode/relay_server.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Base/error.h"
+#include "Net/http_connection.h"
+#include "ProxyNode/line_stream.h"
+#include "ProxyNode/session_port.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace persimmonshelf {
+
+// Runs sessions whose callers are connected to other instances.
+class relay_server
+{
+public:
+  struct hooks
+  {
+    // Begins a session for a caller; its first message follows.
+    std::function<session_port(caller_port)> session;
+    // Home key of the session if another instance should run it.
+    std::function<std::optional<std::string>(const std::string& first_line)> better_home;
+    // A caller of the other instance may have seen effects of this version.
+    std::function<void(std::uint64_t version)> version;
+    // The version that is known here.
+    std::function<std::uint64_t()> own_version;
+  };
+
+  // Fails with address_unavailable.
+  static result<std::unique_ptr<relay_server>> create(boost::asio::io_context& context,
+                                                      const tcp_address& address,
+                                                      hooks calls);
+  ~relay_server();
+
+  void tick(instant now);
+  // Tells all instances, before any answer under this version.
+  void send_version(std::uint64_t version);
+  // Tells all instances that sessions should begin elsewhere and end here.
+  void leave();
+  // Ends sessions without a statement in flight, those in a transaction too if asked.
+  void end_resting(bool transactions_too);
+  std::size_t session_count() const;
+
+private:
+  class peer;
+  relay_server(boost::asio::io_context& context, hooks calls);
+  void accept();
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  hooks hooks_;
+  std::set<std::shared_ptr<peer>> peers_;
+  bool leaving_ = false;
+};
+
+}
--- /dev/null
+++ b/Source/ProxyNode/session_driver.cxx
@@ -0,0 +1,195 @@
+#include "ProxyNode/session_driver.h"
+
+#include "ProxyNode/boot_clock.h"
+#include "platform/line_protocol.h"
+
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace {
+
+// A caller gives up after two seconds; an instance that starts knows the configuration earlier.
+constexpr duration begin_limit = std::chrono::milliseconds(1500);
+// A change of the configuration reaches all instances within a few round trips; after this the
+// statement is refused.
+constexpr duration behind_limit = std::chrono::milliseconds(100);
+// Messages that a caller may send ahead of the answers.
+constexpr std::size_t waiting_limit = 16;
+
+}
+
+std::shared_ptr<session_driver>
+session_driver::create(handlers calls)
+{
+  std::shared_ptr<session_driver> made(new session_driver(std::move(calls)));
+  made->self_ = made;
+  return made;
+}
+
+session_driver::session_driver(handlers calls)
+  : handlers_(std::move(calls))
+{
+}
+
+void
+session_driver::take_line(std::string_view line)
+{
+  if (ended_) {
+    return;
+  }
+  if (!session_ && !first_line_) {
+    first_line_ = std::string(line);
+    first_line_at_ = boot_now();
+    start_session();
+    return;
+  }
+  if (waiting_.size() >= waiting_limit) {
+    finish();
+    return;
+  }
+  waiting_.emplace_back(line);
+  next_statement();
+}
+
+void
+session_driver::start_session()
+{
+  if (!handlers_.can_begin() || handlers_.behind()) {
+    return;
+  }
+  const auto start = platform::parse_session_start(*first_line_);
+  if (!start) {
+    handlers_.write(platform::encode_error(statement_error::malformed, start.error().message));
+    finish();
+    return;
+  }
+  auto hooks = handlers_.session();
+  hooks.answer = [weak = self_](const statement_answer& reply) {
+    if (const auto self = weak.lock()) {
+      self->answer(reply);
+    }
+  };
+  session_ = std::make_unique<caller_session>(
+    database_id(start.value().database), start.value().key, std::move(hooks));
+  if (const auto refusal = session_->check_start()) {
+    handlers_.write(platform::encode_error(*refusal, "the session cannot begin"));
+    finish();
+    return;
+  }
+  handlers_.write(platform::encode_ready(transaction_state::idle, std::nullopt));
+  next_statement();
+}
+
+// True if the next statement waits, or was refused, since it needs a newer configuration than the
+// one that is known here. A transaction goes on under the configuration that it began with.
+bool
+session_driver::wait_for_configuration()
+{
+  if (session_->state() != transaction_state::idle || !handlers_.behind()) {
+    behind_since_.reset();
+    return false;
+  }
+  const auto now = boot_now();
+  if (!behind_since_) {
+    behind_since_ = now;
+  }
+  if (now - *behind_since_ >= behind_limit) {
+    waiting_.pop_front();
+    behind_since_.reset();
+    handlers_.write(
+      platform::encode_error(statement_error::busy, "a newer configuration is not known here yet"));
+    handlers_.write(platform::encode_ready(transaction_state::idle, std::nullopt));
+  }
+  return true;
+}
+
+void
+session_driver::next_statement()
+{
+  // An answer that comes at once must not start the next statement inside this one.
+  if (handling_ || !session_) {
+    return;
+  }
+  const auto self = self_.lock();
+  handling_ = true;
+  while (!ended_ && !session_->busy() && !waiting_.empty() && !wait_for_configuration()) {
+    const auto line = std::move(waiting_.front());
+    waiting_.pop_front();
+    auto message = platform::parse_caller_message(line);
+    if (!message) {
+      handlers_.write(platform::encode_error(statement_error::malformed, message.error().message));
+      handlers_.write(platform::encode_ready(session_->state(), std::nullopt));
+      continue;
+    }
+    if (!message.value()) {
+      finish();
+      break;
+    }
+    statement_began_ = boot_now();
+    session_->handle(*message.value());
+  }
+  handling_ = false;
+}
+
+void
+session_driver::answer(const statement_answer& reply)
+{
+  handlers_.answered(reply, boot_now() - statement_began_);
+  handlers_.write(platform::encode_answer(reply));
+  next_statement();
+}
+
+void
+session_driver::tick(instant now)
+{
+  if (ended_) {
+    return;
+  }
+  if (session_) {
+    session_->tick(now);
+    if (behind_since_) {
+      next_statement();
+    }
+    return;
+  }
+  if (!first_line_) {
+    return;
+  }
+  if (now - first_line_at_ > begin_limit) {
+    handlers_.write(platform::encode_error(statement_error::busy, "no configuration is known yet"));
+    finish();
+    return;
+  }
+  start_session();
+}
+
+bool
+session_driver::idle() const
+{
+  return !session_ || (resting() && session_->state() == transaction_state::idle);
+}
+
+bool
+session_driver::resting() const
+{
+  return !session_ || (!session_->busy() && waiting_.empty());
+}
+
+void
+session_driver::finish()
+{
+  const auto self = self_.lock();
+  abandon();
+  handlers_.finish();
+}
+
+void
+session_driver::abandon()
+{
+  if (!std::exchange(ended_, true) && session_) {
+    session_->abandon();
+  }
+}
+
+}
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -21,6 +21,8 @@
     calls.now = [this] { return now; };
     calls.holds = [] { return true; };
     calls.lease_revision = [] { return std::uint64_t{ 7 }; };
+    calls.plan = [this]() -> const carrier_plan& { return plan; };
+    calls.record_plan = [this](const carrier_plan& next) { plan = next; };
     calls.send = [this](const std::string&, const fleet_view& view) { views.push_back(view); };
     calls.failover_calls.now = calls.now;
     calls.failover_calls.log = [](const std::string&, const std::string&, const std::string&) {};
@@ -57,6 +59,7 @@
   fleet_knowledge knowledge;
   freshness positions;
   std::vector<fleet_view> views;
+  carrier_plan plan;
   std::unique_ptr<coordinator> coordinates;
 };
 
