--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -253,7 +253,9 @@
   }
   std::vector<carrier> live;
   for (const auto& [instance, peer] : peers_) {
-    if (!peer.leaving && now - peer.heard < vanished_limit) {
+    const bool heard = now - peer.heard < vanished_limit;
+    // A carrier that stops is usually back within seconds under its name.
+    if (heard && (!peer.leaving || former.carries(instance))) {
       live.push_back({ instance, peer.zone, peer.relay_address, peer.capacity });
     }
   }
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -136,3 +136,45 @@
   bench.coordinates->report(stranger);
   CHECK_FALSE(bench.views.back().registered);
 }
+
+// Rolling restart of large instances with the coordinator among them. Fails if the next coordinator
+// takes carriers that stop, or that it has not heard yet, out of the plan: the few that remain
+// cannot serve the load.
+TEST_CASE("a new coordinator keeps carriers that restart or were not heard yet")
+{
+  coordinator_bench bench;
+  bench.plan.version = 1;
+  for (const std::string name : { "a", "b", "d" }) {
+    bench.plan.carriers.push_back({ instance_id(name), zone_id("z"), "10.0.0.1:1", 0.5 });
+  }
+  const auto former = bench.plan;
+  const auto hear = [&](const std::string& name, bool leaving) {
+    auto heard = bench.report(bench.now.time_since_epoch().count() / 1000 + 1);
+    heard.instance = instance_id(name);
+    heard.zone = zone_id("z");
+    heard.relay_address = "10.0.0.1:1";
+    heard.capacity = 0.5;
+    heard.leaving = leaving;
+    bench.coordinates->report(heard);
+  };
+  for (std::int64_t time = 0; time < 7900; time += 500) {
+    bench.now = at(time);
+    bench.learn(time);
+    hear("a", false);
+    if (time < 2000) {
+      hear("b", true);
+    }
+    bench.coordinates->tick(true);
+    CHECK(bench.plan == former);
+  }
+  for (std::int64_t time = 8000; time < 12000; time += 500) {
+    bench.now = at(time);
+    bench.learn(time);
+    hear("a", false);
+    bench.coordinates->tick(true);
+  }
+  CHECK(bench.plan.version > former.version);
+  CHECK(bench.plan.carries(instance_id("a")));
+  CHECK_FALSE(bench.plan.carries(instance_id("b")));
+  CHECK_FALSE(bench.plan.carries(instance_id("d")));
+}
