proxy: Substitute carriers that are away, count workspaces for the choice

The coordinator marks carriers that stop or are silent and adds substitutes until those that are there suffice; they go once no carrier was away for 4 s. Connections are divided among those present, and what exceeds a limit is closed. Everyone carries only with a connection for each four workspaces and at most 64 instances.

--- a/Source/Proxy/carriers.cxx
+++ b/Source/Proxy/carriers.cxx
@@ -13,11 +13,18 @@
 // Connections to each member with which an instance serves callers by itself: a transaction rests
 // on one while a statement runs on the other.
 constexpr std::uint32_t own_connections = 2;
+// A connection serves one workspace at a time; with more workspaces than this for each connection,
+// most statements would open one anew.
+constexpr std::size_t workspaces_of_connection = 4;
+// The coordinator answers each instance that carries several times a second.
+constexpr std::size_t most_carriers = 64;
 // Connections to each member that a carrier should have at least, so that it serves several
 // workspaces without opening connections anew.
 constexpr std::uint32_t carrier_connections = 4;
 // Carriers in each zone, so that a zone that is cut off keeps one when another fails.
 constexpr std::size_t carriers_in_zone = 2;
+// Carriers in each zone that should be there at any time.
+constexpr std::size_t present_in_zone = 1;
 // Part of the fleet's processor time that carriers should have together.
 constexpr double capacity_part = 0.2;
 
@@ -37,6 +44,17 @@
   return total;
 }
 
+// Of those that are not away.
+double
+present_capacity(const std::vector<carrier>& instances)
+{
+  double total = 0;
+  for (const auto& instance : instances) {
+    total += instance.away ? 0 : instance.capacity;
+  }
+  return total;
+}
+
 bool
 contains(const std::vector<carrier>& instances, const instance_id& instance)
 {
@@ -98,24 +116,94 @@
 }
 
 bool
-covers_zones(const std::vector<carrier>& chosen, const std::vector<carrier>& live)
+covers_zones(const std::vector<carrier>& chosen,
+             const std::vector<carrier>& live,
+             std::size_t in_zone)
 {
   return std::all_of(live.begin(), live.end(), [&](const carrier& instance) {
     return count_in_zone(chosen, instance.zone) >=
-           std::min(carriers_in_zone, count_in_zone(live, instance.zone));
+           std::min(in_zone, count_in_zone(live, instance.zone));
   });
 }
 
+bool
+suffices(const std::vector<carrier>& chosen, const std::vector<carrier>& live, std::size_t in_zone)
+{
+  return total_capacity(chosen) >= capacity_part * total_capacity(live) &&
+         covers_zones(chosen, live, in_zone);
+}
+
+// Those of the live instances that the former plan has, substitutes or the others.
+std::vector<carrier>
+keep(const carrier_plan& former, const std::vector<carrier>& live, bool substitutes)
+{
+  std::vector<carrier> kept;
+  for (const auto& instance : live) {
+    const bool listed =
+      std::any_of(former.carriers.begin(), former.carriers.end(), [&](const carrier& entry) {
+        return entry.instance == instance.instance && entry.substitute == substitutes;
+      });
+    if (listed) {
+      kept.push_back(instance);
+    }
+  }
+  return kept;
+}
+
 std::vector<carrier>
-pick(std::vector<carrier> chosen, const std::vector<carrier>& live, std::size_t most)
+present_of(std::vector<carrier> instances)
 {
-  const double wanted = capacity_part * total_capacity(live);
-  while (chosen.size() < most && (total_capacity(chosen) < wanted || !covers_zones(chosen, live))) {
-    if (!add_one(chosen, live)) {
-      break;
+  std::erase_if(instances, [](const carrier& instance) { return instance.away; });
+  return instances;
+}
+
+// Adds substitutes until those that are there suffice, if they do not without.
+void
+add_substitutes(std::vector<carrier>& carriers,
+                const carrier_plan& former,
+                const std::vector<carrier>& live,
+                std::size_t most,
+                bool settled)
+{
+  const auto present = present_of(live);
+  auto serving = present_of(carriers);
+  if (settled && suffices(serving, present, present_in_zone)) {
+    return;
+  }
+  const auto without = serving.size();
+  for (const auto& entry : present_of(keep(former, live, true))) {
+    if (!contains(carriers, entry.instance)) {
+      serving.push_back(entry);
     }
   }
-  return chosen;
+  while (serving.size() < most && !suffices(serving, present, present_in_zone) &&
+         add_one(serving, present)) {
+  }
+  for (auto place = without; place < serving.size(); ++place) {
+    serving[place].substitute = true;
+    carriers.push_back(serving[place]);
+  }
+}
+
+std::vector<carrier>
+pick(const carrier_plan& former, const std::vector<carrier>& live, const carrier_demand& demand)
+{
+  const auto most = std::max<std::size_t>(1, usable(demand.connections) / carrier_connections);
+  auto carriers = keep(former, live, false);
+  while (carriers.size() < most && !suffices(carriers, live, carriers_in_zone) &&
+         add_one(carriers, live)) {
+  }
+  add_substitutes(carriers, former, live, most, demand.settled);
+  return carriers;
+}
+
+// True if each instance can serve its own callers.
+bool
+everyone_can(std::size_t instances, const carrier_demand& demand)
+{
+  const auto each = usable(demand.connections) / instances;
+  return each >= own_connections && each * workspaces_of_connection >= demand.workspaces &&
+         instances <= most_carriers;
 }
 
 }
@@ -127,23 +215,20 @@
 }
 
 carrier_plan
-choose_carriers(const carrier_plan& former, std::vector<carrier> live, std::uint32_t connections)
+choose_carriers(const carrier_plan& former, std::vector<carrier> live, const carrier_demand& demand)
 {
   if (live.empty()) {
     return former;
   }
+  for (auto& instance : live) {
+    instance.substitute = false;
+  }
   sort_by_strength(live);
-  const auto each = usable(connections) / static_cast<std::uint32_t>(live.size());
-  const auto needed = former.everyone ? 1 : own_connections;
   carrier_plan next;
-  next.everyone = each >= needed && (former.everyone || !former.decided());
+  next.everyone = former.decided() ? former.everyone && usable(demand.connections) >= live.size()
+                                   : everyone_can(live.size(), demand);
   if (!next.everyone) {
-    std::vector<carrier> kept;
-    std::copy_if(live.begin(), live.end(), std::back_inserter(kept), [&](const carrier& instance) {
-      return contains(former.carriers, instance.instance);
-    });
-    const auto most = std::max<std::size_t>(1, usable(connections) / carrier_connections);
-    next.carriers = pick(std::move(kept), live, most);
+    next.carriers = pick(former, live, demand);
   }
   std::sort(
     next.carriers.begin(), next.carriers.end(), [](const carrier& left, const carrier& right) {
@@ -168,10 +253,10 @@
   const auto found = std::find_if(plan.carriers.begin(),
                                   plan.carriers.end(),
                                   [&](const carrier& entry) { return entry.instance == own; });
-  if (found == plan.carriers.end()) {
+  if (found == plan.carriers.end() || found->away) {
     return 1;
   }
-  const double part = found->capacity / total_capacity(plan.carriers);
+  const double part = found->capacity / present_capacity(plan.carriers);
   return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(usable(connections) * part));
 }
 
--- a/Source/Proxy/carriers.h
+++ b/Source/Proxy/carriers.h
@@ -20,6 +20,10 @@
   std::string address;
   // Part of a processor core that the instance has.
   double capacity = 0;
+  // True while it stops or is silent: no sessions begin there.
+  bool away = false;
+  // True if it carries only until those that are away are back.
+  bool substitute = false;
 
   friend bool operator==(const carrier&, const carrier&) = default;
 };
@@ -43,12 +47,25 @@
 // the member drops them.
 inline constexpr std::uint32_t spare_connections = 2;
 
-// Chooses the carriers among the live instances. `connections` is the smallest limit of a member.
-// Carriers of the former plan stay as long as they live, so sessions move only when they must; a
-// fleet in which everyone carries stays so while each instance has a connection to each member.
-// The version is that of the former plan if nothing changes, otherwise one more.
+// What the number of carriers depends on beside the instances.
+struct carrier_demand
+{
+  // Smallest limit of a member.
+  std::uint32_t connections = 0;
+  std::size_t workspaces = 0;
+  // True if no carrier was away for a while.
+  bool settled = true;
+};
+
+// Chooses the carriers among the live instances. Carriers of the former plan stay as long as they
+// live, so sessions move only when they must; a fleet in which everyone carries stays so while each
+// instance has a connection to each member. While too many carriers are away, others substitute for
+// them; these go once enough are back and the fleet is settled. The version is that of the former
+// plan if nothing changes, otherwise one more.
 carrier_plan
-choose_carriers(const carrier_plan& former, std::vector<carrier> live, std::uint32_t connections);
+choose_carriers(const carrier_plan& former,
+                std::vector<carrier> live,
+                const carrier_demand& demand);
 
 // Connections to one member that a carrier may hold. `instances` counts all live instances.
 std::uint32_t
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -20,7 +20,11 @@
 constexpr duration first_plan_time = std::chrono::milliseconds(1200);
 constexpr duration quiet_time = std::chrono::milliseconds(600);
 // Pause between two examinations of the plan.
-constexpr duration plan_period = std::chrono::milliseconds(500);
+constexpr duration plan_period = std::chrono::milliseconds(250);
+// A carrier that was silent this long is away: six of its reports are missing.
+constexpr duration away_limit = std::chrono::milliseconds(1500);
+// Substitutes stay this long after the last carrier was away: restarts often come in series.
+constexpr duration shortage_memory = std::chrono::seconds(4);
 
 }
 
@@ -253,20 +257,31 @@
   }
   std::vector<carrier> live;
   for (const auto& [instance, peer] : peers_) {
-    const bool heard = now - peer.heard < vanished_limit;
+    const auto silence = now - peer.heard;
     // A carrier that stops is usually back within seconds under its name.
-    if (heard && (!peer.leaving || former.carries(instance))) {
-      live.push_back({ instance, peer.zone, peer.relay_address, peer.capacity });
+    if (silence < vanished_limit && (!peer.leaving || former.carries(instance))) {
+      const bool away = peer.leaving || silence > away_limit;
+      live.push_back({ instance, peer.zone, peer.relay_address, peer.capacity, away, false });
     }
   }
-  if (now - began_ < vanished_limit) {
-    for (const auto& entry : former.carriers) {
-      if (!peers_.contains(entry.instance)) {
-        live.push_back(entry);
-      }
+  for (auto entry : former.carriers) {
+    if (!peers_.contains(entry.instance) && now - began_ < vanished_limit) {
+      entry.away = entry.away || now - began_ > away_limit;
+      live.push_back(entry);
     }
   }
-  const auto next = choose_carriers(former, std::move(live), connections);
+  const bool short_of_carriers =
+    std::any_of(live.begin(), live.end(), [&](const carrier& instance) {
+      return instance.away && former.carries(instance.instance);
+    });
+  if (short_of_carriers) {
+    shortage_seen_ = now;
+  }
+  const auto next = choose_carriers(former,
+                                    std::move(live),
+                                    { connections,
+                                      knowledge_.configuration().configuration().workspaces.size(),
+                                      now - shortage_seen_ > shortage_memory });
   if (next.version != former.version) {
     hooks_.record_plan(next);
   }
@@ -292,7 +307,9 @@
   }
   for (const auto& [instance, incarnation] : registered_) {
     const auto peer = peers_.find(instance);
-    if (peer == peers_.end() || now - peer->second.heard > vanished_limit) {
+    // An instance that runs no sessions any more confirms no records.
+    if (peer == peers_.end() || now - peer->second.heard > vanished_limit ||
+        (peer->second.plan_only && !hooks_.plan().carries(instance))) {
       gone.push_back(instance);
     }
   }
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -115,6 +115,8 @@
   // When an instance was heard for the first time, and when the plan was last examined.
   instant newest_peer_;
   instant plan_examined_{};
+  // When a carrier was last away.
+  instant shortage_seen_{};
 };
 
 }
--- a/Source/Proxy/link_dispatcher.cxx
+++ b/Source/Proxy/link_dispatcher.cxx
@@ -54,6 +54,24 @@
 link_dispatcher::set_link_limit(const std::string& group, std::size_t limit)
 {
   limits_[group] = limit;
+  close_excess(group);
+}
+
+// Closes idle connections beyond the limit, so that other instances find room at the member.
+void
+link_dispatcher::close_excess(const std::string& group)
+{
+  std::map<member_id, std::size_t> counts;
+  std::vector<link_number> excess;
+  for (const auto& [number, link] : links_) {
+    if (link->group == group && ++counts[link->member] > link_limit(group) &&
+        link->state == member_link::link_state::idle) {
+      excess.push_back(number);
+    }
+  }
+  for (const auto number : excess) {
+    close_link(number);
+  }
 }
 
 std::size_t
@@ -192,6 +210,11 @@
   }
   link.state = member_link::link_state::idle;
   link.changed = now;
+  close_excess(link.group);
+  if (!links_.contains(number)) {
+    tick(now);
+    return;
+  }
   const auto* listed = member(link.member);
   if (listed == nullptr || listed->draining) {
     const auto leader = hooks_.leader(link.group);
--- a/Source/Proxy/link_dispatcher.h
+++ b/Source/Proxy/link_dispatcher.h
@@ -131,6 +131,7 @@
   bool try_grant(waiting_request& waiting, instant now);
   std::optional<std::string> hopeless(const waiting_request& waiting, instant now) const;
   void close_link(link_number number);
+  void close_excess(const std::string& group);
 
   hooks hooks_;
   zone_id own_zone_;
--- a/Source/ProxyNode/caller_connection.h
+++ b/Source/ProxyNode/caller_connection.h
@@ -32,6 +32,8 @@
   bool idle() const;
   // True if no statement is in flight.
   bool resting() const;
+  // True if the session runs on this instance.
+  bool local() const { return session_ && session_->local; }
 
   // Closes towards the caller and gives back what the session holds.
   void close();
--- a/Source/ProxyNode/carrier_link.cxx
+++ b/Source/ProxyNode/carrier_link.cxx
@@ -94,6 +94,10 @@
 void
 carrier_link::tick(instant now)
 {
+  if (!shut_ && retiring_ && sessions_.empty()) {
+    shut_ = true;
+    broken("no longer a carrier");
+  }
   if (shut_) {
     return;
   }
@@ -196,10 +200,9 @@
 }
 
 void
-carrier_link::shut()
+carrier_link::retire()
 {
-  shut_ = true;
-  broken("no longer a carrier");
+  retiring_ = true;
 }
 
 void
--- a/Source/ProxyNode/carrier_link.h
+++ b/Source/ProxyNode/carrier_link.h
@@ -43,16 +43,17 @@
   void tick(instant now);
 
   // True if sessions may begin on the carrier.
-  bool usable() const { return up_ && !leaving_; }
-  bool leaving() const { return leaving_; }
+  bool usable() const { return up_ && !leaving(); }
+  bool leaving() const { return leaving_ || retiring_; }
 
   std::uint64_t open(const std::string& first_line, bool insisting, stream_handlers calls);
   void send(std::uint64_t stream, std::string_view line);
   void close(std::uint64_t stream);
   void send_version(std::uint64_t version);
 
-  // Ends all sessions.
-  void shut();
+  // The carrier left the plan: no session begins on it, and the link ends with the last one.
+  void retire();
+  bool ended() const { return shut_; }
 
 private:
   carrier_link(boost::asio::io_context& context, std::string address, hooks calls);
@@ -76,6 +77,7 @@
   bool connecting_ = false;
   bool up_ = false;
   bool leaving_ = false;
+  bool retiring_ = false;
   bool shut_ = false;
 };
 
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -201,7 +201,9 @@
       view.plan->carriers.push_back({ instance_id(entry.instance()),
                                       zone_id(entry.zone()),
                                       entry.address(),
-                                      entry.capacity() });
+                                      entry.capacity(),
+                                      entry.away(),
+                                      entry.substitute() });
     }
   }
   return view;
@@ -338,6 +340,8 @@
       carrier_to->set_zone(entry.zone.get());
       carrier_to->set_address(entry.address);
       carrier_to->set_capacity(static_cast<float>(entry.capacity));
+      carrier_to->set_away(entry.away);
+      carrier_to->set_substitute(entry.substitute);
     }
   }
   return marked(view_mark, to);
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -283,11 +283,11 @@
 fleet_participant::choose_sources(instant now)
 {
   const bool alone = coordinator_ != nullptr || now - last_view_ >= view_silence;
-  const bool runs_sessions = carries() || coordinator_;
-  configuration_rows_.set_active(runs_sessions && (alone || !knowledge_.has_configuration()));
-  member_rows_.set_active(runs_sessions && (alone || !knowledge_.members_as_of()));
+  const bool active = runs_sessions() || coordinator_;
+  configuration_rows_.set_active(active && (alone || !knowledge_.has_configuration()));
+  member_rows_.set_active(active && (alone || !knowledge_.members_as_of()));
   fleet_rows_.set_hold(lease_.holds(now) ? coordinator_fleet_hold : fleet_hold);
-  if (runs_sessions || !plan_.decided()) {
+  if (active || !plan_.decided()) {
     fleet_rows_.set_active(alone || (carries() && !registered_in_view_));
     return;
   }
@@ -313,7 +313,7 @@
   }
   choose_sources(now);
   fetch_configuration(now);
-  const bool rarely = plan_.decided() && !carries() && !coordinator_;
+  const bool rarely = plan_.decided() && !runs_sessions() && !coordinator_;
   if (now - last_report_ >= (rarely ? plan_report_period : report_period)) {
     send_report(now);
   }
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -53,6 +53,8 @@
     std::function<void()> tokens_granted;
     // Other instances run sessions than before.
     std::function<void()> plan_changed;
+    // True while sessions run here, also after the plan took them away.
+    std::function<bool()> sessions_run;
   };
 
   fleet_participant(boost::asio::io_context& context,
@@ -93,6 +95,8 @@
   void learn_plan(const carrier_plan& plan, const std::string& source);
   void record_plan(const carrier_plan& plan);
   bool carries() const { return plan_.decided() && plan_.carries(settings_.name); }
+  // True if this instance needs evidence and all else that statements need.
+  bool runs_sessions() const { return carries() || hooks_.sessions_run(); }
   bool may_claim(instant now) const;
   std::vector<std::string> seeking_targets() const;
   void apply_tokens(const fleet_view& view, instant now);
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -32,7 +32,7 @@
   report.token = token_;
   report.view = view_;
   report.leaving = leaving_;
-  report.plan_only = !carries();
+  report.plan_only = !runs_sessions();
   const bool heard = now - last_echo_ < view_silence && !coordinator_address_.empty();
   report.seeking = report.plan_only ? now - last_view_ >= plan_report_period * 2 : !heard;
   if (report.plan_only) {
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -68,7 +68,7 @@
 fleet_participant::fetch_configuration(instant now)
 {
   const bool newer = knowledge_.configuration().configuration().version < wanted_configuration_;
-  if (!newer || !carries() || fetching_ || coordinator_ || now < next_fetch_ ||
+  if (!newer || !runs_sessions() || fetching_ || coordinator_ || now < next_fetch_ ||
       coordinator_address_.empty()) {
     return;
   }
--- a/Source/ProxyNode/fleet_rows.cxx
+++ b/Source/ProxyNode/fleet_rows.cxx
@@ -120,7 +120,9 @@
       { "instance", entry.instance.get() },
       { "zone", entry.zone.get() },
       { "address", entry.address },
-      { "capacity_ppm", static_cast<std::int64_t>(std::lround(entry.capacity * parts_of_core)) } });
+      { "capacity_ppm", static_cast<std::int64_t>(std::lround(entry.capacity * parts_of_core)) },
+      { "away", entry.away },
+      { "substitute", entry.substitute } });
   }
   return boost::json::serialize(boost::json::object{
     { "version", plan.version }, { "everyone", plan.everyone }, { "carriers", carriers } });
@@ -150,6 +152,8 @@
     BOOST_OUTCOME_TRY(next.address, entry.text("address"));
     BOOST_OUTCOME_TRY(const auto capacity, entry.integer("capacity_ppm", 1, 1'000 * parts_of_core));
     next.capacity = static_cast<double>(capacity) / parts_of_core;
+    BOOST_OUTCOME_TRY(next.away, entry.boolean_or("away", false));
+    BOOST_OUTCOME_TRY(next.substitute, entry.boolean_or("substitute", false));
     plan.carriers.push_back(std::move(next));
   }
   return plan;
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -62,7 +62,8 @@
             [this] { return sights(); },
             [this] { return operations.waiting(); },
             [this] { operations.granted(boot_now()); },
-            [this] { plan_changed(); } })
+            [this] { plan_changed(); },
+            [this] { return session_token.use_count() > 1; } })
   , router(context,
            settings.name,
            log,
@@ -280,6 +281,7 @@
   for (const auto& caller : current) {
     caller->tick(now);
   }
+  send_away_local_sessions();
   if (stopping) {
     drain(now);
   }
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -120,7 +120,8 @@
     to.finish,
     [this](const statement_answer& reply, duration elapsed) { metrics->answered(reply, elapsed); },
   });
-  return { [driver](std::string_view line) { driver->take_line(line); },
+  return { true,
+           [driver, token = session_token](std::string_view line) { driver->take_line(line); },
            [driver](instant now) { driver->tick(now); },
            [driver] { return driver->idle(); },
            [driver] { return driver->resting(); },
@@ -164,6 +165,22 @@
   return home && *home != settings.name && !stopping ? key : std::nullopt;
 }
 
+// Sessions end here once they rest, if this instance no longer carries.
+void
+proxy_node::state::send_away_local_sessions()
+{
+  const auto& plan = fleet.plan();
+  if (!plan.decided() || plan.carries(settings.name) || session_token.use_count() == 1) {
+    return;
+  }
+  const auto current = callers;
+  for (const auto& caller : current) {
+    if (caller->local() && caller->idle()) {
+      caller->close();
+    }
+  }
+}
+
 void
 proxy_node::state::plan_changed()
 {
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -46,6 +46,7 @@
   void plan_changed();
   void versions_changed(std::uint64_t shown);
   bool behind() const;
+  void send_away_local_sessions();
   void open_link(const member_link& link, const listed_member& member);
   void close_link(link_number number);
   void fleet_changed();
@@ -71,6 +72,8 @@
   std::set<std::shared_ptr<caller_connection>> callers;
   relay_router router;
   std::unique_ptr<relay_server> relays;
+  // Held by each session that runs here.
+  std::shared_ptr<const bool> session_token = std::make_shared<const bool>(true);
   boost::asio::ip::tcp::acceptor acceptor;
   std::unique_ptr<http_server> readiness;
   std::unique_ptr<node_metrics> metrics;
--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -215,7 +215,8 @@
   const auto former = std::exchange(links_, std::move(kept));
   for (const auto& [instance, link] : former) {
     if (!links_.contains(instance)) {
-      link->shut();
+      link->retire();
+      retiring_.push_back(link);
     }
   }
 }
@@ -227,6 +228,10 @@
   for (const auto& [instance, link] : links_) {
     link->tick(now);
   }
+  for (const auto& link : retiring_) {
+    link->tick(now);
+  }
+  std::erase_if(retiring_, [](const auto& link) { return link->ended(); });
 }
 
 std::shared_ptr<carrier_link>
@@ -294,7 +299,8 @@
 relay_router::relay(caller_port to)
 {
   const auto made = std::make_shared<session>(*this, std::move(to));
-  return { [made](std::string_view line) { made->take_line(line); },
+  return { false,
+           [made](std::string_view line) { made->take_line(line); },
            [made](instant now) { made->tick(now); },
            [made] { return made->idle(); },
            [made] { return made->resting(); },
--- a/Source/ProxyNode/relay_router.h
+++ b/Source/ProxyNode/relay_router.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmonshelf {
 
@@ -68,6 +69,8 @@
   hooks hooks_;
   carrier_plan plan_;
   std::map<instance_id, std::shared_ptr<carrier_link>> links_;
+  // Links to instances that are no longer carriers, with their last sessions.
+  std::vector<std::shared_ptr<carrier_link>> retiring_;
   // Home keys that carriers named, by first message.
   std::map<std::string, std::string> hints_;
   std::uint64_t highest_version_ = 0;
--- a/Source/ProxyNode/session_port.h
+++ b/Source/ProxyNode/session_port.h
@@ -11,6 +11,8 @@
 // that runs it.
 struct session_port
 {
+  // True if the session runs on this instance.
+  bool local = false;
   // A message of the caller, without its end of line.
   std::function<void(std::string_view line)> take_line;
   std::function<void(instant now)> tick;
