--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -101,6 +101,7 @@
   peer.plan = report.plan;
   peer.plan_only = report.plan_only;
   if (report.plan_only) {
+    shares_.without_sessions(report.instance);
     hooks_.send(peer.address, make_plan_view(peer));
     return;
   }
--- a/Source/Proxy/rate_shares.cxx
+++ b/Source/Proxy/rate_shares.cxx
@@ -103,6 +103,13 @@
   }
 }
 
+void
+rate_shares::without_sessions(const instance_id& instance)
+{
+  unheard_.erase(instance);
+  holders_.erase(instance);
+}
+
 bool
 rate_shares::in_touch(const share_holder& holder, instant now)
 {
--- a/Source/Proxy/rate_shares.h
+++ b/Source/Proxy/rate_shares.h
@@ -36,6 +36,9 @@
   // A report of an instance. Reports of one run arrive in any order; older ones are ignored.
   void report(const instance_report& report, fencing_token own_token, instant now);
 
+  // The instance runs no sessions and has dropped its shares.
+  void without_sessions(const instance_id& instance);
+
   // Shares to send with view number `view`; counted as held until confirmed lower.
   share_table_parts grant(const instance_id& instance, std::uint64_t view, instant now);
 
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -36,6 +36,8 @@
   const bool heard = now - last_echo_ < view_silence && !coordinator_address_.empty();
   report.seeking = report.plan_only ? now - last_view_ >= plan_report_period * 2 : !heard;
   if (report.plan_only) {
+    // The report tells the coordinator that no shares are used here.
+    limiter_.set_shares({}, now, now);
     if (coordinator_) {
       coordinator_->report(report);
       return;
--- a/Tests/Proxy/rates_test.cxx
+++ b/Tests/Proxy/rates_test.cxx
@@ -237,6 +237,22 @@
   CHECK(shares.central_part(workspace, later) == doctest::Approx(1.0));
 }
 
+// Power cut during a rolling restart. Fails if instances that run no sessions any more withhold
+// shares of a new coordinator: for five seconds all callers were refused inside their rate.
+TEST_CASE("an instance without sessions withholds no shares")
+{
+  rate_shares shares(false, at(0));
+  shares.set_workspaces({ make_workspace("w", rate, burst) });
+  shares.set_registered({ { instance_id("a"), incarnation_id(1) },
+                          { instance_id("b"), incarnation_id(2) },
+                          { instance_id("c"), incarnation_id(3) } });
+  CHECK(shares.central_part(workspace, at(10)) == doctest::Approx(0.0));
+  for (const std::string name : { "a", "b", "c" }) {
+    shares.without_sessions(instance_id(name));
+  }
+  CHECK(shares.central_part(workspace, at(20)) == doctest::Approx(1.0));
+}
+
 // Answers the pattern of a coordinator that is slow after a herd of restarts. Guards against the
 // refusals of a day on a larger deployment: one lost answer kept an instance from asking again.
 TEST_CASE("a lost answer delays the next request for tokens, it does not prevent it")
