--- a/Source/ProxyNode/carrier_link.cxx
+++ b/Source/ProxyNode/carrier_link.cxx
@@ -138,6 +138,10 @@
     hooks_.version(message.number);
     return;
   }
+  if (message.kind == message_kind::coordinator) {
+    hooks_.coordinator(message.number, message.text);
+    return;
+  }
   if (message.kind == message_kind::leaving) {
     leaving_ = true;
     hooks_.changed(false, "the carrier stops");
--- a/Source/ProxyNode/carrier_link.h
+++ b/Source/ProxyNode/carrier_link.h
@@ -31,6 +31,8 @@
   struct hooks
   {
     std::function<void(std::uint64_t version)> version;
+    // The carrier knows a coordinator.
+    std::function<void(std::uint64_t token, const std::string& address)> coordinator;
     std::function<void(bool up, const std::string& reason)> changed;
     // Sent first on a new connection.
     std::function<std::uint64_t()> highest_version;
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -53,6 +53,8 @@
     std::function<void()> tokens_granted;
     // Other instances run sessions than before.
     std::function<void()> plan_changed;
+    // The coordinator of a newer token is known.
+    std::function<void(std::uint64_t token, const std::string& address)> coordinator_known;
     // True while sessions run here, also after the plan took them away.
     std::function<bool()> sessions_run;
   };
@@ -70,6 +72,8 @@
   void tick(instant now);
   // Reports soon, since operations wait for tokens.
   void ask_for_tokens();
+  // Another instance named the coordinator: reports to it at once if it is a newer one.
+  void hear_coordinator(fencing_token token, const std::string& address);
   // Gives up the duty; goes on reporting that it leaves.
   void leave();
 
@@ -151,6 +155,8 @@
   bool shares_known_ = false;
   std::string coordinator_address_;
   fencing_token token_;
+  // Token of the coordinator that others named last.
+  fencing_token named_token_;
   // Token of the newest row that was read: views of earlier coordinators are ignored.
   fencing_token least_token_;
   std::uint64_t view_ = 0;
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -24,6 +24,7 @@
     }
     log_.write("coordinator_known",
                { { "holder", view.holder.get() }, { "token", std::to_string(view.token.get()) } });
+    hooks_.coordinator_known(view.token.get(), view.address);
   }
   if (view.tokens_only && view.token == token_) {
     view_ = view.view;
@@ -99,6 +100,17 @@
   choose_sources(now);
 }
 
+void
+fleet_participant::hear_coordinator(fencing_token token, const std::string& address)
+{
+  if (coordinator_ || token <= std::max({ token_, least_token_, named_token_ })) {
+    return;
+  }
+  named_token_ = token;
+  coordinator_address_ = address;
+  send_report(boot_now());
+}
+
 void
 fleet_participant::apply_plan_view(const fleet_view& view, instant now)
 {
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -63,12 +63,18 @@
             [this] { return operations.waiting(); },
             [this] { operations.granted(boot_now()); },
             [this] { plan_changed(); },
+            [this](std::uint64_t token, const std::string& address) {
+              relays->send_coordinator(token, address);
+            },
             [this] { return session_token.use_count() > 1; } })
   , router(context,
            settings.name,
            log,
            { [this](const std::string& first_line) { return home_key(first_line); },
-             [this](std::uint64_t version) { versions_changed(version); } })
+             [this](std::uint64_t version) { versions_changed(version); },
+             [this](std::uint64_t token, const std::string& address) {
+               fleet.hear_coordinator(fencing_token(token), address);
+             } })
   , acceptor(context)
   , timer(context)
   , signals(context)
--- a/Source/ProxyNode/relay_message.cxx
+++ b/Source/ProxyNode/relay_message.cxx
@@ -15,10 +15,11 @@
   message_kind kind;
 };
 
-constexpr std::array<named_kind, 9> kinds{ {
+constexpr std::array<named_kind, 10> kinds{ {
   { 'V', message_kind::version },
   { 'P', message_kind::ping },
   { 'Q', message_kind::pong },
+  { 'K', message_kind::coordinator },
   { 'L', message_kind::leaving },
   { 'O', message_kind::open },
   { 'I', message_kind::open_insisting },
--- a/Source/ProxyNode/relay_message.h
+++ b/Source/ProxyNode/relay_message.h
@@ -19,6 +19,8 @@
     // The carrier answers a ping with the same number.
     ping,
     pong,
+    // Where the coordinator of this token hears instances.
+    coordinator,
     // The carrier stops; sessions should begin elsewhere.
     leaving,
     // A session begins with the caller's first message. The carrier names a better home instead,
@@ -32,7 +34,7 @@
     close,
   };
   message_kind kind = message_kind::data;
-  // Version or number of a ping; the session for all other kinds.
+  // Version, token or number of a ping; the session for all other kinds.
   std::uint64_t number = 0;
   std::string text;
 };
--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -207,6 +207,9 @@
       link = carrier_link::create(context_,
                                   entry.address,
                                   { [this](std::uint64_t version) { hooks_.version(version); },
+                                    [this](std::uint64_t token, const std::string& address) {
+                                      hooks_.coordinator(token, address);
+                                    },
                                     changed,
                                     [this] { return highest_version_; } });
       link->tick(boot_now());
--- a/Source/ProxyNode/relay_router.h
+++ b/Source/ProxyNode/relay_router.h
@@ -28,6 +28,8 @@
     std::function<std::optional<std::string>(const std::string& first_line)> home_key;
     // Another instance has shown effects of this version.
     std::function<void(std::uint64_t version)> version;
+    // A carrier knows a coordinator.
+    std::function<void(std::uint64_t token, const std::string& address)> coordinator;
   };
 
   relay_router(boost::asio::io_context& context, instance_id own, decision_log& log, hooks calls);
--- a/Source/ProxyNode/relay_server.cxx
+++ b/Source/ProxyNode/relay_server.cxx
@@ -47,6 +47,9 @@
                        }
                      } });
     send(message_kind::version, server_.hooks_.own_version(), {});
+    if (!server_.coordinator_.empty()) {
+      send(message_kind::coordinator, server_.token_, server_.coordinator_);
+    }
     if (server_.leaving_) {
       send(message_kind::leaving, 0, {});
     }
@@ -128,6 +131,7 @@
         }
         return;
       case message_kind::pong:
+      case message_kind::coordinator:
       case message_kind::leaving:
       case message_kind::moved:
         // Only carriers send these.
@@ -254,6 +258,17 @@
   }
 }
 
+void
+relay_server::send_coordinator(std::uint64_t token, const std::string& address)
+{
+  token_ = token;
+  coordinator_ = address;
+  const auto current = peers_;
+  for (const auto& entry : current) {
+    entry->send(message_kind::coordinator, token, address);
+  }
+}
+
 void
 relay_server::leave()
 {
--- a/Source/ProxyNode/relay_server.h
+++ b/Source/ProxyNode/relay_server.h
@@ -43,6 +43,8 @@
   void tick(instant now);
   // Tells all instances, before any answer under this version.
   void send_version(std::uint64_t version);
+  // Tells all instances where the coordinator is: they hear it seldom.
+  void send_coordinator(std::uint64_t token, const std::string& address);
   // Tells all instances that sessions should begin elsewhere and end here.
   void leave();
   // Ends sessions without a statement in flight, those in a transaction too if asked.
@@ -58,6 +60,9 @@
   hooks hooks_;
   std::set<std::shared_ptr<peer>> peers_;
   bool leaving_ = false;
+  // The coordinator's token and address; empty if it is not known.
+  std::uint64_t token_ = 0;
+  std::string coordinator_;
 };
 
 }
--- a/Tests/ProxyNode/relay_test.cxx
+++ b/Tests/ProxyNode/relay_test.cxx
@@ -35,7 +35,10 @@
         instance_id("edge"),
         log,
         relay_router::hooks{ [](const std::string&) { return std::nullopt; },
-                             [this](std::uint64_t version) { shown = version; } }))
+                             [this](std::uint64_t version) { shown = version; },
+                             [this](std::uint64_t token, const std::string& where) {
+                               coordinator = where + " " + std::to_string(token);
+                             } }))
   {
     start_carrier();
     carrier_plan plan;
@@ -106,6 +109,7 @@
   decision_log log;
   std::optional<std::string> better_home;
   std::uint64_t shown = 0;
+  std::string coordinator;
   std::uint64_t required = 0;
   std::string address;
   std::vector<std::shared_ptr<fake_session>> sessions;
@@ -210,6 +214,15 @@
   bench.run_until([&] { return bench.sessions.front()->abandoned; });
 }
 
+// The coordinator stops in a rolling restart. Fails if instances without sessions go on reporting
+// to the former one: the new one then knows none that could substitute for carriers.
+TEST_CASE("carriers tell who coordinates")
+{
+  relay_bench bench;
+  bench.server->send_coordinator(4, "10.0.0.7:1");
+  bench.run_until([&] { return bench.coordinator == "10.0.0.7:1 4"; });
+}
+
 // No carrier can be reached. Fails if the caller is held until its own time limit.
 TEST_CASE("a session that finds no carrier is refused soon")
 {
