--- a/Source/Proxy/carriers.cxx
+++ b/Source/Proxy/carriers.cxx
@@ -272,6 +272,7 @@
   }
   std::sort(scored.begin(), scored.end());
   std::vector<const carrier*> ranked;
+  ranked.reserve(scored.size());
   for (const auto& [score, entry] : scored) {
     ranked.push_back(entry);
   }
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -117,7 +117,7 @@
     relay_server::create(
       context,
       settings.relay,
-      { [this](caller_port to) { return run_session(std::move(to), true); },
+      { [this](const caller_port& to) { return run_session(to, true); },
         [this](const std::string& first_line) { return better_home(first_line); },
         [this](std::uint64_t version) { versions_changed(version); },
         [this] { return knowledge.configuration().configuration().version.get(); } }));
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -104,7 +104,7 @@
 }
 
 session_port
-proxy_node::state::run_session(caller_port to, bool relayed)
+proxy_node::state::run_session(const caller_port& to, bool relayed)
 {
   const auto driver = session_driver::create({
     [this, relayed] {
@@ -134,8 +134,7 @@
   if (!fleet.plan().decided()) {
     return std::nullopt;
   }
-  return router.runs_here(first_line) ? run_session(std::move(to), false)
-                                      : router.relay(std::move(to));
+  return router.runs_here(first_line) ? run_session(to, false) : router.relay(std::move(to));
 }
 
 // Sessions of one workspace at one group share a home, since a connection to a member serves one
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -38,7 +38,7 @@
   void stop();
   session_hooks hooks_for_session();
   // `relayed` sessions belong to callers of another instance.
-  session_port run_session(caller_port to, bool relayed);
+  session_port run_session(const caller_port& to, bool relayed);
   std::optional<session_port> begin_session(const std::string& first_line, caller_port to);
   std::optional<std::string> relay_evidence_missing() const;
   std::optional<std::string> home_key(const std::string& first_line) const;
--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -51,6 +51,7 @@
       return;
     }
     ++unanswered_;
+    last_line_ = std::string(line);
     link_->send(stream_, line);
   }
 
@@ -61,6 +62,10 @@
     }
     if (!link_) {
       if (now - began_ > open_limit) {
+        router_.log_.write("session_refused",
+                           { { "reason", "no carrier can be reached" },
+                             { "carriers", std::to_string(router_.plan_.carriers.size()) },
+                             { "plan", std::to_string(router_.plan_.version) } });
         to_.write(platform::encode_error(statement_error::busy, "no instance can run the session"));
         finish();
       } else {
@@ -150,9 +155,24 @@
       // Nothing was answered, so another carrier may begin the session.
       return;
     }
+    if (unanswered_ > 0) {
+      log_lost_statement(by_carrier);
+    }
     finish();
   }
 
+  // The statement may have run, so the caller is told nothing.
+  void log_lost_statement(bool by_carrier) const
+  {
+    const auto message = platform::parse_caller_message(last_line_);
+    const bool known = message && message.value();
+    router_.log_.write(
+      "statement_lost",
+      { { "request", known ? message.value()->id : std::string() },
+        { "detail",
+          by_carrier ? "the carrier ended the session" : "the connection to the carrier broke" } });
+  }
+
   void finish()
   {
     abandon();
@@ -169,6 +189,8 @@
   // True once the carrier answered the first message.
   bool ready_ = false;
   std::uint64_t unanswered_ = 0;
+  // Newest statement, for the log.
+  std::string last_line_;
   transaction_state state_ = transaction_state::idle;
   std::vector<std::string> waiting_;
   bool ended_ = false;
@@ -274,7 +296,7 @@
 relay_router::link_for(const std::string& home_key) const
 {
   for (const auto* entry : rank_homes(plan_, home_key)) {
-    const auto link = link_to(entry->instance);
+    auto link = link_to(entry->instance);
     if (link && link->usable()) {
       return link;
     }
