--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -426,11 +426,17 @@
   // Receives nothing from its primary.
   bool deaf = false;
   bool draining = false;
+  // Partitioned with its zone: silent to all, and receives nothing.
+  bool cut = false;
   // Reports in the store are made only while this holds.
   bool registered = true;
   int work_ms = 3;
   // Called for each read, write or commit that runs, with the name that START gave.
   std::function<void(const string& tenant, const string& query, const string& text)> on_run;
+  // Rows of a read; without it the newest value of the item.
+  std::function<std::vector<string>(const string& item)> on_read;
+  // Called for each commit of writes, with the id of the last statement.
+  std::function<void(const string& query)> on_commit;
 
   void begin()
   {
@@ -468,6 +474,21 @@
     world_.note("member " + id + " is back as " + (primary ? "primary" : "replica"));
     publish();
   }
+  // Begins and ends a partition from all others, the store included.
+  void cut_off()
+  {
+    cut = true;
+    registered = false;
+    world_.note("member " + id + " is cut off at " + position());
+    world_.spawn(expire());
+  }
+  void reconnect()
+  {
+    cut = false;
+    registered = true;
+    world_.note("member " + id + " can be reached again, as " + (primary ? "primary" : "replica"));
+    publish();
+  }
   string position() const
   {
     return std::to_string(log.back().in_term) + "." + std::to_string(log.back().number);
@@ -491,7 +512,7 @@
     world_.note("member " + id + " leads term " + std::to_string(next) + " with " + position());
     publish();
     for (auto* other : group_.members) {
-      if (other != this && other->up && other->primary) {
+      if (other != this && other->primary) {
         world_.spawn(step_down(*other));
       }
     }
@@ -520,19 +541,24 @@
     std::map<string, string> prepared;
   };
 
+  // The old primary continues until a second after it can reach the new one.
   awaitable<void> step_down(member& old)
   {
-    co_await world_.sleep(1000);
-    if (old.up && old.primary && up && primary) {
+    int reachable_ms = 0;
+    while (old.primary && old.in_term < in_term && reachable_ms < 1000) {
+      co_await world_.sleep(10);
+      reachable_ms = old.up && !old.cut && up && !cut && primary ? reachable_ms + 10 : 0;
+    }
+    if (old.primary && old.in_term < in_term) {
       old.primary = false;
-      world_.note("member " + old.id + " sees the new primary and follows");
+      world_.note("member " + old.id + " reaches the new primary and follows");
       old.publish();
     }
   }
   awaitable<void> expire()
   {
     co_await world_.sleep(3600);
-    if (!up) {
+    if (!up || cut) {
       store_.drop("servers", id);
     }
   }
@@ -547,7 +573,7 @@
   {
     member* best = nullptr;
     for (auto* other : group_.members) {
-      if (other->up && other->primary && (best == nullptr || other->in_term > best->in_term)) {
+      if (other->up && !other->cut && other->primary && (best == nullptr || other->in_term > best->in_term)) {
         best = other;
       }
     }
@@ -559,7 +585,7 @@
     for (;;) {
       co_await world_.sleep(2);
       auto* from = leader();
-      if (!up || primary || deaf || from == nullptr || from == this || paused_term > from->in_term) {
+      if (!up || cut || primary || deaf || from == nullptr || from == this || paused_term > from->in_term) {
         continue;
       }
       in_term = std::max(in_term, from->in_term);
@@ -572,6 +598,13 @@
       log.insert(log.end(), from->log.begin() + static_cast<std::ptrdiff_t>(same), from->log.end());
     }
   }
+  // What arrives during a partition is held up.
+  awaitable<void> until_reachable()
+  {
+    while (cut && up) {
+      co_await world_.sleep(5);
+    }
+  }
   awaitable<void> accept()
   {
     for (;;) {
@@ -615,6 +648,7 @@
     if (!first) {
       co_return;
     }
+    co_await until_reachable();
     co_await world_.sleep(12);
     const auto start = split(*first);
     if (start.size() < 3 || start[0] != "START" || start[1] != group_.name || (start.size() > 3 && start[3] != id)) {
@@ -630,12 +664,14 @@
       if (!line || !up || line->rfind("QUERY ", 0) != 0) {
         co_return;
       }
+      co_await until_reachable();
       const auto words = split(*line, 3);
       const string text = words.size() > 2 ? words[2] : "";
       string answer = co_await run(current, words[1], text);
       if (!up) {
         co_return;
       }
+      co_await until_reachable();
       answer += string("READY ") + current.state + " " + position() + "\r\n";
       co_await asio::async_write(socket, asio::buffer(answer), use_awaitable);
     }
@@ -658,7 +694,7 @@
     const auto received = [&] {
       int count = 0;
       for (const auto* other : group_.members) {
-        if (other != this && other->up && other->log.back().in_term == made_in && other->log.back().number >= number) {
+        if (other != this && other->up && !other->cut && other->log.back().in_term == made_in && other->log.back().number >= number) {
           ++count;
         }
       }
@@ -748,6 +784,13 @@
     if (on_run) {
       on_run(s.tenant, query, text);
     }
+    if (words[0] == "READ" && on_read) {
+      string rows;
+      for (const auto& value : on_read(words[1])) {
+        rows += "ROW " + value + "\r\n";
+      }
+      co_return rows + "DONE " + signature(query) + "\r\n";
+    }
     if (words[0] == "READ") {
       string value = "-";
       for (const auto& e : log) {
@@ -772,6 +815,9 @@
       if (!committed) {
         co_return fail(s, "FAILED");
       }
+      if (on_commit) {
+        on_commit(query);
+      }
     }
     world_.note("run " + query + " at " + id + " committed " + position());
     co_return "DONE " + signature(query) + "\r\n";
@@ -799,6 +845,8 @@
   }
   // Called when a promotion takes effect, before the member leads.
   std::function<void(group&, member&)> on_promoted;
+  // Name in the newest call.
+  string last_holder;
 
 private:
   awaitable<void> accept()
@@ -819,6 +867,7 @@
       const auto body = json::parse(call->body).as_object();
       const string service(body.at("service").as_string());
       const string id(body.at("id").as_string());
+      last_holder = call->headers["lease-holder"];
       world_.note("promote " + id + " asked by " + call->headers["lease-holder"] + " with fence " +
                   call->headers["fencing-token"]);
       member* chosen = nullptr;
@@ -996,6 +1045,14 @@
   pid_t pid_ = 0;
 };
 
+// Times at which callers sent their statements, by id.
+inline std::map<string, double>&
+sent_times()
+{
+  static std::map<string, double> times;
+  return times;
+}
+
 // One session of a caller.
 class caller
 {
@@ -1046,6 +1103,7 @@
     char id[17];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++next));
     last_id = id;
+    sent_times()[last_id] = world_.now();
     world_.note(label + " sends " + last_id + " " + text);
     answer result;
     boost::system::error_code failure;
