proxy: Do not take a former primary for the successor of a lost one

Cause: a member that called itself primary counted as a successor promoted by an earlier coordinator ("already_led") if its term was above the newest one that this coordinator had seen. A coordinator that had not asked the group before had seen none; the term in the record was read by resume() only. A former primary that was cut off when it was replaced, and is reachable again for a moment before it hears of its successor, passed.

Change: start() takes the group's record, whose term is now that in which the recorded primary leads (before, the newest term known, which includes mere promises). The successor must lead in a later term than that and than every other answer. Former primaries get a DEMOTE before the comparison and are then compared like replicas; their missing answer blocked groups with synchronous replicas.

A record that is missing means that no promotion was ever made, since the record precedes it; the only primary is then the listed one.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -427,7 +427,7 @@
                  now - last_consistent_at_[group.name] > role_mismatch_timeout) {
         reason = replacement_reason::unreachable;
       }
-      group_failover->start(primary->member, reason);
+      group_failover->start(fleet_state_.record_of(group.name, primary->member), reason);
     }
     group_failover->tick();
   }
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -99,17 +99,16 @@
 }
 
 void
-failover::start(const member_id& primary, replacement_reason reason)
+failover::start(const group_record& recorded, replacement_reason reason)
 {
   if (in_progress() || reason == replacement_reason::none || hooks_.now() < earliest_start_) {
     return;
   }
   ++generation_;
-  record_ = {};
-  record_.group = group_;
-  record_.primary = primary;
+  record_ = recorded;
   record_.changing = true;
-  record_.newest_term = newest_term_;
+  record_.stepped_down = false;
+  newest_term_ = std::max(newest_term_, recorded.primary_term);
   final_position_.reset();
   excluded_members_.clear();
   chosen_.reset();
@@ -124,7 +123,7 @@
   }
   ++generation_;
   record_ = record;
-  newest_term_ = std::max(newest_term_, record.newest_term);
+  newest_term_ = std::max(newest_term_, record.primary_term);
   final_position_.reset();
   excluded_members_.clear();
   chosen_.reset();
@@ -147,7 +146,6 @@
 void
 failover::record_change()
 {
-  record_.newest_term = std::max(record_.newest_term, newest_term_);
   hooks_.write_record(record_,
                       [this, generation = generation_](bool written, std::uint64_t revision) {
                         if (generation != generation_) {
@@ -183,6 +181,9 @@
         return;
       }
       update_newest_term(*answer);
+      if (answer->primary) {
+        record_.primary_term = std::max(record_.primary_term, answer->newest_term);
+      }
       member_command demote;
       demote.kind = member_command::command_kind::demote;
       demote.above_term = term(newest_term_.get() + 1);
@@ -211,7 +212,6 @@
     retry_at_ = hooks_.now() + retry_pause;
     return;
   }
-  term_at_promotion_ = newest_term_;
   hooks_.log(group_, "promote", chosen_->get());
   hooks_.promote(group_, *chosen_, [this, generation = generation_](promote_outcome outcome) {
     if (generation != generation_) {
@@ -247,6 +247,7 @@
         update_newest_term(*answer);
       }
       if (answer && answer->primary) {
+        chosen_term_ = answer->newest_term;
         handle_event("leads");
         return;
       }
@@ -265,7 +266,7 @@
   auto record = record_;
   record.primary = *chosen_;
   record.changing = false;
-  record.newest_term = newest_term_;
+  record.primary_term = chosen_term_;
   hooks_.write_record(record, [this, generation = generation_](bool written, std::uint64_t) {
     if (generation == generation_) {
       handle_event(written ? "recorded" : "not_recorded");
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -64,8 +64,8 @@
                    std::uint32_t sync_replicas,
                    std::map<member_id, std::string> possible_commit_holders);
 
-  // Starts the replacement of `primary`, unless one is in progress.
-  void start(const member_id& primary, replacement_reason reason);
+  // Starts the replacement of the recorded primary, unless one is in progress.
+  void start(const group_record& recorded, replacement_reason reason);
   // Continues a replacement that an earlier coordinator recorded at this revision or before.
   void resume(const group_record& record, std::uint64_t revision);
   void duty_lost();
@@ -75,7 +75,7 @@
   const std::string& state() const { return chart_->state(); }
 
 private:
-  // One command sent to several members.
+  // Commands sent to several members at once.
   struct query_round
   {
     std::size_t pending = 0;
@@ -90,13 +90,14 @@
   void start_fence();
   void query_candidates();
   void compare_members(const std::map<member_id, member_status>& answers);
-  void pause_replicas(const std::map<member_id, member_status>& answers);
+  std::optional<member_id> find_successor(
+    const std::map<member_id, member_status>& answers) const;
+  void freeze_members(const std::map<member_id, member_status>& answers);
   void select_candidate(const std::map<member_id, member_status>& answers);
   void promote();
   void confirm();
   void publish();
-  void query_members(const std::vector<member_id>& members,
-                     const member_command& command,
+  void query_members(const std::map<member_id, member_command>& commands,
                      const std::function<void(const std::map<member_id, member_status>&)>& done);
   void update_newest_term(const member_status& status);
   const listed_member* find_member(const member_id& id) const;
@@ -107,8 +108,10 @@
   std::vector<listed_member> members_;
   std::uint32_t sync_replicas_ = 0;
   std::map<member_id, std::string> possible_commit_holders_;
+  // The record of the primary that is replaced. Its term is the one in which that primary leads, or
+  // zero if it is unknown.
   group_record record_;
-  // Newest term that any member reported.
+  // Newest term that any member reported or promised.
   term newest_term_;
   // Position of the old primary when it stepped down.
   std::optional<log_point> final_position_;
@@ -117,7 +120,8 @@
   instant stepped_down_at_{};
   std::set<member_id> excluded_members_;
   std::optional<member_id> chosen_;
-  term term_at_promotion_;
+  // Term in which the chosen member leads, once it does.
+  term chosen_term_;
   instant retry_at_{};
   bool retry_pending_ = false;
   instant earliest_start_{};
--- a/Source/Proxy/failover_selection.cxx
+++ b/Source/Proxy/failover_selection.cxx
@@ -14,27 +14,27 @@
 }
 
 void
-failover::query_members(const std::vector<member_id>& members,
-                        const member_command& command,
+failover::query_members(const std::map<member_id, member_command>& commands,
                         const std::function<void(const std::map<member_id, member_status>&)>& done)
 {
   const auto round = std::make_shared<query_round>();
-  round->pending = members.size();
-  if (members.empty()) {
+  round->pending = commands.size();
+  if (commands.empty()) {
     done(round->answers);
     return;
   }
-  for (const auto& member : members) {
+  for (const auto& [member, command] : commands) {
     hooks_.send_command(
       member,
       command,
-      [this, generation = generation_, round, member, done](std::optional<member_status> answer) {
+      [this, generation = generation_, round, id = member, done](
+        std::optional<member_status> answer) {
         if (generation != generation_) {
           return;
         }
         if (answer) {
           update_newest_term(*answer);
-          round->answers[member] = *answer;
+          round->answers[id] = *answer;
         }
         if (--round->pending == 0) {
           done(round->answers);
@@ -46,50 +46,70 @@
 void
 failover::query_candidates()
 {
-  std::vector<member_id> members;
+  std::map<member_id, member_command> commands;
   for (const auto& member : members_) {
     // A primary that did not step down is not queried again, because waiting for its answer would
     // delay the others.
     if (record_.stepped_down || member.id != record_.primary) {
-      members.push_back(member.id);
+      commands[member.id].kind = member_command::command_kind::status;
     }
   }
-  member_command status;
-  status.kind = member_command::command_kind::status;
-  query_members(members, status, [this](const auto& answers) { compare_members(answers); });
+  query_members(commands, [this](const auto& answers) { compare_members(answers); });
 }
 
 void
 failover::compare_members(const std::map<member_id, member_status>& answers)
 {
-  for (const auto& [id, status] : answers) {
-    if (status.primary && id != record_.primary && status.newest_term > record_.newest_term) {
-      chosen_ = id;
-      handle_event("already_led");
-      return;
-    }
+  if (const auto successor = find_successor(answers)) {
+    chosen_ = successor;
+    chosen_term_ = answers.at(*successor).newest_term;
+    handle_event("already_led");
+    return;
   }
   if (record_.stepped_down) {
     select_candidate(answers);
     return;
   }
-  pause_replicas(answers);
+  freeze_members(answers);
 }
 
-// Stops the replicas from receiving entries, so that none advances after the comparison.
+// The member that an earlier coordinator promoted without recording it, if there is one. A former
+// primary that was cut off when its own successor was promoted still calls itself primary, so only
+// one that leads in a later term than the recorded primary, and than every other answer, counts.
+std::optional<member_id>
+failover::find_successor(const std::map<member_id, member_status>& answers) const
+{
+  auto newest = term(record_.primary_term.get() + 1);
+  for (const auto& [id, status] : answers) {
+    newest = std::max(newest, status.newest_term);
+  }
+  for (const auto& [id, status] : answers) {
+    if (status.primary && id != record_.primary && status.newest_term >= newest) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+// Stops the replicas from receiving entries, so that none advances after the comparison, and makes
+// former primaries step down, so that they can be compared too.
 void
-failover::pause_replicas(const std::map<member_id, member_status>& answers)
+failover::freeze_members(const std::map<member_id, member_status>& answers)
 {
-  std::vector<member_id> replicas;
+  std::map<member_id, member_command> commands;
   for (const auto& [id, status] : answers) {
-    if (!status.primary && id != record_.primary) {
-      replicas.push_back(id);
+    if (id == record_.primary) {
+      continue;
+    }
+    auto& command = commands[id];
+    command.kind = status.primary ? member_command::command_kind::demote
+                                  : member_command::command_kind::pause;
+    command.above_term = term(newest_term_.get() + 1);
+    if (status.primary) {
+      hooks_.log(group_, "former_primary", id.get());
     }
   }
-  member_command pause;
-  pause.kind = member_command::command_kind::pause;
-  pause.above_term = term(newest_term_.get() + 1);
-  query_members(replicas, pause, [this](const auto& paused) { select_candidate(paused); });
+  query_members(commands, [this](const auto& frozen) { select_candidate(frozen); });
 }
 
 void
@@ -99,7 +119,7 @@
   std::optional<member_id> most_advanced;
   for (const auto& member : members_) {
     const auto found = answers.find(member.id);
-    const bool eligible = found != answers.end() && !member.draining &&
+    const bool eligible = found != answers.end() && !found->second.primary && !member.draining &&
                           !excluded_members_.contains(member.id) &&
                           (member.id != record_.primary || record_.stepped_down);
     if (!eligible) {
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -136,6 +136,19 @@
   return std::nullopt;
 }
 
+group_record
+fleet_state::record_of(const std::string& group, const member_id& primary) const
+{
+  const auto found = groups_.find(group);
+  if (found != groups_.end()) {
+    return found->second;
+  }
+  group_record unrecorded;
+  unrecorded.group = group;
+  unrecorded.primary = primary;
+  return unrecorded;
+}
+
 std::optional<group_primary>
 fleet_state::primary_of(const std::string& group, instant now) const
 {
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -23,8 +23,8 @@
   // True if the old primary confirmed that it stepped down before the replacement. Its answers are
   // then valid whenever they arrive.
   bool stepped_down = false;
-  // Newest known term.
-  term newest_term;
+  // Term in which the primary leads, or zero if it is unknown.
+  term primary_term;
 
   friend bool operator==(const group_record&, const group_record&) = default;
 };
@@ -78,6 +78,8 @@
   std::map<member_id, std::string> possible_commit_holders(const std::string& group,
                                                            instant now) const;
   const std::map<std::string, group_record>& groups() const { return groups_; }
+  // The group's record; one that names `primary` in an unknown term if there is none.
+  group_record record_of(const std::string& group, const member_id& primary) const;
   std::uint64_t groups_revision() const { return groups_revision_; }
   std::optional<instant> configuration_confirmed_at() const { return configuration_confirmed_at_; }
   std::optional<instant> groups_confirmed_at() const { return groups_confirmed_at_; }
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -314,7 +314,7 @@
     entry->set_primary(record.primary.get());
     entry->set_changing(record.changing);
     entry->set_stepped_down(record.stepped_down);
-    entry->set_term(record.newest_term.get());
+    entry->set_term(record.primary_term.get());
   }
   to.set_members_digest(view.members_digest);
   to.set_members_age_us(age_to_us(view.members_age));
--- a/Source/ProxyNode/fleet_rows.cxx
+++ b/Source/ProxyNode/fleet_rows.cxx
@@ -79,7 +79,7 @@
                                                      { "primary", record.primary.get() },
                                                      { "changing", record.changing },
                                                      { "stepped_down", record.stepped_down },
-                                                     { "term", record.newest_term.get() } });
+                                                     { "term", record.primary_term.get() } });
 }
 
 result<group_record>
@@ -95,7 +95,7 @@
   BOOST_OUTCOME_TRY(record.stepped_down, fields.boolean_or("stepped_down", false));
   BOOST_OUTCOME_TRY(const auto number,
                     fields.integer("term", 0, std::numeric_limits<std::int64_t>::max()));
-  record.newest_term = term(static_cast<std::uint64_t>(number));
+  record.primary_term = term(static_cast<std::uint64_t>(number));
   return record;
 }
 
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -3,7 +3,10 @@
 #include "Proxy/coordinator.h"
 #include "proxy_support.h"
 
+#include <functional>
+#include <map>
 #include <memory>
+#include <set>
 
 using namespace persimmonshelf;
 using namespace persimmonshelf::testing;
@@ -64,6 +67,159 @@
   std::unique_ptr<coordinator> subject;
 };
 
+// A coordinator that replaces primaries of a group of three members, and a store that keeps the
+// group's record.
+struct replacement_bench
+{
+  replacement_bench()
+    : fleet({ ms(4750), primary_use_limit, commit_answer_limit })
+  {
+    fleet.update_configuration(make_configuration(), now);
+    fleet.update_members(
+      { make_member("m1", "z", true), make_member("m2", "z", true), make_member("m3", "z", false) },
+      now);
+  }
+
+  // Starts the coordinator of an instance that has just acquired the lease.
+  void take_over()
+  {
+    coordinator::hooks callbacks;
+    callbacks.now = [this] { return now; };
+    callbacks.holds_lease = [] { return true; };
+    callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
+    callbacks.plan = [this]() -> const carrier_plan& { return plan; };
+    callbacks.record_plan = [](const carrier_plan&) {};
+    callbacks.send = [](const std::string&, const fleet_view&) {};
+    auto& failovers = callbacks.failover_hooks;
+    failovers.now = callbacks.now;
+    failovers.log = [](const std::string&, const std::string&, const std::string&) {};
+    failovers.may_promote = [] { return true; };
+    failovers.write_record = [this](const group_record& record, auto done) {
+      fleet.update_groups({ record }, ++revision, now);
+      done(true, revision);
+    };
+    failovers.send_command = [this](const member_id& id, const member_command& command, auto done) {
+      done(answer(id.get(), command));
+    };
+    failovers.promote = [this](const std::string&, const member_id& id, auto done) {
+      promoted.push_back(id.get());
+      auto& status = members[id.get()];
+      status.primary = true;
+      status.newest_term = term(status.newest_term.get() + 1);
+      done(promote_outcome::accepted);
+    };
+    subject = std::make_unique<coordinator>(instance_id("c"),
+                                            "10.0.0.9:1",
+                                            fencing_token(2),
+                                            false,
+                                            true,
+                                            fleet,
+                                            positions,
+                                            std::move(callbacks));
+  }
+
+  std::optional<member_status> answer(const std::string& name, const member_command& command)
+  {
+    if (unreachable.contains(name)) {
+      return std::nullopt;
+    }
+    auto& status = members[name];
+    if (command.kind == member_command::command_kind::demote &&
+        command.above_term > status.newest_term) {
+      status.primary = false;
+    }
+    return status;
+  }
+
+  // Lets time pass while the instances report which members they cannot reach.
+  void run(std::int64_t for_ms)
+  {
+    for (std::int64_t time = 0; time < for_ms; time += 20) {
+      now += ms(20);
+      fleet.update_groups({}, revision, now);
+      instance_report report;
+      report.instance = instance_id("a");
+      report.incarnation = incarnation_id(1);
+      report.clock = now;
+      report.groups_revision = revision;
+      for (const auto& [name, status] : members) {
+        report.reachability.push_back(
+          { member_id(name), unreachable.contains(name) ? ms(800) : ms(0) });
+      }
+      subject->handle_report(report);
+      subject->tick(true);
+    }
+  }
+
+  instant now = at(10'000);
+  fleet_state fleet;
+  position_history positions;
+  carrier_plan plan;
+  std::uint64_t revision = 4;
+  std::map<std::string, member_status> members;
+  std::set<std::string> unreachable;
+  std::vector<std::string> promoted;
+  std::unique_ptr<coordinator> subject;
+};
+
+}
+
+// Guards against stale reads and commits at a former primary: it had been cut off when its
+// successor was promoted, and a new coordinator, which knew no terms, took it for the successor of
+// the next primary that failed.
+TEST_CASE("a new coordinator does not take a former primary for the successor of a lost one")
+{
+  replacement_bench bench;
+  bench.members["m1"] = { true, term(3), point(3, 50), term(0) };
+  bench.members["m2"] = { true, term(4), point(4, 60), term(0) };
+  bench.members["m3"] = { false, term(4), point(4, 60), term(0) };
+  bench.fleet.update_groups(
+    { { "g", member_id("m2"), false, false, term(4) } }, bench.revision, bench.now);
+  bench.unreachable = { "m2" };
+  bench.take_over();
+  bench.run(4000);
+  CHECK(bench.promoted == std::vector<std::string>{ "m3" });
+  CHECK(bench.fleet.groups().at("g").primary == member_id("m3"));
+  CHECK_FALSE(bench.fleet.groups().at("g").changing);
+  CHECK_FALSE(bench.members["m1"].primary);
+}
+
+// Guards against a second promotion after the coordinator failed between the promotion and its
+// record: the member that leads in the next term is the successor.
+TEST_CASE("a new coordinator records a successor that was promoted but not recorded")
+{
+  replacement_bench bench;
+  bench.members["m1"] = { true, term(3), point(3, 50), term(0) };
+  bench.members["m2"] = { true, term(4), point(4, 60), term(0) };
+  bench.members["m3"] = { true, term(5), point(5, 61), term(0) };
+  bench.fleet.update_groups(
+    { { "g", member_id("m2"), true, false, term(4) } }, bench.revision, bench.now);
+  bench.unreachable = { "m2" };
+  bench.take_over();
+  bench.run(4000);
+  CHECK(bench.promoted.empty());
+  CHECK(bench.fleet.groups().at("g").primary == member_id("m3"));
+  CHECK_FALSE(bench.fleet.groups().at("g").changing);
+}
+
+// Guards against a group without a primary: with a synchronous replica, a former primary that still
+// calls itself primary holds commits too, and the one that could stop it cannot be reached.
+TEST_CASE("a former primary steps down and is compared like a replica")
+{
+  replacement_bench bench;
+  bench.members["m1"] = { true, term(3), point(3, 50), term(0) };
+  bench.members["m2"] = { true, term(4), point(4, 60), term(0) };
+  bench.members["m3"] = { false, term(4), point(4, 60), term(0) };
+  auto configuration = make_configuration(2);
+  configuration.groups.front().sync_replicas = 1;
+  bench.fleet.update_configuration(configuration, bench.now);
+  bench.fleet.update_groups(
+    { { "g", member_id("m2"), false, false, term(4) } }, bench.revision, bench.now);
+  bench.unreachable = { "m2" };
+  bench.take_over();
+  bench.run(4000);
+  CHECK(bench.promoted == std::vector<std::string>{ "m3" });
+  CHECK_FALSE(bench.members["m1"].primary);
 }
 
 // Guards against stale reads: a report that waited at a suspended coordinator was dated by its
--- a/Tests/Proxy/failover_test.cxx
+++ b/Tests/Proxy/failover_test.cxx
@@ -88,6 +88,12 @@
     return status;
   }
 
+  // Starts the replacement of m1, which leads in term 3.
+  void start(replacement_reason reason)
+  {
+    group_failover->start({ "g", member_id("m1"), false, false, term(3) }, reason);
+  }
+
   void run(std::int64_t for_ms)
   {
     for (std::int64_t time = 0; time < for_ms; time += 20) {
@@ -118,7 +124,7 @@
 TEST_CASE("a leaving primary steps down before the most advanced replica is promoted")
 {
   failover_bench bench;
-  bench.group_failover->start(member_id("m1"), replacement_reason::leaving);
+  bench.start(replacement_reason::leaving);
   bench.run(200);
   REQUIRE(bench.promoted.size() == 1);
   CHECK(bench.promoted[0] == member_id("m3"));
@@ -135,7 +141,7 @@
 {
   failover_bench bench;
   bench.unreachable = { "m1" };
-  bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  bench.start(replacement_reason::unreachable);
   bench.run(3000);
   CHECK(bench.promoted.empty());
   bench.fenced = true;
@@ -157,7 +163,7 @@
   bench.set_members({ "m1", "m2", "m3" }, 1);
   bench.unreachable = { "m1", "m3" };
   bench.fenced = true;
-  bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  bench.start(replacement_reason::unreachable);
   bench.run(3000);
   CHECK(bench.promoted.empty());
   bench.unreachable = { "m1" };
@@ -175,7 +181,7 @@
   bench.set_members({ "m1", "m2" }, 1);
   bench.unreachable = { "m1", "m3" };
   bench.fenced = true;
-  bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  bench.start(replacement_reason::unreachable);
   bench.run(3000);
   CHECK(bench.promoted.empty());
   bench.removed.clear();
@@ -195,7 +201,7 @@
   bench.set_members({ "m1", "m2", "m3" }, 1);
   bench.unreachable = { "m1" };
   bench.fenced = true;
-  bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  bench.start(replacement_reason::unreachable);
   bench.run(300);
   CHECK(bench.promoted.size() == 1);
 }
@@ -207,7 +213,7 @@
   bench.fenced = true;
   bench.unreachable = { "m1" };
   bench.promote_answers = { promote_outcome::unanswered };
-  bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  bench.start(replacement_reason::unreachable);
   bench.run(400);
   CHECK(bench.promoted.size() == 1);
   CHECK(bench.records.back().primary == member_id("m3"));
@@ -221,7 +227,7 @@
   bench.unreachable = { "m1" };
   bench.promote_answers = { promote_outcome::unanswered };
   bench.promote_is_lost = true;
-  bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  bench.start(replacement_reason::unreachable);
   bench.run(400);
   CHECK(bench.promoted.size() == 1);
   bench.promote_is_lost = false;
@@ -238,7 +244,7 @@
   bench.fenced = true;
   bench.unreachable = { "m1" };
   bench.promote_answers = { promote_outcome::refused };
-  bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  bench.start(replacement_reason::unreachable);
   bench.run(400);
   REQUIRE(bench.promoted.size() == 2);
   CHECK(bench.promoted[1] == member_id("m2"));
@@ -251,7 +257,7 @@
   bench.fenced = true;
   bench.lease = false;
   bench.unreachable = { "m1" };
-  bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  bench.start(replacement_reason::unreachable);
   bench.run(2000);
   CHECK(bench.promoted.empty());
 }
@@ -264,7 +270,7 @@
     CAPTURE(steps);
     failover_bench bench;
     bench.unreachable = { "m1" };
-    bench.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+    bench.start(replacement_reason::unreachable);
     bench.fenced = steps > 1;
     bench.run(20 * steps);
     bench.group_failover->duty_lost();
@@ -286,12 +292,12 @@
 TEST_CASE("a replacement ends if the store does not record it")
 {
   failover_bench bench;
-  bench.group_failover->start(member_id("m1"), replacement_reason::leaving);
+  bench.start(replacement_reason::leaving);
   bench.run(0);
   CHECK(bench.records.size() >= 1);
   failover_bench down;
   down.store_answers = false;
-  down.group_failover->start(member_id("m1"), replacement_reason::unreachable);
+  down.start(replacement_reason::unreachable);
   down.run(200);
   CHECK(down.promoted.empty());
   CHECK_FALSE(down.group_failover->in_progress());
