proxy: Promote the holder of acknowledged commits even if it is draining

Cause: select_candidate() looked for the best position only among members that are neither draining nor refused. It checked that every possible holder of commits answered, not what the answers said.

Evidence: in the script's record the draining replica answers PAUSE with a higher position than the member that is promoted right after.

Change: with synchronous replicas the new primary must have the highest position of all answers. A draining member that alone has it is promoted, and its planned replacement starts no earlier than 3 s later; one that is refused is asked again; the reason for waiting is logged (`waiting`). Without synchronous replicas nothing changes: a draining member is never promoted.

Related paths: lagging and deaf members are compared by what they received, which is what counts. An answer after the choice cannot come, since the round waits for all. More than one synchronous replica: one holder of a commit among all answers is enough.

--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -14,6 +14,9 @@
 // Pause after a replacement ended before another one starts, for example after the store refused
 // its record.
 constexpr duration restart_pause = std::chrono::milliseconds(100);
+// Pause before a leaving member that had to be promoted is replaced again. Each attempt stops the
+// writes for about as long.
+constexpr duration planned_restart_pause = std::chrono::milliseconds(3000);
 // A promoted member becomes primary after some hundred milliseconds.
 constexpr duration promotion_timeout = std::chrono::milliseconds(2500);
 
@@ -41,11 +44,7 @@
            { "demote_primary", [this] { demote_primary(); } },
            { "start_fence", [this] { start_fence(); } },
            { "choose", [this] { query_candidates(); } },
-           { "choose_later",
-             [this] {
-               retry_pending_ = true;
-               retry_at_ = hooks_.now() + retry_pause;
-             } },
+           { "choose_later", [this] { retry_choice(); } },
            { "publish_later",
              [this] {
                retry_pending_ = true;
@@ -59,11 +58,7 @@
                confirm();
              } },
            { "publish", [this] { publish(); } },
-           { "forget", [this] {
-              ++generation_;
-              retry_pending_ = false;
-              earliest_start_ = hooks_.now() + restart_pause;
-            } } };
+           { "forget", [this] { end_replacement(); } } };
 }
 
 void
@@ -98,21 +93,31 @@
   return found == members_.end() ? nullptr : &*found;
 }
 
+void
+failover::begin_replacement(const group_record& record)
+{
+  ++generation_;
+  record_ = record;
+  newest_term_ = std::max(newest_term_, record.primary_term);
+  final_position_.reset();
+  excluded_members_.clear();
+  chosen_.reset();
+  step_down_pending_ = false;
+  wait_reason_.clear();
+}
+
 void
 failover::start(const group_record& recorded, replacement_reason reason)
 {
-  if (in_progress() || reason == replacement_reason::none || hooks_.now() < earliest_start_) {
+  const bool planned = reason == replacement_reason::leaving;
+  if (in_progress() || reason == replacement_reason::none || hooks_.now() < earliest_start_ ||
+      (planned && hooks_.now() < earliest_planned_start_)) {
     return;
   }
-  ++generation_;
-  record_ = recorded;
+  begin_replacement(recorded);
   record_.changing = true;
   record_.stepped_down = false;
-  newest_term_ = std::max(newest_term_, recorded.primary_term);
-  final_position_.reset();
-  excluded_members_.clear();
-  chosen_.reset();
-  handle_event(reason == replacement_reason::leaving ? "leaving" : "lost");
+  handle_event(planned ? "leaving" : "lost");
 }
 
 void
@@ -121,16 +126,35 @@
   if (in_progress()) {
     return;
   }
-  ++generation_;
-  record_ = record;
-  newest_term_ = std::max(newest_term_, record.primary_term);
-  final_position_.reset();
-  excluded_members_.clear();
-  chosen_.reset();
+  begin_replacement(record);
   recorded_revision_ = revision;
   handle_event("resumed");
 }
 
+void
+failover::end_replacement()
+{
+  ++generation_;
+  retry_pending_ = false;
+  earliest_start_ = hooks_.now() + restart_pause;
+  const auto* primary = chosen_ ? find_member(*chosen_) : nullptr;
+  if (primary != nullptr && primary->draining) {
+    earliest_planned_start_ = hooks_.now() + planned_restart_pause;
+  }
+}
+
+// Compares the members again after a pause. With synchronous replicas the old primary, which has
+// every commit, may return before the members that are waited for.
+void
+failover::retry_choice()
+{
+  retry_pending_ = true;
+  retry_at_ = hooks_.now() + retry_pause;
+  if (sync_replicas_ > 0 && !final_position_ && !step_down_pending_) {
+    demote_primary();
+  }
+}
+
 void
 failover::duty_lost()
 {
@@ -169,6 +193,7 @@
 {
   const auto generation = generation_;
   const auto primary = record_.primary;
+  step_down_pending_ = true;
   member_command status;
   status.kind = member_command::command_kind::status;
   hooks_.send_command(
@@ -177,7 +202,7 @@
         return;
       }
       if (!answer) {
-        handle_event("not_reached");
+        step_down_failed();
         return;
       }
       update_newest_term(*answer);
@@ -192,10 +217,16 @@
           return;
         }
         if (!after || after->primary) {
-          handle_event("not_reached");
+          step_down_failed();
           return;
         }
+        step_down_pending_ = false;
         update_newest_term(*after);
+        if (chart_->state() == "promoting" || chart_->state() == "confirming" ||
+            chart_->state() == "publishing") {
+          // Another member was chosen meanwhile.
+          return;
+        }
         record_.stepped_down = true;
         final_position_ = after->received;
         stepped_down_at_ = hooks_.now();
@@ -204,6 +235,13 @@
     });
 }
 
+void
+failover::step_down_failed()
+{
+  step_down_pending_ = false;
+  handle_event("not_reached");
+}
+
 void
 failover::promote()
 {
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -86,14 +86,23 @@
   std::map<std::string, std::function<void()>> actions();
   void handle_event(const std::string& event);
   void record_change();
+  void begin_replacement(const group_record& record);
   void demote_primary();
+  void step_down_failed();
+  void retry_choice();
+  void end_replacement();
   void start_fence();
   void query_candidates();
   void compare_members(const std::map<member_id, member_status>& answers);
-  std::optional<member_id> find_successor(
-    const std::map<member_id, member_status>& answers) const;
+  std::optional<member_id> find_successor(const std::map<member_id, member_status>& answers) const;
   void freeze_members(const std::map<member_id, member_status>& answers);
   void select_candidate(const std::map<member_id, member_status>& answers);
+  std::optional<log_point> required_position(
+    const std::map<member_id, member_status>& answers) const;
+  bool catch_up_ended() const;
+  const listed_member* best_candidate(const std::map<member_id, member_status>& answers) const;
+  bool may_lead(const listed_member& member) const;
+  int reluctance(const listed_member& member) const;
   void promote();
   void confirm();
   void publish();
@@ -125,6 +134,12 @@
   instant retry_at_{};
   bool retry_pending_ = false;
   instant earliest_start_{};
+  // A planned replacement of a member that is leaving, but was promoted, starts no earlier.
+  instant earliest_planned_start_{};
+  // True while the old primary is being asked to step down.
+  bool step_down_pending_ = false;
+  // Why no member could be chosen, as last logged.
+  std::string wait_reason_;
   instant confirm_until_{};
   // Increases when a replacement starts or ends; answers from an earlier generation are dropped.
   std::uint64_t generation_ = 0;
--- a/Source/Proxy/failover_selection.cxx
+++ b/Source/Proxy/failover_selection.cxx
@@ -24,11 +24,9 @@
     return;
   }
   for (const auto& [member, command] : commands) {
-    hooks_.send_command(
-      member,
-      command,
-      [this, generation = generation_, round, id = member, done](
-        std::optional<member_status> answer) {
+    const auto& id = member;
+    auto answered =
+      [this, generation = generation_, round, id, done](std::optional<member_status> answer) {
         if (generation != generation_) {
           return;
         }
@@ -39,7 +37,8 @@
         if (--round->pending == 0) {
           done(round->answers);
         }
-      });
+      };
+    hooks_.send_command(id, command, std::move(answered));
   }
 }
 
@@ -66,7 +65,7 @@
     handle_event("already_led");
     return;
   }
-  if (record_.stepped_down) {
+  if (final_position_) {
     select_candidate(answers);
     return;
   }
@@ -98,12 +97,9 @@
 {
   std::map<member_id, member_command> commands;
   for (const auto& [id, status] : answers) {
-    if (id == record_.primary) {
-      continue;
-    }
     auto& command = commands[id];
-    command.kind = status.primary ? member_command::command_kind::demote
-                                  : member_command::command_kind::pause;
+    command.kind =
+      status.primary ? member_command::command_kind::demote : member_command::command_kind::pause;
     command.above_term = term(newest_term_.get() + 1);
     if (status.primary) {
       hooks_.log(group_, "former_primary", id.get());
@@ -112,41 +108,50 @@
   query_members(commands, [this](const auto& frozen) { select_candidate(frozen); });
 }
 
+// Chooses the member to promote: the most advanced one that has every commit which may have been
+// acknowledged. Waits while there is none.
 void
 failover::select_candidate(const std::map<member_id, member_status>& answers)
 {
-  const member_status* best = nullptr;
-  std::optional<member_id> most_advanced;
-  for (const auto& member : members_) {
-    const auto found = answers.find(member.id);
-    const bool eligible = found != answers.end() && !found->second.primary && !member.draining &&
-                          !excluded_members_.contains(member.id) &&
-                          (member.id != record_.primary || record_.stepped_down);
-    if (!eligible) {
-      continue;
-    }
-    // A former primary that is not leaving is eligible, but other members at the same position are
-    // preferred.
-    const bool better =
-      best == nullptr || found->second.received > best->received ||
-      (found->second.received == best->received && *most_advanced == record_.primary);
-    if (better) {
-      best = &found->second;
-      most_advanced = member.id;
-    }
-  }
-  if (best == nullptr) {
-    // A member whose promotion was refused may be running again by now.
-    excluded_members_.clear();
-    handle_event("none_fit");
+  const auto required = required_position(answers);
+  const auto* best = required ? best_candidate(answers) : nullptr;
+  if (best != nullptr && answers.at(best->id).received >= *required) {
+    chosen_ = best->id;
+    handle_event("chosen");
     return;
   }
-  const bool behind = final_position_ && best->received < *final_position_;
-  if (behind && (sync_replicas_ > 0 || hooks_.now() - stepped_down_at_ < catch_up_timeout)) {
-    handle_event("none_fit");
-    return;
+  std::string reason = "no member that may lead answers";
+  if (!required) {
+    reason = "a member that may hold commits does not answer";
+  } else if (best != nullptr) {
+    reason = best->id.get() + " lacks commits that another member received";
+  }
+  if (reason != wait_reason_) {
+    wait_reason_ = reason;
+    hooks_.log(group_, "waiting", reason);
   }
-  // A replica that did not answer may be the only one with an acknowledged commit.
+  // A member whose promotion was refused may be running again by now.
+  excluded_members_.clear();
+  handle_event("none_fit");
+}
+
+// The position that the new primary must have. Empty if it is not known, because a member that may
+// hold acknowledged commits did not answer.
+std::optional<log_point>
+failover::required_position(const std::map<member_id, member_status>& answers) const
+{
+  const bool may_catch_up = final_position_ && !catch_up_ended();
+  if (sync_replicas_ == 0) {
+    return may_catch_up ? *final_position_ : log_point();
+  }
+  log_point newest;
+  for (const auto& [id, status] : answers) {
+    newest = std::max(newest, status.received);
+  }
+  if (final_position_ && (may_catch_up || newest >= *final_position_)) {
+    return final_position_;
+  }
+  // Entries that only the old primary received were not acknowledged.
   const bool all_answered = std::all_of(
     possible_commit_holders_.begin(), possible_commit_holders_.end(), [&](const auto& holder) {
       const auto& id = holder.first;
@@ -157,12 +162,54 @@
         });
       return id == record_.primary || answers.contains(id) || successor_answered;
     });
-  if (sync_replicas_ > 0 && !record_.stepped_down && !all_answered) {
-    handle_event("none_fit");
-    return;
+  return all_answered ? std::optional<log_point>(newest) : std::nullopt;
+}
+
+bool
+failover::catch_up_ended() const
+{
+  return hooks_.now() - stepped_down_at_ >= catch_up_timeout;
+}
+
+const listed_member*
+failover::best_candidate(const std::map<member_id, member_status>& answers) const
+{
+  const listed_member* best = nullptr;
+  for (const auto& member : members_) {
+    const auto found = answers.find(member.id);
+    if (found == answers.end() || found->second.primary || excluded_members_.contains(member.id) ||
+        !may_lead(member)) {
+      continue;
+    }
+    const auto& received = found->second.received;
+    if (best == nullptr || received > answers.at(best->id).received ||
+        (received == answers.at(best->id).received && reluctance(member) < reluctance(*best))) {
+      best = &member;
+    }
+  }
+  return best;
+}
+
+bool
+failover::may_lead(const listed_member& member) const
+{
+  if (member.id == record_.primary && !record_.stepped_down) {
+    return false;
+  }
+  // A member that is leaving must be replaced again soon. It leads only if it alone may have
+  // acknowledged commits, once the others had their time to receive them.
+  return !member.draining || (sync_replicas_ > 0 && (!final_position_ || catch_up_ended()));
+}
+
+// Of the members at the same position, the one with the lowest number is promoted: a former primary
+// may fail again, and a member that is leaving certainly does.
+int
+failover::reluctance(const listed_member& member) const
+{
+  if (member.draining) {
+    return 2;
   }
-  chosen_ = most_advanced;
-  handle_event("chosen");
+  return member.id == record_.primary ? 1 : 0;
 }
 
 }
--- a/Tests/Proxy/failover_test.cxx
+++ b/Tests/Proxy/failover_test.cxx
@@ -55,7 +55,9 @@
     };
     callbacks.may_promote = [this] { return lease; };
     callbacks.fence_complete = [this](std::uint64_t, instant) { return fenced; };
-    callbacks.log = [](const std::string&, const std::string&, const std::string&) {};
+    callbacks.log = [this](const std::string&, const std::string& event, const std::string&) {
+      logged.insert(event);
+    };
     auto created = failover::create("g", std::move(callbacks));
     REQUIRE(created);
     group_failover = std::move(created.value());
@@ -67,6 +69,7 @@
     std::vector<listed_member> listed;
     for (const auto& name : names) {
       listed.push_back(make_member(name, "z", name == "m1"));
+      listed.back().draining = draining.contains(name);
     }
     std::map<member_id, std::string> holders = removed;
     for (auto& member : listed) {
@@ -105,9 +108,11 @@
   instant now = at(1000);
   std::map<std::string, member_status> members;
   std::set<std::string> unreachable;
+  std::set<std::string> draining;
   std::map<member_id, std::string> removed;
   std::vector<group_record> records;
   std::vector<std::pair<member_id, command_kind>> commands;
+  std::set<std::string> logged;
   std::vector<member_id> promoted;
   std::deque<promote_outcome> promote_answers;
   bool promote_is_lost = false;
@@ -206,6 +211,128 @@
   CHECK(bench.promoted.size() == 1);
 }
 
+// Guards against lost commits with a synchronous replica: the replica that had received them was
+// about to leave, and the other one, which had received nothing for a while, was promoted.
+TEST_CASE("with synchronous replicas a draining replica is promoted if only it has every commit")
+{
+  failover_bench bench;
+  bench.members["m2"].received = point(3, 50);
+  bench.members["m3"].received = point(3, 20);
+  bench.draining = { "m2" };
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.unreachable = { "m1" };
+  bench.fenced = true;
+  bench.start(replacement_reason::unreachable);
+  bench.run(200);
+  CHECK(bench.promoted == std::vector<member_id>{ member_id("m2") });
+}
+
+// Guards against a needless second replacement: a draining member is promoted only if no other has
+// every commit, and without synchronous replicas never.
+TEST_CASE("a draining replica is not promoted if another one has every commit")
+{
+  for (const std::uint32_t sync_replicas : { 0U, 1U }) {
+    CAPTURE(sync_replicas);
+    failover_bench bench;
+    bench.members["m2"].received = point(3, sync_replicas == 0 ? 51 : 50);
+    bench.draining = { "m2" };
+    bench.set_members({ "m1", "m2", "m3" }, sync_replicas);
+    bench.unreachable = { "m1" };
+    bench.fenced = true;
+    bench.start(replacement_reason::unreachable);
+    bench.run(200);
+    CHECK(bench.promoted == std::vector<member_id>{ member_id("m3") });
+  }
+}
+
+// Guards against lost commits with a synchronous replica: the platform refused to promote the only
+// one that had received them, and the next one in line was promoted.
+TEST_CASE("with synchronous replicas a refused holder of commits is asked again")
+{
+  failover_bench bench;
+  bench.members["m2"].received = point(3, 20);
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.unreachable = { "m1" };
+  bench.fenced = true;
+  bench.promote_answers = { promote_outcome::refused, promote_outcome::refused };
+  bench.start(replacement_reason::unreachable);
+  bench.run(1000);
+  CHECK(bench.promoted ==
+        std::vector<member_id>{ member_id("m3"), member_id("m3"), member_id("m3") });
+  CHECK(bench.logged.contains("waiting"));
+}
+
+// Guards against lost commits with a synchronous replica: the primary had stepped down and left,
+// the coordinator that knew its last position failed, and the next one did not wait for the replica
+// that had it.
+TEST_CASE("a resumed planned replacement waits for every replica if the last position is unknown")
+{
+  failover_bench bench;
+  bench.members["m2"].received = point(3, 20);
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.unreachable = { "m1", "m3" };
+  bench.fenced = true;
+  bench.group_failover->resume({ "g", member_id("m1"), true, true, term(3) }, 12);
+  bench.run(3000);
+  CHECK(bench.promoted.empty());
+  bench.unreachable = { "m1" };
+  bench.run(300);
+  CHECK(bench.promoted == std::vector<member_id>{ member_id("m3") });
+}
+
+// Guards against a group that stays without a primary: the old one had stepped down and left with
+// an entry that no replica received, and that was therefore never acknowledged.
+TEST_CASE("an entry that only a primary without answer received is not waited for")
+{
+  failover_bench bench;
+  bench.members["m1"].received = point(3, 51);
+  bench.draining = { "m1" };
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.start(replacement_reason::leaving);
+  bench.unreachable = { "m1" };
+  bench.run(1400);
+  CHECK(bench.promoted.empty());
+  bench.run(1000);
+  CHECK(bench.promoted == std::vector<member_id>{ member_id("m3") });
+}
+
+// Guards against lost commits in a planned replacement with a synchronous replica: replicas that
+// receive nothing cannot catch up, so the primary that is leaving takes over again for a while.
+TEST_CASE("a primary that stepped down leads again if no replica catches up")
+{
+  failover_bench bench;
+  bench.members["m1"].received = point(3, 51);
+  bench.draining = { "m1" };
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.start(replacement_reason::leaving);
+  bench.run(2500);
+  CHECK(bench.promoted == std::vector<member_id>{ member_id("m1") });
+  CHECK_FALSE(bench.group_failover->in_progress());
+  // The next attempt is not made at once, because each stops the writes for a while.
+  bench.start(replacement_reason::leaving);
+  CHECK_FALSE(bench.group_failover->in_progress());
+  bench.start(replacement_reason::unreachable);
+  CHECK(bench.group_failover->in_progress());
+}
+
+// Guards against a group that stays without a primary: the only replica with every commit does not
+// come back, but the old primary does.
+TEST_CASE("with synchronous replicas the old primary may return while a replica is waited for")
+{
+  failover_bench bench;
+  bench.members["m2"].received = point(3, 20);
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.unreachable = { "m1", "m3" };
+  bench.fenced = true;
+  bench.start(replacement_reason::unreachable);
+  bench.run(3000);
+  CHECK(bench.promoted.empty());
+  bench.unreachable = { "m3" };
+  bench.run(500);
+  CHECK(bench.promoted == std::vector<member_id>{ member_id("m1") });
+  CHECK_FALSE(bench.group_failover->in_progress());
+}
+
 // Guards against a second promotion at another member because an answer was lost.
 TEST_CASE("a promotion without an answer is checked before anything else is tried")
 {
