proxy: Run each operation under the workspace that holds the key now

Cause: caller_session::refuse_access() replaced the session's workspace if its key belonged to one, and left the former one otherwise.

Change: the workspace is that of the key now, or none. An open transaction whose connection was started for another workspace is rolled back and ends with ABORTED. Without key evidence, an open route refuses callers whose key belongs to a workspace, as other routes do.

The three new tests in session_test.cxx failed (the third by a crash, for lack of an answer).

Related paths: a key that moved to another workspace or came back, on any route, and the open transaction are fixed above. Shared connections serve one workspace each. Settings and prepared names belong to the session, not the key. Logs name the present workspace. A relayed session is checked where it runs; its carrier, chosen by the workspace at its start, is a matter of load. A route that stops being open refuses an unknown key at the next statement, as before.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -190,7 +190,8 @@
   answer_success();
 }
 
-// The reason why the session may run nothing now; sets `route` if the database has one.
+// The reason why the session may run nothing now. Sets `route` if the database has one, and the
+// workspace that holds the key now: a key may be withdrawn or given to another workspace.
 std::optional<std::string>
 caller_session::refuse_access(const proxy_route*& route)
 {
@@ -203,9 +204,7 @@
   if (workspace == nullptr && !route->open_to_all) {
     return "unknown API key";
   }
-  if (workspace != nullptr) {
-    workspace_ = workspace->name;
-  }
+  workspace_ = workspace != nullptr ? workspace->name : workspace_id();
   return std::nullopt;
 }
 
@@ -224,7 +223,8 @@
                  *reason);
     return;
   }
-  if (!route->open_to_all) {
+  // A route that is open to all still tells the members which workspace holds the caller's key.
+  if (!route->open_to_all || !workspace_.get().empty()) {
     if (const auto missing = hooks_->key_evidence_missing()) {
       roll_back_connection();
       hooks_->log("key_evidence_missing", request.id, *missing);
@@ -241,6 +241,12 @@
   const auto limit = active_->route.statement_timeout;
   active_->expiry =
     active_->arrived + (limit > duration::zero() ? limit : default_statement_timeout);
+  if (connection_ != nullptr && connection_->workspace != workspace_) {
+    // The member knows the transaction under the workspace that held the key at its start.
+    roll_back_connection();
+    fail_statement(statement_error::aborted, "the workspace of the caller's key changed");
+    return;
+  }
   const bool counted = transaction_ && transaction_->admitted;
   if (counted || workspace_.get().empty()) {
     on_admission(std::nullopt);
--- a/Tests/Proxy/session_test.cxx
+++ b/Tests/Proxy/session_test.cxx
@@ -190,6 +190,88 @@
   CHECK(bench.commands.empty());
 }
 
+// Guards against statements that run in the name of a workspace which no longer holds the caller's
+// key: on a route that is open to all, the session goes on without its key, and kept the former
+// workspace.
+TEST_CASE("a session on an open route loses the workspace of a withdrawn key")
+{
+  session_bench bench("stale");
+  auto open = make_configuration();
+  open.routes[1].open_to_all = true;
+  bench.configuration = configuration_index(open);
+  bench.submit(statement_kind::read, "READ 1");
+  CHECK(bench.requests.back().workspace == workspace_id("w"));
+  bench.reply(std::nullopt, transaction_state::idle);
+
+  auto withdrawn = open;
+  withdrawn.version = config_version(2);
+  withdrawn.workspaces.front().keys = { "key-new" };
+  bench.configuration = configuration_index(withdrawn);
+  bench.submit(statement_kind::read, "READ 1");
+  CHECK(bench.requests.back().workspace == workspace_id());
+  bench.reply(std::nullopt, transaction_state::idle);
+  CHECK_FALSE(bench.answers.back().error);
+  // Without a workspace no limit applies.
+  CHECK(bench.admitted == 1);
+
+  // The key returns, now to another workspace.
+  auto moved = withdrawn;
+  moved.version = config_version(3);
+  moved.workspaces.push_back(make_workspace("w2", 100, 100));
+  moved.workspaces.back().keys = { "key-w" };
+  bench.configuration = configuration_index(moved);
+  bench.submit(statement_kind::read, "READ 1");
+  CHECK(bench.requests.back().workspace == workspace_id("w2"));
+  CHECK(bench.admitted == 2);
+}
+
+// Guards against the same in an open transaction: its connection was started in the name of the
+// workspace that held the key.
+TEST_CASE("a change of the key's workspace ends the open transaction")
+{
+  for (const bool commits : { false, true }) {
+    CAPTURE(commits);
+    session_bench bench("own");
+    auto open = make_configuration();
+    open.routes[2].open_to_all = true;
+    bench.configuration = configuration_index(open);
+    bench.submit(statement_kind::begin, "BEGIN");
+    bench.submit(statement_kind::write, "WRITE 1 x");
+    bench.reply(std::nullopt, transaction_state::open);
+    bench.reply(std::nullopt, transaction_state::open);
+    CHECK_FALSE(bench.answers.back().error);
+
+    open.workspaces.front().keys = { "key-new" };
+    bench.configuration = configuration_index(open);
+    bench.submit(commits ? statement_kind::commit : statement_kind::write, "WRITE 2 x");
+    CHECK(bench.answers.back().error == statement_error::aborted);
+    CHECK(bench.answers.back().state ==
+          (commits ? transaction_state::idle : transaction_state::failed));
+    REQUIRE(bench.commands.size() == 1);
+    CHECK(bench.command().kind == member_command::command_kind::rollback);
+  }
+}
+
+// Guards against the same on an instance without contact to the store, which cannot know whether a
+// workspace still holds the caller's key.
+TEST_CASE("without key evidence an open route serves only callers without a workspace")
+{
+  session_bench bench("stale");
+  auto open = make_configuration();
+  open.routes[1].open_to_all = true;
+  bench.configuration = configuration_index(open);
+  bench.key_evidence_missing = "the configuration was last confirmed long ago";
+  bench.submit(statement_kind::read, "READ 1");
+  CHECK(bench.commands.empty());
+  REQUIRE(bench.answers.size() == 1);
+  CHECK(bench.answers.back().error == statement_error::busy);
+
+  open.workspaces.front().keys = { "key-new" };
+  bench.configuration = configuration_index(open);
+  bench.submit(statement_kind::read, "READ 1");
+  CHECK(bench.commands.size() == 1);
+}
+
 // Guards against a success without a member's signature: a failed transaction cannot be committed.
 TEST_CASE("a commit after a failure is an error and ends the transaction")
 {
