proxy: Confirm group records only once they were read

An instance that is not in the register did not apply the group records that it read, since nobody waits for its evidence. If it claimed the lease on that same read, it confirmed to all others what it had: after a restart of the whole fleet, no records at all, with revision zero and age zero. An instance that was as fresh then used the first listed member that calls itself primary, which may be a former one.

Change: the records are applied with each read and only their confirmation depends on the registration, so whoever claims the lease has all records up to the row on which it claims. A coordinator without any read sends no age.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -197,8 +197,9 @@
   view.configuration_version = fleet_state_.configuration().configuration().version;
   view.configuration_age = age(fleet_state_.configuration_confirmed_at());
   view.groups_revision = fleet_state_.groups_revision();
-  if (hooks_.holds_lease()) {
-    // Only the holder of the lease changes the records, so its copy is current.
+  if (hooks_.holds_lease() && fleet_state_.groups_revision() > 0) {
+    // Only the holder of the lease changes the records, so its copy is current once it has read
+    // them.
     view.groups_age = duration::zero();
   }
   for (const auto& [group, record] : fleet_state_.groups()) {
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -97,7 +97,7 @@
 bool
 fleet_state::update_groups(const std::vector<group_record>& records,
                            std::uint64_t revision,
-                           instant confirmed_at)
+                           std::optional<instant> confirmed_at)
 {
   if (revision < groups_revision_) {
     return false;
@@ -106,8 +106,9 @@
   for (const auto& record : records) {
     groups_[record.group] = record;
   }
-  groups_confirmed_at_ =
-    groups_confirmed_at_ ? std::max(*groups_confirmed_at_, confirmed_at) : confirmed_at;
+  if (confirmed_at) {
+    groups_confirmed_at_ = std::max(groups_confirmed_at_.value_or(*confirmed_at), *confirmed_at);
+  }
   return true;
 }
 
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -64,10 +64,11 @@
   // than the current one, which is ignored.
   bool update_members(std::vector<listed_member> members, instant confirmed_at);
   // Applies group records up to a revision of the store. Returns false if a newer revision was
-  // applied already.
+  // applied already. Without a confirmation time they are known, but no evidence for using a
+  // primary: a replacement does not wait for an instance that is not registered.
   bool update_groups(const std::vector<group_record>& records,
                      std::uint64_t revision,
-                     instant confirmed_at);
+                     std::optional<instant> confirmed_at);
 
   const configuration_index& configuration() const { return configuration_; }
   bool has_configuration() const { return configuration_confirmed_at_.has_value(); }
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -179,14 +179,19 @@
   registered_instances_ = registered;
   const auto own = registered.find(settings_.name);
   const bool listed = own != registered.end() && own->second == incarnation_;
-  if (listed || (coordinator_ && !is_carrier())) {
-    const auto previous_groups = fleet_state_.groups();
-    fleet_state_.update_groups(groups, revision, confirmed_at);
-    if (previous_groups != fleet_state_.groups()) {
-      hooks_.changed();
+  const bool uses_evidence = listed || (coordinator_ && !is_carrier());
+  // The records are applied before the lease is claimed on the row that was read with them, so a
+  // new coordinator knows all of them.
+  const auto previous_groups = fleet_state_.groups();
+  fleet_state_.update_groups(
+    groups, revision, uses_evidence ? std::optional(confirmed_at) : std::nullopt);
+  if (previous_groups != fleet_state_.groups()) {
+    hooks_.changed();
+    if (uses_evidence) {
       send_report(now);
     }
-  } else if (is_carrier()) {
+  }
+  if (!uses_evidence && is_carrier()) {
     register_self(now);
   }
   lease_.observe(holder, holder_revision, confirmed_at, now);
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -282,6 +282,21 @@
   CHECK(bench.views.size() == answered);
 }
 
+// Guards against reads and writes at a former primary: a coordinator that had claimed the lease
+// before it applied the group records confirmed that there were none, and its receivers used the
+// first member that called itself primary.
+TEST_CASE("a coordinator that has not read the group records confirms none")
+{
+  coordinator_bench bench;
+  bench.fleet = fleet_state({ ms(4750), primary_use_limit, commit_answer_limit });
+  bench.subject->handle_report(bench.report(1));
+  REQUIRE(bench.views.size() == 1);
+  CHECK_FALSE(bench.views.back().groups_age);
+  bench.fleet.update_groups({}, 1, at(10));
+  bench.subject->handle_report(bench.report(2));
+  CHECK(bench.views.back().groups_age);
+}
+
 // Guards against instances that stay without evidence because their registration was lost.
 TEST_CASE("a view states whether its receiver is registered in the store")
 {
--- a/Tests/Proxy/fleet_state_test.cxx
+++ b/Tests/Proxy/fleet_state_test.cxx
@@ -80,6 +80,19 @@
   CHECK(fleet.primary_of("g", at(400))->member == member_id("m2"));
 }
 
+// Guards against writes through an instance that a replacement does not wait for: it knows the
+// records, but is not registered.
+TEST_CASE("records that are read without a registration are no evidence")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_members({ make_member("m1", "z", true), make_member("m2", "z", true) }, at(0));
+  fleet.update_groups({ { "g", member_id("m2"), false, false, term(4) } }, 5, std::nullopt);
+  REQUIRE(fleet.primary_of("g", at(100)));
+  CHECK(fleet.primary_of("g", at(100))->member == member_id("m2"));
+  CHECK_FALSE(fleet.primary_of("g", at(100))->usable);
+  CHECK_FALSE(fleet.commit_is_valid("g", member_id("m2"), at(100)));
+}
+
 // Guards against a comparison that omits a member which runs but has no contact with the store,
 // even if it had announced that it will leave: it acknowledges commits until it ends.
 TEST_CASE("a member removed from the list may still hold commits for a while")
