proxy: Count only the recorded primary's commits as valid

The record of a planned replacement says that the old primary stepped down, so that its last answers count whenever they arrive. The mark stayed in the record of the new primary, and with it an answer of any member counted, such as that of a former primary that was cut off when it was replaced, and whose commit arrives late.

Change: an answer counts if it is from the recorded primary, and that one leads or has stepped down. The record of the new primary carries no mark.

--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -304,6 +304,7 @@
   auto record = record_;
   record.primary = *chosen_;
   record.changing = false;
+  record.stepped_down = false;
   record.primary_term = chosen_term_;
   hooks_.write_record(record, [this, generation = generation_](bool written, std::uint64_t) {
     if (generation == generation_) {
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -179,10 +179,8 @@
   if (record == groups_.end()) {
     return true;
   }
-  if (record->second.stepped_down) {
-    return true;
-  }
-  return !record->second.changing && record->second.primary == member;
+  const bool in_charge = !record->second.changing || record->second.stepped_down;
+  return in_charge && record->second.primary == member;
 }
 
 }
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -21,7 +21,7 @@
   // write to the group during that time.
   bool changing = false;
   // True if the old primary confirmed that it stepped down before the replacement. Its answers are
-  // then valid whenever they arrive.
+  // then valid until the next record.
   bool stepped_down = false;
   // Term in which the primary leads, or zero if it is unknown.
   term primary_term;
--- a/Tests/Proxy/fleet_state_test.cxx
+++ b/Tests/Proxy/fleet_state_test.cxx
@@ -80,6 +80,20 @@
   CHECK(fleet.primary_of("g", at(400))->member == member_id("m2"));
 }
 
+// Guards against commits that a former primary made after it was replaced, and that arrived late:
+// after a planned replacement, answers of any member counted as valid.
+TEST_CASE("after a planned replacement only the new primary's commits are valid")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_groups({ { "g", member_id("m2"), true, true, term(4) } }, 5, at(100));
+  CHECK(fleet.commit_is_valid("g", member_id("m2"), at(100)));
+  // m1 led before m2 and was cut off when it was replaced.
+  CHECK_FALSE(fleet.commit_is_valid("g", member_id("m1"), at(100)));
+  fleet.update_groups({ { "g", member_id("m3"), false, true, term(5) } }, 6, at(200));
+  CHECK(fleet.commit_is_valid("g", member_id("m3"), at(200)));
+  CHECK_FALSE(fleet.commit_is_valid("g", member_id("m1"), at(200)));
+}
+
 // Guards against writes through an instance that a replacement does not wait for: it knows the
 // records, but is not registered.
 TEST_CASE("records that are read without a registration are no evidence")
