proxy: Keep a closed caller until its last answer was sent

The request was read 28 ms before a stopping instance began to close its sessions, ran at a member, and its connection was closed 15 ms after the run ended. The instance logs `stopped` with no callers then.

Cause: an answer from a carrier is written line by line, and all lines but the first wait for the handler of the first write. Its session is idle by then. drain() closed the caller, which left the list of callers at once, and ended the process with the rest of the answer queued. The same holds for an answer that is larger than the socket's buffer, as the review supposed, and for answers that a carrier owes to other instances.

Change: a closed caller stays in the list until the stream has sent all, and the process also waits for the streams of relayed sessions, within the grace period.

Before: "the last caller is closed once its whole answer was sent" and "a closed caller counts until its last answer was sent" failed (the caller received the first line; 12,299 of 1,600,030 bytes). After: both pass, and all of test_ProxyNode.

Ruled out: a session ended by its carrier (the log has no `statement_lost`), and a request that was never read (a member ran it).

--- a/Source/ProxyNode/caller_connection.cxx
+++ b/Source/ProxyNode/caller_connection.cxx
@@ -58,6 +58,9 @@
 caller_connection::handle_line(std::string_view line)
 {
   const auto self = shared_from_this();
+  if (closing_) {
+    return;
+  }
   if (session_) {
     // The copy stays valid if the session closes the connection during the call.
     const auto session = *session_;
@@ -104,7 +107,7 @@
 void
 caller_connection::tick(instant now)
 {
-  if (closed_) {
+  if (closing_ || closed_) {
     return;
   }
   const auto self = shared_from_this();
@@ -144,8 +147,16 @@
 void
 caller_connection::close()
 {
+  if (closing_ || closed_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  closing_ = true;
+  if (session_) {
+    const auto session = *session_;
+    session.disconnect();
+  }
   stream_->finish();
-  handle_closed();
 }
 
 void
@@ -155,7 +166,7 @@
     return;
   }
   const auto self = shared_from_this();
-  if (session_) {
+  if (session_ && !closing_) {
     session_->disconnect();
   }
   handlers_.closed();
--- a/Source/ProxyNode/caller_connection.h
+++ b/Source/ProxyNode/caller_connection.h
@@ -21,6 +21,7 @@
     // Returns an empty value until the carrier plan is decided; the caller then waits.
     std::function<std::optional<session_handle>(const std::string& first_line, caller_output)>
       begin_session;
+    // The connection ended, after the last answer was sent.
     std::function<void()> closed;
     // An unexpected error ended the session while it handled this message of the caller. The
     // message is empty if the session's timer failed.
@@ -59,6 +60,7 @@
   instant first_line_received_at_{};
   // Messages received before the session began.
   std::deque<std::string> queued_lines_;
+  bool closing_ = false;
   bool closed_ = false;
 };
 
--- a/Source/ProxyNode/line_stream.cxx
+++ b/Source/ProxyNode/line_stream.cxx
@@ -158,7 +158,7 @@
 line_stream::finish()
 {
   closing_after_writes_ = true;
-  if (open_ && !write_in_flight_) {
+  if (open_ && flushed()) {
     close_with_reason("finished");
   }
 }
--- a/Source/ProxyNode/line_stream.h
+++ b/Source/ProxyNode/line_stream.h
@@ -45,6 +45,8 @@
 
   boost::asio::ip::tcp::socket& socket() { return socket_; }
   bool is_open() const { return open_; }
+  // True if no data waits to be sent.
+  bool flushed() const { return !write_in_flight_ && send_queue_.empty(); }
 
 private:
   line_stream(boost::asio::ip::tcp::socket socket, std::size_t max_line_bytes);
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -354,7 +354,8 @@
 }
 
 // Closes sessions that have no statement in flight, at first only those without an open
-// transaction. Ends the process when no session remains or the grace period is over.
+// transaction. Ends the process when no session remains and all answers were sent, or when the
+// grace period is over.
 void
 proxy_node::state::drain(instant now)
 {
@@ -372,8 +373,9 @@
   if (include_transactions) {
     relay_listener->close_inactive_sessions(true);
   }
-  if ((callers.empty() && relay_listener->session_count() == 0) ||
-      elapsed > settings.stop_grace - exit_margin) {
+  const bool finished =
+    callers.empty() && relay_listener->session_count() == 0 && relay_listener->flushed();
+  if (finished || elapsed > settings.stop_grace - exit_margin) {
     log.write("stopped", { { "callers", std::to_string(callers.size()) } });
     context.stop();
   }
--- a/Source/ProxyNode/relay_server.cxx
+++ b/Source/ProxyNode/relay_server.cxx
@@ -4,6 +4,7 @@
 #include "ProxyNode/relay_message.h"
 #include "platform/line_protocol.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -84,6 +85,7 @@
     }
   }
 
+  bool flushed() const { return stream_->flushed(); }
   std::size_t session_count() const { return sessions_.size(); }
 
 private:
@@ -304,6 +306,13 @@
   }
 }
 
+bool
+relay_server::flushed() const
+{
+  return std::all_of(
+    peers_.begin(), peers_.end(), [](const auto& entry) { return entry->flushed(); });
+}
+
 std::size_t
 relay_server::session_count() const
 {
--- /dev/null
+++ b/Tests/ProxyNode/caller_connection_test.cxx
@@ -0,0 +1,152 @@
+#include <doctest/doctest.h>
+
+#include "ProxyNode/caller_connection.h"
+#include "socket_pair.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+using namespace persimmonshelf;
+using namespace persimmonshelf::testing;
+
+namespace {
+
+constexpr std::string_view done_answer = "DONE -\r\nREADY I -\r\n";
+
+// A caller whose session answers its first message, and leaves the rest to the test.
+struct caller_bench
+{
+  explicit caller_bench(int buffer_bytes = 0)
+    : sockets(context, buffer_bytes)
+  {
+    connection = caller_connection::create(
+      std::move(sockets.near),
+      { [this](const std::string&, caller_output created) {
+         output = std::move(created);
+         session_handle session;
+         session.local = true;
+         session.handle_line = [this](std::string_view line) {
+           if (line.starts_with("START")) {
+             if (answers_start) {
+               output.write("READY I -\r\n");
+             }
+             return;
+           }
+           ++in_flight;
+           if (on_statement) {
+             on_statement(line);
+           }
+         };
+         session.tick = [](instant) {};
+         session.idle = [this] { return in_flight == 0; };
+         session.between_statements = session.idle;
+         session.disconnect = [this] { disconnected = true; };
+         return session;
+       },
+        [this] {
+          closed = true;
+          if (on_closed) {
+            on_closed();
+          }
+        },
+        [this](std::string_view, const std::string&) { failed = true; } });
+    connection->start();
+  }
+
+  void send(const std::string& text) { boost::asio::write(sockets.far, boost::asio::buffer(text)); }
+
+  void run(std::int64_t for_ms = 100)
+  {
+    context.restart();
+    context.run_for(std::chrono::milliseconds(for_ms));
+  }
+
+  // Everything that the caller has received by now.
+  std::string received()
+  {
+    sockets.far.non_blocking(true);
+    std::string text;
+    std::array<char, 4096> buffer{};
+    boost::system::error_code failure;
+    while (!failure) {
+      const auto length = sockets.far.read_some(boost::asio::buffer(buffer), failure);
+      text.append(buffer.data(), length);
+    }
+    return text;
+  }
+
+  void answer()
+  {
+    --in_flight;
+    output.write(done_answer);
+  }
+
+  boost::asio::io_context context;
+  socket_pair sockets;
+  caller_output output;
+  std::function<void(std::string_view)> on_statement;
+  std::function<void()> on_closed;
+  std::shared_ptr<caller_connection> connection;
+  bool answers_start = true;
+  int in_flight = 0;
+  bool disconnected = false;
+  bool closed = false;
+  bool failed = false;
+};
+
+}
+
+// Guards against answers that are cut off by a planned stop: a carrier's answer is written line by
+// line, and the process ended as soon as its last caller was closed, although only the first line
+// was sent.
+TEST_CASE("the last caller is closed once its whole answer was sent")
+{
+  caller_bench bench;
+  bench.on_closed = [&] { bench.context.stop(); };
+  bench.on_statement = [&](std::string_view) {
+    --bench.in_flight;
+    for (const std::string line : { "ROW abc", "DONE -", "READY I -" }) {
+      bench.output.write(line + "\r\n");
+    }
+    bench.connection->close();
+  };
+  bench.send("START d k\r\nQUERY 1 READ a\r\n");
+  bench.run();
+  CHECK(bench.closed);
+  CHECK(bench.received() == "READY I -\r\nROW abc\r\nDONE -\r\nREADY I -\r\n");
+}
+
+// Guards against the same if the caller reads slowly.
+TEST_CASE("a closed caller counts until its last answer was sent")
+{
+  caller_bench bench(4096);
+  std::string rows;
+  for (int i = 0; i < 50'000; ++i) {
+    rows += "ROW abcdefghijklmnopqrstuvwxyz\r\n";
+  }
+  bench.on_statement = [&](std::string_view) {
+    --bench.in_flight;
+    bench.output.write(rows + std::string(done_answer));
+  };
+  bench.send("START d k\r\nQUERY 1 READ a\r\n");
+  bench.run();
+  bench.connection->close();
+  bench.run();
+  CHECK(bench.disconnected);
+  CHECK_FALSE(bench.closed);
+  std::string text;
+  for (int i = 0; i < 2000 && !bench.closed; ++i) {
+    text += bench.received();
+    bench.run(2);
+  }
+  text += bench.received();
+  CHECK(bench.closed);
+  CHECK(text.size() == std::string("READY I -\r\n").size() + rows.size() + done_answer.size());
+  CHECK(text.ends_with(done_answer));
+}
--- a/Tests/ProxyNode/exceptions_test.cxx
+++ b/Tests/ProxyNode/exceptions_test.cxx
@@ -2,8 +2,8 @@
 
 #include "ProxyNode/caller_connection.h"
 #include "ProxyNode/line_stream.h"
+#include "socket_pair.h"
 
-#include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
@@ -13,26 +13,10 @@
 #include <vector>
 
 using namespace persimmonshelf;
-using boost::asio::ip::tcp;
+using persimmonshelf::testing::socket_pair;
 
 namespace {
 
-// Two connected sockets on loopback.
-struct socket_pair
-{
-  explicit socket_pair(boost::asio::io_context& context)
-    : near(context)
-    , far(context)
-  {
-    tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    far.connect(acceptor.local_endpoint());
-    near = acceptor.accept();
-  }
-
-  tcp::socket near;
-  tcp::socket far;
-};
-
 void
 run(boost::asio::io_context& context)
 {
@@ -112,6 +96,7 @@
     CHECK_NOTHROW(run(context));
     if (in_timer) {
       CHECK_NOTHROW(connection->tick(instant{}));
+      run(context);
     }
     CHECK(closed);
     CHECK(failures ==
