proxy: Serve a request that arrives before its idle connection is closed

Found by asking where else a request that was read ends without an answer.

Cause: an asynchronous read tries the socket at once when it is started, and its handler runs after all that is queued. An idle session that was closed between the two, by a planned stop or because it should run elsewhere, dropped a whole request that had been read.

Change: a line stream waits until the socket is readable, reads, and delivers in the same handler. Before an idle session is closed, what has arrived is read and handled; only if nothing has, the connection closes. Relayed sessions that should move are closed the same way.

Before: "a request that arrives before an idle connection is closed is answered" failed: the connection closed and the second request had no answer. After: it passes, and all of test_ProxyNode. The check of idle sessions in the relay test now asks should_move(), since the caller's connection closes them.

--- a/Source/ProxyNode/caller_connection.cxx
+++ b/Source/ProxyNode/caller_connection.cxx
@@ -123,6 +123,9 @@
   if (session_) {
     const auto session = *session_;
     session.tick(now);
+    if (!closing_ && session.should_move && session.should_move(now)) {
+      close_if_inactive(false);
+    }
   } else if (first_line_ && now - first_line_received_at_ > begin_timeout) {
     stream_->write(platform::encode_error(statement_error::busy,
                                           "the fleet has not assigned sessions to instances yet"));
@@ -133,15 +136,25 @@
 }
 
 bool
-caller_connection::idle() const
+caller_connection::inactive(bool include_transactions) const
 {
-  return !session_ || session_->idle();
+  if (!session_) {
+    return !first_line_;
+  }
+  return include_transactions ? session_->between_statements() : session_->idle();
 }
 
-bool
-caller_connection::between_statements() const
+void
+caller_connection::close_if_inactive(bool include_transactions)
 {
-  return !session_ || session_->between_statements();
+  if (closing_ || closed_ || !inactive(include_transactions)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  stream_->receive_available();
+  if (!closed_ && inactive(include_transactions)) {
+    close();
+  }
 }
 
 void
--- a/Source/ProxyNode/caller_connection.h
+++ b/Source/ProxyNode/caller_connection.h
@@ -34,9 +34,7 @@
   void tick(instant now);
 
   // True if no statement is in flight and no transaction is open.
-  bool idle() const;
-  // True if no statement is in flight.
-  bool between_statements() const;
+  bool idle() const { return inactive(false); }
   // True if the session runs on this instance.
   bool local() const { return session_ && session_->local; }
   // The caller's first message; empty before it.
@@ -44,10 +42,14 @@
 
   // Closes the connection after pending writes and disconnects the session.
   void close();
+  // Closes the connection if no statement is in flight, and no transaction is open unless
+  // `include_transactions` is true. Requests that have arrived by now are handled instead.
+  void close_if_inactive(bool include_transactions);
 
 private:
   caller_connection(boost::asio::ip::tcp::socket socket, handlers callbacks);
   void handle_line(std::string_view line);
+  bool inactive(bool include_transactions) const;
   void tick_session(instant now);
   void begin_session();
   void handle_closed();
--- a/Source/ProxyNode/line_stream.cxx
+++ b/Source/ProxyNode/line_stream.cxx
@@ -16,6 +16,7 @@
 
 // Limit of queued bytes for a peer that does not read.
 constexpr std::size_t max_send_queue_bytes = 4 << 20;
+constexpr std::string_view line_end = "\r\n";
 
 }
 
@@ -60,50 +61,83 @@
 line_stream::start(handlers callbacks)
 {
   handlers_ = std::move(callbacks);
-  read();
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
+  wait_for_data();
 }
 
+// Data is read only when it is delivered at once. An asynchronous read may take data from the
+// socket long before its handler runs, and a connection that is closed in between would drop a
+// request.
 void
-line_stream::read()
+line_stream::wait_for_data()
 {
-  socket_.async_read_some(
-    boost::asio::buffer(buffer_),
-    [self = shared_from_this()](const boost::system::error_code& failure, std::size_t length) {
-      if (!self->open_) {
-        return;
-      }
-      if (failure) {
-        self->close_with_reason(failure.message());
-        return;
-      }
-      self->receive_buffer_.append(self->buffer_.data(), length);
-      self->deliver_lines();
-      if (self->open_) {
-        self->read();
-      }
-    });
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const boost::system::error_code& failure) {
+                       if (!self->open_ || self->closing_after_writes_) {
+                         return;
+                       }
+                       if (failure) {
+                         self->close_with_reason(failure.message());
+                         return;
+                       }
+                       self->receive();
+                       if (self->open_ && !self->closing_after_writes_) {
+                         self->wait_for_data();
+                       }
+                     });
+}
+
+// Returns true if more data may have arrived.
+bool
+line_stream::receive()
+{
+  boost::system::error_code failure;
+  const auto length = socket_.read_some(boost::asio::buffer(buffer_), failure);
+  if (failure == boost::asio::error::would_block) {
+    return false;
+  }
+  if (failure) {
+    close_with_reason(failure.message());
+    return false;
+  }
+  receive_buffer_.append(buffer_.data(), length);
+  deliver_lines();
+  return length == buffer_.size();
+}
+
+void
+line_stream::receive_available()
+{
+  if (delivering_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  while (open_ && !closing_after_writes_ && receive()) {
+  }
 }
 
 void
 line_stream::deliver_lines()
 {
-  std::size_t begin = 0;
-  while (open_) {
-    const auto end = receive_buffer_.find("\r\n", begin);
+  delivering_ = true;
+  while (open_ && !closing_after_writes_) {
+    const auto end = receive_buffer_.find(line_end, delivered_);
     if (end == std::string::npos) {
       break;
     }
-    const auto line = std::string_view(receive_buffer_).substr(begin, end - begin);
+    const auto line = std::string_view(receive_buffer_).substr(delivered_, end - delivered_);
+    delivered_ = end + line_end.size();
     if (const auto failure = guarded_call([&] { handlers_.line(line); })) {
       if (handlers_.line_failed) {
         handlers_.line_failed(line, *failure);
       }
       close_with_reason("unexpected error: " + *failure);
-      return;
+      break;
     }
-    begin = end + 2;
   }
-  receive_buffer_.erase(0, begin);
+  delivering_ = false;
+  receive_buffer_.erase(0, std::exchange(delivered_, 0));
   if (receive_buffer_.empty()) {
     receive_buffer_.shrink_to_fit();
   }
--- a/Source/ProxyNode/line_stream.h
+++ b/Source/ProxyNode/line_stream.h
@@ -37,7 +37,10 @@
   void start(handlers callbacks);
   void write(std::string_view text);
 
-  // Closes the connection after all queued data has been sent.
+  // Delivers the lines that have arrived by now.
+  void receive_available();
+
+  // Closes the connection after all queued data has been sent. Nothing more is read.
   void finish();
 
   // Closes the connection at once. `reset` also discards unsent data in the kernel.
@@ -50,7 +53,8 @@
 
 private:
   line_stream(boost::asio::ip::tcp::socket socket, std::size_t max_line_bytes);
-  void read();
+  void wait_for_data();
+  bool receive();
   void deliver_lines();
   void flush();
   void close_with_reason(const std::string& reason);
@@ -60,11 +64,14 @@
   handlers handlers_;
   std::array<char, 2048> buffer_{};
   std::string receive_buffer_;
+  // Size of the part of the receive buffer that was delivered.
+  std::size_t delivered_ = 0;
   std::string send_queue_;
   std::string write_buffer_;
   bool open_ = true;
   bool write_in_flight_ = false;
   bool closing_after_writes_ = false;
+  bool delivering_ = false;
 };
 
 }
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -366,9 +366,7 @@
   const bool include_transactions = elapsed > settings.stop_grace / 2 + transaction_drain_delay;
   const auto current = callers;
   for (const auto& caller : current) {
-    if (caller->idle() || (include_transactions && caller->between_statements())) {
-      caller->close();
-    }
+    caller->close_if_inactive(include_transactions);
   }
   if (include_transactions) {
     relay_listener->close_inactive_sessions(true);
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -196,7 +196,7 @@
     }
     any_misplaced = true;
     if (caller->idle()) {
-      caller->close();
+      caller->close_if_inactive(false);
       return;
     }
   }
--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -78,13 +78,15 @@
       } else {
         open();
       }
-      return;
-    }
-    if (idle() && (connection_->leaving() || is_misplaced(now))) {
-      finish();
     }
   }
 
+  // True if the session's next statement should begin a new session elsewhere.
+  bool should_move(instant now)
+  {
+    return !closed_ && connection_ && idle() && (connection_->leaving() || is_misplaced(now));
+  }
+
   bool idle() const { return between_statements() && state_ == transaction_state::idle; }
   bool between_statements() const { return first_line_.empty() || (ready_ && unanswered_ == 0); }
 
@@ -382,7 +384,8 @@
            [created](instant now) { created->tick(now); },
            [created] { return created->idle(); },
            [created] { return created->between_statements(); },
-           [created] { created->disconnect(); } };
+           [created] { created->disconnect(); },
+           [created](instant now) { return created->should_move(now); } };
 }
 
 void
--- a/Tests/ProxyNode/caller_connection_test.cxx
+++ b/Tests/ProxyNode/caller_connection_test.cxx
@@ -3,6 +3,7 @@
 #include "ProxyNode/caller_connection.h"
 #include "socket_pair.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -102,6 +103,30 @@
 
 }
 
+// Guards against requests that were read and then dropped during a planned stop: an asynchronous
+// read had taken the next request from the socket when the idle session was closed.
+TEST_CASE("a request that arrives before an idle connection is closed is answered")
+{
+  caller_bench bench;
+  bench.on_statement = [&](std::string_view line) {
+    if (line != "QUERY 1 SET a b") {
+      return;
+    }
+    bench.answer();
+    bench.send("QUERY 2 READ a\r\n");
+    boost::asio::post(bench.context, [&] { bench.connection->close_if_inactive(false); });
+  };
+  bench.send("START d k\r\nQUERY 1 SET a b\r\n");
+  bench.run();
+  CHECK(bench.in_flight == 1);
+  CHECK_FALSE(bench.closed);
+  bench.answer();
+  bench.connection->close_if_inactive(false);
+  bench.run();
+  CHECK(bench.closed);
+  CHECK(bench.received() == "READY I -\r\nDONE -\r\nREADY I -\r\nDONE -\r\nREADY I -\r\n");
+}
+
 // Guards against answers that are cut off by a planned stop: a carrier's answer is written line by
 // line, and the process ended as soon as its last caller was closed, although only the first line
 // was sent.
@@ -114,7 +139,7 @@
     for (const std::string line : { "ROW abc", "DONE -", "READY I -" }) {
       bench.output.write(line + "\r\n");
     }
-    bench.connection->close();
+    bench.connection->close_if_inactive(false);
   };
   bench.send("START d k\r\nQUERY 1 READ a\r\n");
   bench.run();
@@ -136,7 +161,7 @@
   };
   bench.send("START d k\r\nQUERY 1 READ a\r\n");
   bench.run();
-  bench.connection->close();
+  bench.connection->close_if_inactive(false);
   bench.run();
   CHECK(bench.disconnected);
   CHECK_FALSE(bench.closed);
--- a/Tests/ProxyNode/relay_test.cxx
+++ b/Tests/ProxyNode/relay_test.cxx
@@ -240,12 +240,11 @@
   fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
   fixture.server->announce_leaving();
   fixture.run_until([&] { return !fixture.router->can_begin_sessions(); });
-  session.tick(boot_now());
-  CHECK_FALSE(fixture.finished);
+  CHECK_FALSE(session.should_move(boot_now()));
   fixture.sessions.front()->output.write("DONE s\r\nREADY I -\r\n");
   fixture.run_until([&] { return session.idle(); });
-  session.tick(boot_now());
-  CHECK(fixture.finished);
+  CHECK(session.should_move(boot_now()));
+  session.disconnect();
   fixture.run_until([&] { return fixture.sessions.front()->disconnected; });
 }
 
