proxy: Refuse a statement that its stopping carrier did not receive

Found by asking where else a request that was read ends without an answer.

Cause: halfway through its grace period a stopping carrier ends sessions that are between two statements, also with an open transaction. If the caller's next statement was on its way from the other instance, that one found its session ended with a statement unanswered, could not tell whether it had run, and closed the caller's connection.

Change: the carrier says in `close` whether it answered all that it handled. What is unanswered then was not run: the caller gets BUSY, or ABORTED for a transaction, which the carrier rolled back, and can retry at once.

Before: "a statement that a stopping carrier did not receive is refused as not run" failed, with and without a transaction (no answer). After: it passes, and all of test_ProxyNode.

--- a/Source/ProxyNode/carrier_connection.cxx
+++ b/Source/ProxyNode/carrier_connection.cxx
@@ -168,7 +168,8 @@
     if (message.kind == message_kind::redirect) {
       handlers.redirected(message.text);
     } else {
-      handlers.closed(true);
+      handlers.closed(message.text == all_answered_text ? end_reason::ended_all_answered
+                                                        : end_reason::ended);
     }
   }
 }
@@ -238,7 +239,7 @@
     hooks_.state_changed(false, reason);
   }
   for (auto& [number, handlers] : ended) {
-    handlers.closed(false);
+    handlers.closed(end_reason::connection_failed);
   }
 }
 
--- a/Source/ProxyNode/carrier_connection.h
+++ b/Source/ProxyNode/carrier_connection.h
@@ -18,6 +18,16 @@
 class carrier_connection : public std::enable_shared_from_this<carrier_connection>
 {
 public:
+  // Why a session ended.
+  enum class end_reason : std::uint8_t
+  {
+    // The connection failed. Statements without an answer may have run.
+    connection_failed,
+    // The carrier ended the session. Statements without an answer may have run.
+    ended,
+    // The carrier ended the session, and statements without an answer have not reached it.
+    ended_all_answered,
+  };
   // Handlers of one session. They are released after `closed` or `redirected` was called or the
   // session was closed on this side.
   struct stream_handlers
@@ -26,8 +36,7 @@
     std::function<void(std::string_view line)> line;
     // The carrier sent the routing key of this session instead of running it.
     std::function<void(const std::string& routing_key)> redirected;
-    // `closed_by_carrier` is false if the connection failed.
-    std::function<void(bool closed_by_carrier)> closed;
+    std::function<void(end_reason)> closed;
   };
   struct hooks
   {
--- a/Source/ProxyNode/relay_message.h
+++ b/Source/ProxyNode/relay_message.h
@@ -30,7 +30,8 @@
     redirect,
     // One message from or to the caller.
     data,
-    // The session ended.
+    // The session ended. The text says whether every message that the carrier handled has its
+    // answer; see all_answered_text.
     close,
   };
   message_kind kind = message_kind::data;
@@ -39,6 +40,9 @@
   std::string text;
 };
 
+// Text of `close` if messages without an answer were not handled by the carrier.
+inline constexpr std::string_view all_answered_text = "all-answered";
+
 std::string
 encode_relay_message(const relay_message& message);
 
--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -118,9 +118,9 @@
                                       self->handle_redirect(routing_key);
                                     }
                                   },
-                                  [weak](bool closed_by_carrier) {
+                                  [weak](carrier_connection::end_reason reason) {
                                     if (const auto self = weak.lock()) {
-                                      self->handle_close(closed_by_carrier);
+                                      self->handle_close(reason);
                                     }
                                   } });
   }
@@ -174,29 +174,52 @@
     open();
   }
 
-  void handle_close(bool closed_by_carrier)
+  void handle_close(carrier_connection::end_reason reason)
   {
     connection_.reset();
-    if (!closed_by_carrier && !ready_) {
+    if (reason != carrier_connection::end_reason::ended && !ready_) {
       // The carrier has answered nothing yet, so another one may begin the session.
       return;
     }
     if (unanswered_ > 0) {
-      log_lost_statement(closed_by_carrier);
+      log_lost_statement(reason);
+    }
+    if (reason == carrier_connection::end_reason::ended_all_answered) {
+      refuse_unanswered();
     }
     finish();
   }
 
-  // Only logs the loss. The statement may have run, so no result is sent to the caller.
-  void log_lost_statement(bool closed_by_carrier) const
+  // Answers statements that were on their way when the carrier ended the session. A transaction was
+  // rolled back by that.
+  void refuse_unanswered()
+  {
+    for (; unanswered_ > 0; --unanswered_) {
+      const auto error =
+        state_ == transaction_state::idle ? statement_error::busy : statement_error::aborted;
+      output_.write(platform::encode_error(error, "the carrier of the session is stopping"));
+      output_.write(platform::encode_ready(transaction_state::idle, std::nullopt));
+    }
+  }
+
+  void log_lost_statement(carrier_connection::end_reason reason) const
   {
+    const auto text_of = [](carrier_connection::end_reason ended) {
+      switch (ended) {
+        case carrier_connection::end_reason::connection_failed:
+          return "the connection to the carrier failed";
+        case carrier_connection::end_reason::ended:
+          return "the carrier ended the session";
+        case carrier_connection::end_reason::ended_all_answered:
+          break;
+      }
+      return "not run: the carrier ended the session before it arrived";
+    };
     const auto message = platform::parse_caller_message(last_line_);
     const bool known = message && message.value();
     router_.log_.write("statement_lost",
                        { { "request", known ? message.value()->id : std::string() },
-                         { "detail",
-                           closed_by_carrier ? "the carrier ended the session"
-                                             : "the connection to the carrier failed" } });
+                         { "detail", text_of(reason) } });
   }
 
   void finish()
--- a/Source/ProxyNode/relay_server.cxx
+++ b/Source/ProxyNode/relay_server.cxx
@@ -80,7 +80,7 @@
           (found->second.idle() || (include_transactions && found->second.between_statements()))) {
         const auto session = found->second;
         session.disconnect();
-        end_session(number);
+        end_session(number, true);
       }
     }
   }
@@ -159,7 +159,7 @@
                                                        },
                                                         [weak, number] {
                                                           if (const auto self = weak.lock()) {
-                                                            self->end_session(number);
+                                                            self->end_session(number, false);
                                                           }
                                                         } });
     sessions_[number] = session;
@@ -175,7 +175,7 @@
       server_.hooks_.session_failed(line, *failure);
       if (const auto found = sessions_.find(number); found != sessions_.end()) {
         const auto session = found->second;
-        end_session(number);
+        end_session(number, false);
         session.disconnect();
       }
     }
@@ -190,10 +190,11 @@
     }
   }
 
-  void end_session(std::uint64_t number)
+  // `all_answered` is true if every message that this carrier handled has its answer.
+  void end_session(std::uint64_t number, bool all_answered)
   {
     if (sessions_.erase(number) > 0) {
-      send(message_kind::close, number, {});
+      send(message_kind::close, number, all_answered ? all_answered_text : std::string_view());
     }
   }
 
--- a/Tests/ProxyNode/relay_test.cxx
+++ b/Tests/ProxyNode/relay_test.cxx
@@ -229,6 +229,32 @@
   CHECK_FALSE(fixture.router->can_begin_sessions());
 }
 
+// Planned stop of a carrier. Guards against statements without an answer: one was on its way to the
+// carrier when that ended the session between two statements.
+TEST_CASE("a statement that a stopping carrier did not receive is refused as not run")
+{
+  for (const bool in_transaction : { false, true }) {
+    CAPTURE(in_transaction);
+    relay_fixture fixture;
+    const auto session = fixture.open("START db key");
+    fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+    if (in_transaction) {
+      session.handle_line("QUERY a BEGIN");
+      fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
+      fixture.sessions.front()->output.write("DONE -\r\nREADY T -\r\n");
+      fixture.run_until([&] { return session.between_statements(); });
+    }
+    fixture.received.clear();
+    fixture.server->close_inactive_sessions(true);
+    session.handle_line("QUERY b WRITE 1 x");
+    fixture.run_until([&] { return fixture.finished; });
+    const std::string code = in_transaction ? "ABORTED" : "BUSY";
+    CHECK(fixture.received ==
+          "ERROR " + code + " the carrier of the session is stopping\r\nREADY I -\r\n");
+    CHECK(fixture.sessions.front()->lines.back() != "QUERY b WRITE 1 x");
+  }
+}
+
 // Planned stop of a carrier. Guards against a session that ends while its statement runs, or that
 // stays on the stopping carrier.
 TEST_CASE("idle sessions leave a stopping carrier")
