proxy: Answer every request that was read before its connection is closed

Found by asking where else a request that was read ends without an answer.

Cause: whatever ended a session with a statement in flight closed the caller's connection only: an unexpected error, too many messages sent ahead, a failed connection to the carrier, a carrier at the end of its grace period, and the end of the own grace period. A session that had not begun counted as idle, so a stop closed it without an answer to START.

Change: the caller's connection counts what it read and what was answered, and before it closes answers the rest: UNKNOWN, which promises nothing, or an ERROR to START if the session never began. Shortly before the grace period is over an instance gives up what is in flight, each statement with what is known: BUSY if it was not sent, ABORTED in a transaction whose connection is closed, TIMEOUT otherwise; carriers send these answers to the callers' instances.

Before: "a session that ends without an answer leaves an unknown outcome" (all three causes) and "a session that ends before it began is refused" failed; give up is new. After: all of test_ProxyNode, test_Proxy and test_Platform pass. The relay test keeps its check that the session itself adds nothing to a lost statement.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -339,17 +339,7 @@
     if (now < active_->expiry) {
       return;
     }
-    const bool sent = active_->step == execution_step::running;
-    close_connection();
-    if (!sent) {
-      fail_statement(statement_error::busy, "no member was free within the time limit");
-    } else if (active_->commits && transaction_ && !transaction_->wrote) {
-      fail_statement(statement_error::aborted, "the commit took longer than the time limit");
-    } else if (transaction_ && !active_->commits) {
-      fail_statement(statement_error::aborted, "the statement took longer than the time limit");
-    } else {
-      fail_statement(statement_error::timed_out, "the statement took longer than the time limit");
-    }
+    end_unfinished("the time limit was reached");
     return;
   }
   const auto limit = hooks_->configuration().configuration().transaction_idle_limit;
@@ -361,6 +351,31 @@
   }
 }
 
+void
+caller_session::give_up()
+{
+  if (active_) {
+    end_unfinished("this instance is stopping");
+  }
+}
+
+// Ends the statement in progress without its answer.
+void
+caller_session::end_unfinished(const std::string& reason)
+{
+  const bool sent = active_->step == execution_step::running;
+  close_connection();
+  if (!sent) {
+    fail_statement(statement_error::busy, reason + " before a member was free");
+  } else if (active_->commits && transaction_ && !transaction_->wrote) {
+    fail_statement(statement_error::aborted, reason + " during the commit");
+  } else if (transaction_ && !active_->commits) {
+    fail_statement(statement_error::aborted, reason + " during the statement");
+  } else {
+    fail_statement(statement_error::timed_out, reason + " during the statement");
+  }
+}
+
 void
 caller_session::disconnect()
 {
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -127,6 +127,9 @@
   // Enforces the time limits of the statement in progress and of an idle transaction.
   void tick(instant now);
 
+  // Ends the statement in progress with what is known about it.
+  void give_up();
+
   // The caller disconnected: rolls back the transaction and returns the connection. Sends no
   // further answers.
   void disconnect();
@@ -145,6 +148,7 @@
   void start_operation(const statement& request);
   void on_admission(std::optional<duration> refused_for);
   std::optional<std::string> refuse_access(const proxy_route*& route);
+  void end_unfinished(const std::string& reason);
   void select_target();
   void acquire();
   void connection_granted(std::shared_ptr<pooled_connection> connection);
--- a/Source/ProxyNode/caller_connection.cxx
+++ b/Source/ProxyNode/caller_connection.cxx
@@ -39,28 +39,34 @@
   std::weak_ptr<caller_connection> weak = weak_from_this();
   stream_->start({ [weak](std::string_view line) {
                     if (const auto self = weak.lock()) {
-                      self->handle_line(line);
+                      self->receive_line(line);
                     }
                   },
                    [weak](const std::string&) {
                      if (const auto self = weak.lock()) {
                        self->handle_closed();
                      }
-                   },
-                   [weak](std::string_view line, const std::string& what) {
-                     if (const auto self = weak.lock()) {
-                       self->handlers_.session_failed(line, what);
-                     }
                    } });
 }
 
 void
-caller_connection::handle_line(std::string_view line)
+caller_connection::receive_line(std::string_view line)
 {
   const auto self = shared_from_this();
-  if (closing_) {
-    return;
+  if (platform::ends_session(line)) {
+    ended_by_caller_ = true;
+  } else if (first_line_) {
+    ++unanswered_;
   }
+  if (const auto failure = guarded_call([&] { handle_line(line); })) {
+    handlers_.session_failed(line, *failure);
+    close();
+  }
+}
+
+void
+caller_connection::handle_line(std::string_view line)
+{
   if (session_) {
     // The copy stays valid if the session closes the connection during the call.
     const auto session = *session_;
@@ -87,7 +93,7 @@
   session_ = handlers_.begin_session(*first_line_,
                                      { [weak](std::string_view text) {
                                         if (const auto self = weak.lock()) {
-                                          self->stream_->write(text);
+                                          self->write(text);
                                         }
                                       },
                                        [weak] {
@@ -104,6 +110,22 @@
   }
 }
 
+void
+caller_connection::write(std::string_view text)
+{
+  if (closing_) {
+    return;
+  }
+  stream_->write(text);
+  const bool ready = platform::ends_with_ready(text);
+  if (!std::exchange(start_answered_, true)) {
+    // An error in place of READY refuses the session and all that the caller sent ahead.
+    refused_ = !ready;
+  } else if (ready && unanswered_ > 0) {
+    --unanswered_;
+  }
+}
+
 void
 caller_connection::tick(instant now)
 {
@@ -127,8 +149,8 @@
       close_if_inactive(false);
     }
   } else if (first_line_ && now - first_line_received_at_ > begin_timeout) {
-    stream_->write(platform::encode_error(statement_error::busy,
-                                          "the fleet has not assigned sessions to instances yet"));
+    write(platform::encode_error(statement_error::busy,
+                                 "the fleet has not assigned sessions to instances yet"));
     close();
   } else if (first_line_) {
     begin_session();
@@ -157,6 +179,44 @@
   }
 }
 
+void
+caller_connection::give_up()
+{
+  if (closing_ || closed_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (session_ && session_->give_up) {
+    const auto session = *session_;
+    if (const auto failure = guarded_call(session.give_up)) {
+      handlers_.session_failed({}, *failure);
+    }
+  }
+  close();
+}
+
+// A caller whose connection just ends cannot tell a request that was refused from one that ran.
+void
+caller_connection::answer_abandoned_requests()
+{
+  if (!first_line_ || refused_) {
+    return;
+  }
+  if (!start_answered_) {
+    write(platform::encode_error(statement_error::busy, "the session cannot begin here now"));
+    return;
+  }
+  const auto abandoned = unanswered_ + (ended_by_caller_ ? 0 : stream_->undelivered_lines());
+  if (abandoned > 0 && handlers_.requests_abandoned) {
+    handlers_.requests_abandoned(abandoned);
+  }
+  for (std::uint64_t i = 0; i < abandoned; ++i) {
+    write(platform::encode_error(statement_error::outcome_unknown,
+                                 "the session ended before the answer"));
+    write(platform::encode_ready(transaction_state::idle, std::nullopt));
+  }
+}
+
 void
 caller_connection::close()
 {
@@ -164,6 +224,7 @@
     return;
   }
   const auto self = shared_from_this();
+  answer_abandoned_requests();
   closing_ = true;
   if (session_) {
     const auto session = *session_;
--- a/Source/ProxyNode/caller_connection.h
+++ b/Source/ProxyNode/caller_connection.h
@@ -3,6 +3,7 @@
 #include "ProxyNode/line_stream.h"
 #include "ProxyNode/session_handle.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -26,6 +27,8 @@
     // An unexpected error ended the session while it handled this message of the caller. The
     // message is empty if the session's timer failed.
     std::function<void(std::string_view line, const std::string& what)> session_failed;
+    // The session ended before it answered this number of requests. Optional.
+    std::function<void(std::uint64_t unanswered)> requests_abandoned = {};
   };
 
   static std::shared_ptr<caller_connection> create(boost::asio::ip::tcp::socket socket,
@@ -40,15 +43,21 @@
   // The caller's first message; empty before it.
   std::string first_line() const { return first_line_.value_or(""); }
 
-  // Closes the connection after pending writes and disconnects the session.
+  // Disconnects the session and closes the connection after pending writes. Requests that the
+  // session did not answer are answered first: their outcome is unknown.
   void close();
   // Closes the connection if no statement is in flight, and no transaction is open unless
   // `include_transactions` is true. Requests that have arrived by now are handled instead.
   void close_if_inactive(bool include_transactions);
+  // Answers the statements in flight with what is known about them, and closes the connection.
+  void give_up();
 
 private:
   caller_connection(boost::asio::ip::tcp::socket socket, handlers callbacks);
+  void receive_line(std::string_view line);
   void handle_line(std::string_view line);
+  void write(std::string_view text);
+  void answer_abandoned_requests();
   bool inactive(bool include_transactions) const;
   void tick_session(instant now);
   void begin_session();
@@ -62,6 +71,14 @@
   instant first_line_received_at_{};
   // Messages received before the session began.
   std::deque<std::string> queued_lines_;
+  // True once the caller's first message was answered.
+  bool start_answered_ = false;
+  // True if that answer refused the session.
+  bool refused_ = false;
+  // True once the caller announced that it sends no further requests.
+  bool ended_by_caller_ = false;
+  // Requests after the first message that have no answer yet.
+  std::uint64_t unanswered_ = 0;
   bool closing_ = false;
   bool closed_ = false;
 };
--- a/Source/ProxyNode/line_stream.cxx
+++ b/Source/ProxyNode/line_stream.cxx
@@ -146,6 +146,17 @@
   }
 }
 
+std::size_t
+line_stream::undelivered_lines() const
+{
+  std::size_t count = 0;
+  for (auto end = receive_buffer_.find(line_end, delivered_); end != std::string::npos;
+       end = receive_buffer_.find(line_end, end + line_end.size())) {
+    ++count;
+  }
+  return count;
+}
+
 void
 line_stream::write(std::string_view text)
 {
--- a/Source/ProxyNode/line_stream.h
+++ b/Source/ProxyNode/line_stream.h
@@ -48,6 +48,8 @@
 
   boost::asio::ip::tcp::socket& socket() { return socket_; }
   bool is_open() const { return open_; }
+  // Number of whole lines that were read and will not be delivered, because the connection closes.
+  std::size_t undelivered_lines() const;
   // True if no data waits to be sent.
   bool flushed() const { return !write_in_flight_ && send_queue_.empty(); }
 
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -43,6 +43,8 @@
 constexpr duration transaction_drain_delay = std::chrono::milliseconds(500);
 // The process exits this long before the platform would kill it.
 constexpr duration exit_margin = std::chrono::milliseconds(400);
+// Time to send the answers of statements that are still in flight then.
+constexpr duration final_answers_time = std::chrono::milliseconds(200);
 
 }
 
@@ -306,6 +308,9 @@
           [this, weak_connection] { callers.erase(weak_connection->lock()); },
           [this](std::string_view line, const std::string& what) {
             log_session_failure(line, what);
+          },
+          [this](std::uint64_t unanswered) {
+            log.write("requests_abandoned", { { "count", std::to_string(unanswered) } });
           } });
       *weak_connection = connection;
       callers.insert(connection);
@@ -354,8 +359,8 @@
 }
 
 // Closes sessions that have no statement in flight, at first only those without an open
-// transaction. Ends the process when no session remains and all answers were sent, or when the
-// grace period is over.
+// transaction. Answers what is still in flight shortly before the grace period is over. Ends the
+// process when no session remains and all answers were sent, or when the grace period is over.
 void
 proxy_node::state::drain(instant now)
 {
@@ -364,11 +369,18 @@
     return;
   }
   const bool include_transactions = elapsed > settings.stop_grace / 2 + transaction_drain_delay;
+  const bool give_up = elapsed > settings.stop_grace - exit_margin - final_answers_time;
   const auto current = callers;
   for (const auto& caller : current) {
-    caller->close_if_inactive(include_transactions);
+    if (give_up) {
+      caller->give_up();
+    } else {
+      caller->close_if_inactive(include_transactions);
+    }
   }
-  if (include_transactions) {
+  if (give_up) {
+    relay_listener->give_up();
+  } else if (include_transactions) {
     relay_listener->close_inactive_sessions(true);
   }
   const bool finished =
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -134,7 +134,8 @@
            [driver](instant now) { driver->tick(now); },
            [driver] { return driver->idle(); },
            [driver] { return driver->between_statements(); },
-           [driver] { driver->disconnect(); } };
+           [driver] { driver->disconnect(); },
+           [driver] { driver->give_up(); } };
 }
 
 std::optional<session_handle>
--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -408,6 +408,7 @@
            [created] { return created->idle(); },
            [created] { return created->between_statements(); },
            [created] { created->disconnect(); },
+           {},
            [created](instant now) { return created->should_move(now); } };
 }
 
--- a/Source/ProxyNode/relay_server.cxx
+++ b/Source/ProxyNode/relay_server.cxx
@@ -85,6 +85,20 @@
     }
   }
 
+  void give_up()
+  {
+    for (const auto& number : session_numbers()) {
+      if (const auto found = sessions_.find(number); found != sessions_.end()) {
+        const auto session = found->second;
+        if (session.give_up) {
+          run_session(number, {}, session.give_up);
+        }
+        session.disconnect();
+        end_session(number, true);
+      }
+    }
+  }
+
   bool flushed() const { return stream_->flushed(); }
   std::size_t session_count() const { return sessions_.size(); }
 
@@ -307,6 +321,15 @@
   }
 }
 
+void
+relay_server::give_up()
+{
+  const auto current = peers_;
+  for (const auto& entry : current) {
+    entry->give_up();
+  }
+}
+
 bool
 relay_server::flushed() const
 {
--- a/Source/ProxyNode/relay_server.h
+++ b/Source/ProxyNode/relay_server.h
@@ -55,6 +55,8 @@
   // Ends sessions without a statement in flight. Sessions with an open transaction end only if
   // `include_transactions` is true.
   void close_inactive_sessions(bool include_transactions);
+  // Answers the statements in flight with what is known about them, and ends all sessions.
+  void give_up();
   // True if no data waits to be sent.
   bool flushed() const;
   std::size_t session_count() const;
--- a/Source/ProxyNode/session_driver.cxx
+++ b/Source/ProxyNode/session_driver.cxx
@@ -46,6 +46,7 @@
     return;
   }
   if (queued_lines_.size() >= queued_line_limit) {
+    give_up();
     finish();
     return;
   }
@@ -169,13 +170,34 @@
 bool
 session_driver::idle() const
 {
-  return !session_ || (between_statements() && session_->state() == transaction_state::idle);
+  return between_statements() && (!session_ || session_->state() == transaction_state::idle);
 }
 
 bool
 session_driver::between_statements() const
 {
-  return !session_ || (!session_->busy() && queued_lines_.empty());
+  return session_ ? !session_->busy() && queued_lines_.empty() : !first_line_;
+}
+
+void
+session_driver::give_up()
+{
+  if (closed_) {
+    return;
+  }
+  const auto self = self_.lock();
+  const auto waiting = std::exchange(queued_lines_, {});
+  if (!session_) {
+    if (first_line_) {
+      handlers_.write(platform::encode_error(statement_error::busy, "this instance is stopping"));
+    }
+    return;
+  }
+  session_->give_up();
+  for (std::size_t i = 0; i < waiting.size() && !closed_; ++i) {
+    handlers_.write(platform::encode_error(statement_error::busy, "this instance is stopping"));
+    handlers_.write(platform::encode_ready(session_->state(), std::nullopt));
+  }
 }
 
 void
--- a/Source/ProxyNode/session_driver.h
+++ b/Source/ProxyNode/session_driver.h
@@ -44,6 +44,9 @@
   // True if no statement is in flight.
   bool between_statements() const;
 
+  // Answers the statement in flight with what is known about it, and refuses those that wait.
+  void give_up();
+
   // The caller disconnected or the session is closed here: releases what the session holds.
   void disconnect();
 
--- a/Source/ProxyNode/session_handle.h
+++ b/Source/ProxyNode/session_handle.h
@@ -21,6 +21,8 @@
   std::function<bool()> between_statements;
   // The caller disconnected or the session is closed here: releases what the session holds.
   std::function<void()> disconnect;
+  // Answers the statements in flight at once, with what is known about them. Optional.
+  std::function<void()> give_up = {};
   // True if the session should run elsewhere: once idle, its caller should reconnect. Optional.
   std::function<bool(instant now)> should_move = {};
 };
--- a/Tests/Proxy/session_test.cxx
+++ b/Tests/Proxy/session_test.cxx
@@ -310,6 +310,43 @@
   CHECK(bench.closed.size() == 1);
 }
 
+// Guards against requests without an answer at the end of a planned stop, and against promises
+// about statements that may have run.
+TEST_CASE("a session that is given up answers with what is known")
+{
+  session_bench waiting("writes");
+  waiting.current_primary.reset();
+  waiting.submit(statement_kind::write, "WRITE a x");
+  waiting.session->give_up();
+  REQUIRE(waiting.answers.size() == 1);
+  CHECK(waiting.answers.back().error == statement_error::busy);
+
+  session_bench running("writes");
+  running.submit(statement_kind::write, "WRITE a x");
+  running.session->give_up();
+  REQUIRE(running.answers.size() == 1);
+  CHECK(running.answers.back().error == statement_error::timed_out);
+  CHECK(running.answers.back().state == transaction_state::idle);
+
+  session_bench in_transaction("writes");
+  begin_and_write(in_transaction);
+  in_transaction.submit(statement_kind::write, "WRITE b y");
+  in_transaction.session->give_up();
+  CHECK(in_transaction.answers.back().error == statement_error::aborted);
+  CHECK(in_transaction.closed.size() == 1);
+
+  session_bench committing("writes");
+  begin_and_write(committing);
+  committing.submit(statement_kind::commit, "COMMIT");
+  committing.session->give_up();
+  CHECK(committing.answers.back().error == statement_error::timed_out);
+
+  // Without a statement in progress there is nothing to answer.
+  session_bench idle("writes");
+  idle.session->give_up();
+  CHECK(idle.answers.empty());
+}
+
 // Guards against connections that stay in use when a caller disconnects during a transaction.
 TEST_CASE("a caller that disconnects returns its connection")
 {
--- a/Tests/ProxyNode/caller_connection_test.cxx
+++ b/Tests/ProxyNode/caller_connection_test.cxx
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "ProxyNode/caller_connection.h"
+#include "ProxyNode/session_driver.h"
 #include "socket_pair.h"
 
 #include <boost/asio/post.hpp>
@@ -10,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
@@ -175,3 +177,87 @@
   CHECK(text.size() == std::string("READY I -\r\n").size() + rows.size() + done_answer.size());
   CHECK(text.ends_with(done_answer));
 }
+
+// Guards against requests without an answer: whatever ends a session, its caller is told that the
+// outcome of what it asked is unknown.
+TEST_CASE("a session that ends without an answer leaves an unknown outcome")
+{
+  const std::string unknown = "ERROR UNKNOWN the session ended before the answer\r\nREADY I -\r\n";
+  for (const std::string cause : { "finished", "threw", "closed" }) {
+    CAPTURE(cause);
+    caller_bench bench;
+    bench.on_statement = [&](std::string_view) {
+      if (cause == "threw") {
+        throw std::length_error("too long");
+      }
+      if (cause == "finished") {
+        bench.output.finish();
+      }
+    };
+    // The second request is read together with the first.
+    bench.send("START d k\r\nQUERY 1 WRITE a b\r\nQUERY 2 READ a\r\n");
+    bench.run();
+    if (cause == "closed") {
+      bench.connection->close();
+      bench.run();
+    }
+    CHECK(bench.closed);
+    CHECK(bench.failed == (cause == "threw"));
+    CHECK(bench.received() == "READY I -\r\n" + unknown + unknown);
+  }
+}
+
+// Guards against the same before the session began: nothing ran.
+TEST_CASE("a session that ends before it began is refused")
+{
+  caller_bench bench;
+  bench.answers_start = false;
+  bench.send("START d k\r\nQUERY 1 READ a\r\n");
+  bench.run();
+  bench.connection->close();
+  bench.run();
+  CHECK(bench.received() == "ERROR BUSY the session cannot begin here now\r\n");
+}
+
+// Guards against answers to nothing after a caller ended its session or was refused.
+TEST_CASE("a caller that ended its session gets no further messages")
+{
+  for (const bool refused : { false, true }) {
+    CAPTURE(refused);
+    caller_bench bench;
+    bench.answers_start = !refused;
+    bench.on_statement = [&](std::string_view line) {
+      --bench.in_flight;
+      if (line == "BYE") {
+        bench.output.finish();
+      }
+    };
+    bench.send(refused ? "START d k\r\n" : "START d k\r\nBYE\r\n");
+    bench.run();
+    if (refused) {
+      bench.output.write("ERROR NOAUTH no\r\n");
+      bench.output.finish();
+      bench.run();
+    }
+    CHECK(bench.closed);
+    CHECK(bench.received() == (refused ? "ERROR NOAUTH no\r\n" : "READY I -\r\n"));
+  }
+}
+
+// Guards against a caller without an answer if the instance stops before it can begin the session.
+TEST_CASE("a session that waits for a configuration is refused when it is given up")
+{
+  std::string written;
+  const auto driver = session_driver::create({ [] { return session_hooks(); },
+                                               [] { return false; },
+                                               [] { return false; },
+                                               [&](std::string_view text) { written += text; },
+                                               [] {},
+                                               [](const statement_answer&, duration) {} });
+  CHECK(driver->idle());
+  driver->handle_line("START d k");
+  CHECK_FALSE(driver->idle());
+  CHECK_FALSE(driver->between_statements());
+  driver->give_up();
+  CHECK(written == "ERROR BUSY this instance is stopping\r\n");
+}
--- a/Tests/ProxyNode/relay_test.cxx
+++ b/Tests/ProxyNode/relay_test.cxx
@@ -92,7 +92,8 @@
              [](instant) {},
              [] { return true; },
              [] { return true; },
-             [created] { created->disconnected = true; } };
+             [created] { created->disconnected = true; },
+             [created] { created->output.write("ERROR TIMEOUT stopping\r\nREADY I -\r\n"); } };
   }
 
   session_handle open(const std::string& first_line)
@@ -214,9 +215,10 @@
   CHECK_FALSE(fixture.finished);
 }
 
-// The carrier is killed while a statement is in flight. Guards against any answer to the caller
-// other than the end of its connection, since the statement may have run.
-TEST_CASE("the caller's connection closes when its carrier fails during a statement")
+// The carrier is killed while a statement is in flight. Guards against any answer of the session to
+// the caller, since the statement may have run: the caller's connection adds that the outcome is
+// unknown.
+TEST_CASE("the session ends when its carrier fails during a statement")
 {
   relay_fixture fixture;
   const auto session = fixture.open("START db key");
@@ -255,6 +257,23 @@
   }
 }
 
+// Planned stop of a carrier. Guards against statements without an answer at the end of the grace
+// period.
+TEST_CASE("a carrier answers what is in flight before it ends")
+{
+  relay_fixture fixture;
+  const auto session = fixture.open("START db key");
+  fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+  fixture.received.clear();
+  session.handle_line("QUERY a READ 1");
+  fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
+  fixture.server->give_up();
+  CHECK(fixture.server->session_count() == 0);
+  fixture.run_until([&] { return fixture.finished; });
+  CHECK(fixture.received == "ERROR TIMEOUT stopping\r\nREADY I -\r\n");
+  CHECK(fixture.server->flushed());
+}
+
 // Planned stop of a carrier. Guards against a session that ends while its statement runs, or that
 // stays on the stopping carrier.
 TEST_CASE("idle sessions leave a stopping carrier")
