proxy: Pass on answers of carriers as a whole

The answer of unknown outcome that adds when a carrier fails stood behind the part of an answer that had already been passed on.

Cause: the instance in front of a carrier wrote each line of an answer as it came.

Change: the lines of an answer are kept until READY and written at once. If the carrier fails before, the caller gets one answer, that the outcome is unknown. A BYE is not counted as a statement, so a stopping carrier that did not receive it causes no answer.

--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -56,8 +56,10 @@
       queued_lines_.emplace_back(line);
       return;
     }
-    ++unanswered_;
-    last_line_ = std::string(line);
+    if (!platform::ends_session(line)) {
+      ++unanswered_;
+      last_line_ = std::string(line);
+    }
     connection_->send(stream_, line);
   }
 
@@ -147,15 +149,21 @@
       return;
     }
     const auto message = platform::parse_member_message(line);
-    if (message && message.value().kind == platform::member_message::message_kind::ready) {
+    const bool complete =
+      message && message.value().kind == platform::member_message::message_kind::ready;
+    if (complete) {
       state_ = message.value().state;
       if (ready_) {
         unanswered_ -= unanswered_ > 0 ? 1 : 0;
       }
     }
-    std::string text(line);
-    text += "\r\n";
-    output_.write(text);
+    answer_ += line;
+    answer_ += "\r\n";
+    // An answer is passed on as a whole. If the carrier fails before its end, the caller gets
+    // another one in its place. An error in place of the first READY is complete.
+    if (complete || !ready_) {
+      output_.write(std::exchange(answer_, {}));
+    }
     if (message && !std::exchange(ready_, true)) {
       for (auto& queued : std::exchange(queued_lines_, {})) {
         handle_line(queued);
@@ -238,6 +246,8 @@
   // True once the carrier answered the first message.
   bool ready_ = false;
   std::uint64_t unanswered_ = 0;
+  // Part of the present answer that has arrived.
+  std::string answer_;
   // Most recent statement, for the log.
   std::string last_line_;
   transaction_state state_ = transaction_state::idle;
--- a/Tests/ProxyNode/relay_test.cxx
+++ b/Tests/ProxyNode/relay_test.cxx
@@ -231,6 +231,24 @@
   CHECK_FALSE(fixture.router->can_begin_sessions());
 }
 
+// The carrier is killed while it sends an answer. Guards against a part of an answer that is
+// followed by another answer to the same statement.
+TEST_CASE("a part of an answer is not passed on")
+{
+  relay_fixture fixture;
+  const auto session = fixture.open("START db key");
+  fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+  fixture.received.clear();
+  session.handle_line("QUERY a READ 1");
+  fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
+  fixture.sessions.front()->output.write("ROW x\r\nDONE s\r\n");
+  fixture.context.run_for(std::chrono::milliseconds(50));
+  fixture.context.restart();
+  fixture.server.reset();
+  fixture.run_until([&] { return fixture.finished; });
+  CHECK(fixture.received.empty());
+}
+
 // Planned stop of a carrier. Guards against statements without an answer: one was on its way to the
 // carrier when that ended the session between two statements.
 TEST_CASE("a statement that a stopping carrier did not receive is refused as not run")
@@ -257,6 +275,19 @@
   }
 }
 
+// Planned stop of a carrier. Guards against an answer to nothing: the caller ended its session.
+TEST_CASE("the end of a session that a stopping carrier did not receive has no answer")
+{
+  relay_fixture fixture;
+  const auto session = fixture.open("START db key");
+  fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+  fixture.received.clear();
+  fixture.server->close_inactive_sessions(true);
+  session.handle_line("BYE");
+  fixture.run_until([&] { return fixture.finished; });
+  CHECK(fixture.received.empty());
+}
+
 // Planned stop of a carrier. Guards against statements without an answer at the end of the grace
 // period.
 TEST_CASE("a carrier answers what is in flight before it ends")
