--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -45,11 +45,7 @@
            { "start_fence", [this] { start_fence(); } },
            { "choose", [this] { query_candidates(); } },
            { "choose_later", [this] { retry_choice(); } },
-           { "publish_later",
-             [this] {
-               retry_pending_ = true;
-               retry_at_ = hooks_.now() + retry_pause;
-             } },
+           { "publish_later", [this] { retry_later(); } },
            { "exclude", [this] { excluded_members_.insert(*chosen_); } },
            { "promote", [this] { promote(); } },
            { "confirm",
@@ -143,13 +139,19 @@
   }
 }
 
+void
+failover::retry_later()
+{
+  retry_pending_ = true;
+  retry_at_ = hooks_.now() + retry_pause;
+}
+
 // Compares the members again after a pause. With synchronous replicas the old primary, which has
 // every commit, may return before the members that are waited for.
 void
 failover::retry_choice()
 {
-  retry_pending_ = true;
-  retry_at_ = hooks_.now() + retry_pause;
+  retry_later();
   if (sync_replicas_ > 0 && !final_position_ && !step_down_pending_) {
     demote_primary();
   }
@@ -246,8 +248,7 @@
 failover::promote()
 {
   if (!hooks_.may_promote()) {
-    retry_pending_ = true;
-    retry_at_ = hooks_.now() + retry_pause;
+    retry_later();
     return;
   }
   hooks_.log(group_, "promote", chosen_->get());
@@ -293,8 +294,7 @@
         handle_event("not_leading");
         return;
       }
-      retry_pending_ = true;
-      retry_at_ = hooks_.now() + retry_pause;
+      retry_later();
     });
 }
 
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -89,6 +89,8 @@
   void begin_replacement(const group_record& record);
   void demote_primary();
   void step_down_failed();
+  // Repeats the step of the present state after a pause.
+  void retry_later();
   void retry_choice();
   void end_replacement();
   void start_fence();
--- a/Tests/ProxyNode/relay_test.cxx
+++ b/Tests/ProxyNode/relay_test.cxx
@@ -104,6 +104,14 @@
     return session;
   }
 
+  // Opens a session and waits for its READY.
+  session_handle open_ready()
+  {
+    const auto session = open("START db key");
+    run_until([&] { return session.idle() && !received.empty(); });
+    return session;
+  }
+
   template<typename condition>
   void run_until(condition reached)
   {
@@ -221,8 +229,7 @@
 TEST_CASE("the session ends when its carrier fails during a statement")
 {
   relay_fixture fixture;
-  const auto session = fixture.open("START db key");
-  fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+  const auto session = fixture.open_ready();
   session.handle_line("QUERY a WRITE 1 x");
   fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
   fixture.server.reset();
@@ -236,8 +243,7 @@
 TEST_CASE("a part of an answer is not passed on")
 {
   relay_fixture fixture;
-  const auto session = fixture.open("START db key");
-  fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+  const auto session = fixture.open_ready();
   fixture.received.clear();
   session.handle_line("QUERY a READ 1");
   fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
@@ -256,8 +262,7 @@
   for (const bool in_transaction : { false, true }) {
     CAPTURE(in_transaction);
     relay_fixture fixture;
-    const auto session = fixture.open("START db key");
-    fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+    const auto session = fixture.open_ready();
     if (in_transaction) {
       session.handle_line("QUERY a BEGIN");
       fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
@@ -279,8 +284,7 @@
 TEST_CASE("the end of a session that a stopping carrier did not receive has no answer")
 {
   relay_fixture fixture;
-  const auto session = fixture.open("START db key");
-  fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+  const auto session = fixture.open_ready();
   fixture.received.clear();
   fixture.server->close_inactive_sessions(true);
   session.handle_line("BYE");
@@ -293,8 +297,7 @@
 TEST_CASE("a carrier answers what is in flight before it ends")
 {
   relay_fixture fixture;
-  const auto session = fixture.open("START db key");
-  fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+  const auto session = fixture.open_ready();
   fixture.received.clear();
   session.handle_line("QUERY a READ 1");
   fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
@@ -310,8 +313,7 @@
 TEST_CASE("idle sessions leave a stopping carrier")
 {
   relay_fixture fixture;
-  const auto session = fixture.open("START db key");
-  fixture.run_until([&] { return session.idle() && !fixture.received.empty(); });
+  const auto session = fixture.open_ready();
   session.handle_line("QUERY a READ 1");
   fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
   fixture.server->announce_leaving();
