Proxy: Decide about a coordinator's views in a class without network

Which view counts, what of it is used and how reports are dated stood in the middle of fleet_participant, which needs a socket and a clock, so no test could step it. The class coordinator_follower holds these decisions now, unchanged.

--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -136,6 +136,7 @@
       claim_delay(settings.name),
       { [this](const coordinator_row& row, std::uint64_t expected) { write_lease(row, expected); },
         [this](bool holding, const std::string& reason) { handle_lease_change(holding, reason); } })
+  , follower_(incarnation_)
 {
 }
 
@@ -256,7 +257,7 @@
   report.grant_number = limiter_.grant_number();
   report.waiting = hooks_.waiting();
   report.used = limiter_.usage_for_report(report.waiting, report.clock);
-  report.view_age = now - last_echo_clock_;
+  report.view_age = now - follower_.last_echo_clock();
   token_request_pacer_.sent(now);
 }
 
@@ -283,8 +284,8 @@
   report.instance = settings_.name;
   report.incarnation = incarnation_;
   report.clock = now;
-  report.token = coordinator_token_;
-  report.view_number = view_number_;
+  report.token = follower_.token();
+  report.view_number = follower_.view_number();
   report.tokens_only = true;
   add_token_usage(report, now);
   if (coordinator_) {
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -3,6 +3,7 @@
 #include "Net/http_server.h"
 #include "Proxy/carriers.h"
 #include "Proxy/coordinator.h"
+#include "Proxy/coordinator_follower.h"
 #include "Proxy/coordinator_lease.h"
 #include "Proxy/fleet_state.h"
 #include "Proxy/position_history.h"
@@ -166,18 +167,11 @@
   bool fleet_table_read_ = false;
   bool outstanding_shares_known_ = false;
   std::string coordinator_address_;
-  fencing_token coordinator_token_;
+  coordinator_follower follower_;
   // Token of the coordinator that another instance announced most recently.
   fencing_token announced_token_;
-  // Token of the newest coordinator row that was read. Views with a lower token are ignored.
-  fencing_token min_token_;
-  std::uint64_t view_number_ = 0;
   instant last_view_at_{};
   store_contact_tracker store_contact_;
-  std::optional<instant> view_clock_;
-  instant view_received_at_{};
-  // Clock of the report that the newest view answers.
-  instant last_echo_clock_{};
   token_request_pacer token_request_pacer_;
   bool token_request_posted_ = false;
   instant last_report_at_{};
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -30,12 +30,11 @@
   report.capacity = settings_.capacity;
   report.plan_version = plan_.version;
   report.clock = now;
-  report.token = coordinator_token_;
-  report.view_number = view_number_;
+  follower_.date_report(report, now);
   report.leaving = leaving_;
   report.plan_only = !runs_sessions();
   const bool view_is_recent =
-    now - last_echo_clock_ < view_timeout && !coordinator_address_.empty();
+    now - follower_.last_echo_clock() < view_timeout && !coordinator_address_.empty();
   report.needs_relay =
     report.plan_only ? now - last_view_at_ >= plan_report_period * 2 : !view_is_recent;
   if (report.plan_only) {
@@ -65,8 +64,6 @@
     entry.failing_for = store_contact_.attributable_failure(entry.failing_for, now);
   }
   add_token_usage(report, now);
-  report.view_clock = view_clock_;
-  report.view_held_for = now - view_received_at_;
   if (coordinator_) {
     coordinator_->handle_report(report);
     return;
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -195,8 +195,8 @@
     register_self(now);
   }
   lease_.observe(holder, holder_revision, confirmed_at, now);
-  if (holder && holder->token > min_token_) {
-    min_token_ = holder->token;
+  if (holder && holder->token > follower_.min_token()) {
+    follower_.raise_min_token(holder->token);
     if (coordinator_ && holder->holder != settings_.name) {
       retire_coordinator(now);
     }
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -10,15 +10,14 @@
 void
 fleet_participant::apply_view(const fleet_view& view)
 {
+  using view_use = coordinator_follower::view_use;
   const auto now = boot_now();
-  if (view.incarnation != incarnation_ || view.token < std::max(coordinator_token_, min_token_) ||
-      view.echo_clock > now) {
+  const auto previous_token = follower_.token();
+  const auto use = follower_.accept(view, now);
+  if (use == view_use::none) {
     return;
   }
-  if (view.token == coordinator_token_ && view.view_number <= view_number_) {
-    return;
-  }
-  if (view.token > coordinator_token_) {
+  if (view.token > previous_token) {
     if (coordinator_ && view.holder != settings_.name) {
       retire_coordinator(now);
     }
@@ -27,18 +26,14 @@
     limiter_.coordinator_changed(now);
     hooks_.coordinator_changed(view.token.get(), view.address);
   }
-  if (view.tokens_only && view.token == coordinator_token_) {
-    view_number_ = view.view_number;
-    last_echo_clock_ = std::max(last_echo_clock_, view.echo_clock);
+  if (use == view_use::tokens) {
     apply_tokens(view, now);
     return;
   }
-  coordinator_token_ = view.token;
-  view_number_ = view.view_number;
   if (view.plan) {
     update_plan(*view.plan, "coordinator");
   }
-  if (view.plan_only) {
+  if (use == view_use::plan) {
     apply_plan_view(view, now);
     return;
   }
@@ -47,10 +42,7 @@
     last_view_at_ = now;
     store_contact_.record_contact(now);
   }
-  view_clock_ = view.clock;
-  view_received_at_ = now;
   lease_.observe_revision(view.lease_revision, now);
-  last_echo_clock_ = std::max(last_echo_clock_, view.echo_clock);
   live_instances_ = view.instances;
   const auto confirmed_at = [&](const std::optional<duration>& age) {
     return view.echo_clock - *age;
@@ -107,7 +99,7 @@
 void
 fleet_participant::update_coordinator(fencing_token token, const std::string& address)
 {
-  if (coordinator_ || token <= std::max({ coordinator_token_, min_token_, announced_token_ })) {
+  if (coordinator_ || token <= std::max(follower_.newest_token(), announced_token_)) {
     return;
   }
   announced_token_ = token;
@@ -119,7 +111,6 @@
 fleet_participant::apply_plan_view(const fleet_view& view, instant now)
 {
   last_view_at_ = now;
-  last_echo_clock_ = std::max(last_echo_clock_, view.echo_clock);
   lease_.observe_revision(view.lease_revision, now);
   live_instances_ = view.instances;
   coordinator_address_ = view.address;
