Proxy, ProxyNode: Log which evidence a bounded read rests on

The users saw a stale read of which no log line could tell the cause: nothing said which position it carried, how old the evidence was believed to be, which member and instance it came from, and who was held for the primary.

Positions now carry the member that answered and the instance that observed it, also in reports and views. Once a second a read_position line names, for each group that was read, the lowest position in use, its believed age, its source, the primary and the revision; impossible_position names evidence that is dated after the present (still used, as before); positions_total counts them by origin and outcome.

No decision changes.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -82,7 +82,8 @@
                 active_->request.id,
                 std::string(name_of(error)) + ": " + text + "; group " + active_->route.group +
                   ", workspace " + workspace_.get() + ", after " + std::to_string(waited.count()) +
-                  " ms, attempts " + std::to_string(active_->attempts + 1));
+                  " ms, attempts " + std::to_string(active_->attempts + 1) + ", " +
+                  describe_position());
     if (active_->pool_request) {
       hooks_->cancel(*active_->pool_request);
     }
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -4,6 +4,7 @@
 #include "Proxy/connection_pool.h"
 #include "Proxy/fleet_configuration.h"
 #include "Proxy/member_command.h"
+#include "Proxy/position_history.h"
 #include "Proxy/statement.h"
 
 #include <cstdint>
@@ -51,7 +52,7 @@
   // primary.
   std::function<bool(const std::string& group, const member_id& member)> commit_is_valid;
   // Minimum log position for a read that is at most `bound` stale; empty if none is known.
-  std::function<std::optional<log_point>(const std::string& group, duration bound)>
+  std::function<std::optional<timed_position>(const std::string& group, duration bound)>
     position_for_staleness;
   // Reports whether a member lagged behind the position that a read needed.
   std::function<void(const member_id&, bool lagging)> observe_lag;
@@ -102,6 +103,8 @@
   instant expiry{};
   bool needs_primary = false;
   std::optional<log_point> min_position;
+  // Observation that the position was chosen from.
+  std::optional<timed_position> evidence;
   std::optional<member_id> excluded_member;
   std::uint32_t attempts = 0;
   std::optional<request_number> pool_request;
@@ -164,6 +167,7 @@
   void reply_lost();
   void finish(const member_reply& reply);
   void log_if_late(const member_reply& reply) const;
+  std::string describe_position() const;
   void release_connection(duration elapsed);
   void close_connection();
   void roll_back_connection();
--- a/Source/Proxy/caller_session_answers.cxx
+++ b/Source/Proxy/caller_session_answers.cxx
@@ -44,7 +44,9 @@
     return false;
   }
   ++active_->attempts;
-  hooks_->log("not_run_by_member", active_->request.id, connection_->member.get());
+  hooks_->log("not_run_by_member",
+              active_->request.id,
+              connection_->member.get() + ", " + describe_position());
   if (error == statement_error::unknown_statement) {
     connection_->prepared.clear();
   }
@@ -99,6 +101,16 @@
                  "the member's answer was lost");
 }
 
+// What a read at a replica was chosen by, for the lines about its request.
+std::string
+caller_session::describe_position() const
+{
+  if (!active_->evidence) {
+    return "no position";
+  }
+  return describe(*active_->evidence, hooks_->now());
+}
+
 // Logs where the time was spent if a statement exceeded the target latency of the whole operation.
 void
 caller_session::log_if_late(const member_reply& reply) const
@@ -115,7 +127,7 @@
                 text(active_->admitted_at, active_->granted_at) + " ms, preparation " +
                 text(active_->granted_at, reply.sent) + " ms, member " +
                 text(reply.sent, reply.received) + " ms, member " + connection_->member.get() +
-                ", attempts " + std::to_string(active_->attempts + 1));
+                ", attempts " + std::to_string(active_->attempts + 1) + ", " + describe_position());
 }
 
 void
@@ -143,8 +155,9 @@
     }
   }
   if (result.error) {
-    hooks_->log(
-      "member_error", active_->request.id, connection_->member.get() + " " + result.error_text);
+    hooks_->log("member_error",
+                active_->request.id,
+                connection_->member.get() + " " + result.error_text + ", " + describe_position());
   }
   const auto elapsed = std::chrono::duration_cast<duration>(reply.received - reply.sent);
   if (!transaction_) {
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -24,19 +24,21 @@
 {
   const auto& route = active_->route;
   active_->min_position.reset();
+  active_->evidence.reset();
   active_->needs_primary = true;
   const bool may_write = transaction_ ? !transaction_->read_only : active_->writes;
   if (may_write || route.kind == consistency::primary) {
     return;
   }
-  auto position = hooks_->position_for_staleness(route.group, route.max_staleness);
-  if (!position) {
+  active_->evidence = hooks_->position_for_staleness(route.group, route.max_staleness);
+  if (!active_->evidence) {
     return;
   }
+  auto position = active_->evidence->position;
   if (route.kind == consistency::read_your_writes) {
     const auto own = session_commits_.find(route.group);
     if (own != session_commits_.end()) {
-      position = std::max(*position, own->second);
+      position = std::max(position, own->second);
     }
   }
   active_->needs_primary = false;
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -66,13 +66,16 @@
   fence_.set_registered_instances(instances, hooks_.now());
 }
 
-void
+observation_outcome
 coordinator::record_position(const std::string& group, const timed_position& position)
 {
   const auto found = positions_.find(group);
-  if (found == positions_.end() || found->second.observed_at < position.observed_at) {
-    positions_[group] = position;
+  if (found != positions_.end() && position.observed_at <= found->second.observed_at) {
+    return observation_outcome::outdated;
   }
+  positions_[group] = position;
+  return position.observed_at > hooks_.now() ? observation_outcome::impossible
+                                             : observation_outcome::taken;
 }
 
 void
@@ -133,8 +136,10 @@
   for (const auto& [group, position] : report.positions) {
     const auto primary = fleet_state_.primary_of(group, now);
     if (primary && primary->usable) {
-      record_position(
-        group, { position.position, earliest_creation - (report.clock - position.observed_at) });
+      const timed_position observed{ position.position,
+                                     earliest_creation - (report.clock - position.observed_at),
+                                     position.source };
+      hooks_.position_reported(group, observed, record_position(group, observed));
     }
   }
 }
@@ -216,11 +221,11 @@
   }
   for (const auto& group : fleet_state_.configuration().configuration().groups) {
     if (const auto newest = own_positions_.newest(group.name)) {
-      record_position(group.name, { newest->position, newest->sent });
+      record_position(group.name, *newest);
     }
   }
   for (const auto& [group, position] : positions_) {
-    view.positions[group] = { position.position, now - position.observed_at };
+    view.positions[group] = { position.position, now - position.observed_at, position.source };
   }
   view.instances = live_instances();
   const auto registered = registered_.find(instance);
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -31,6 +31,9 @@
     // True while the lease is valid; rate shares are granted only then.
     std::function<bool()> holds_lease;
     std::function<std::uint64_t()> lease_revision;
+    // Reports what became of a position in a report.
+    std::function<void(const std::string& group, const timed_position&, observation_outcome)>
+      position_reported;
     // The carrier plan in the store, and the request to replace it.
     std::function<const carrier_plan&()> plan;
     std::function<void(const carrier_plan&)> record_plan;
@@ -94,7 +97,7 @@
   void allocate_tokens(const instance_report& report, fleet_view& view);
   void grant_tokens(const instance_report& report, fleet_view& view);
   void check_groups(bool list_is_reliable);
-  void record_position(const std::string& group, const timed_position& position);
+  observation_outcome record_position(const std::string& group, const timed_position& position);
 
   instance_id own_;
   std::string address_;
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -2,6 +2,7 @@
 
 #include "Proxy/carriers.h"
 #include "Proxy/fleet_state.h"
+#include "Proxy/position_history.h"
 
 #include <cstdint>
 #include <map>
@@ -19,11 +20,12 @@
 // Identifies one holder of the coordinator lease; increases with each new holder.
 using fencing_token = strong<struct fencing_token_tag, std::uint64_t>;
 
-// A position that the group's primary had at `observed_at`.
-struct timed_position
+// An observed position with its age instead of its time, for a receiver with another clock.
+struct aged_position
 {
   log_point position;
-  instant observed_at{};
+  duration age{};
+  position_source source;
 };
 
 // How long every attempt to reach a member has failed; zero if the member answers.
@@ -125,8 +127,8 @@
   // True if the view answers a report that only requested tokens.
   bool tokens_only = false;
   token_grant grant;
-  // Positions with their ages instead of times.
-  std::map<std::string, std::pair<log_point, duration>> positions;
+  // Positions by group.
+  std::map<std::string, aged_position> positions;
   std::uint32_t instances = 0;
   bool registered = false;
   bool released = false;
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -109,6 +109,25 @@
   return member;
 }
 
+position_source
+read_source(const fleet_wire::group_position& from)
+{
+  return { member_id(from.member()), instance_id(from.observer()) };
+}
+
+void
+write_position(const std::string& group,
+               const aged_position& position,
+               fleet_wire::group_position& to)
+{
+  to.set_group(group);
+  to.set_term(position.position.in_term.get());
+  to.set_number(position.position.position.get());
+  to.set_age_us(to_us(position.age));
+  to.set_member(position.source.member.get());
+  to.set_observer(position.source.observer.get());
+}
+
 instance_report
 read_report(const fleet_wire::instance_report& from)
 {
@@ -133,7 +152,8 @@
   }
   for (const auto& entry : from.positions()) {
     report.positions[entry.group()] = { { term(entry.term()), log_position(entry.number()) },
-                                        report.clock - from_us(entry.age_us()) };
+                                        report.clock - from_us(entry.age_us()),
+                                        read_source(entry) };
   }
   for (const auto& entry : from.sights()) {
     report.reachability.push_back({ member_id(entry.member()), from_us(entry.failing_us()) });
@@ -191,7 +211,8 @@
   }
   for (const auto& entry : from.positions()) {
     view.positions[entry.group()] = { { term(entry.term()), log_position(entry.number()) },
-                                      from_us(entry.age_us()) };
+                                      from_us(entry.age_us()),
+                                      read_source(entry) };
   }
   view.grant.number = from.grant();
   view.grant.requested_at = instant(from_us(from.grant_clock_us()));
@@ -257,11 +278,9 @@
     entry->set_per_second(static_cast<float>(demand));
   }
   for (const auto& [group, position] : report.positions) {
-    auto* entry = to.add_positions();
-    entry->set_group(group);
-    entry->set_term(position.position.in_term.get());
-    entry->set_number(position.position.position.get());
-    entry->set_age_us(to_us(report.clock - position.observed_at));
+    write_position(group,
+                   { position.position, report.clock - position.observed_at, position.source },
+                   *to.add_positions());
   }
   for (const auto& member : report.reachability) {
     auto* entry = to.add_sights();
@@ -328,11 +347,7 @@
     add_shares(*view.shares, to);
   }
   for (const auto& [group, position] : view.positions) {
-    auto* entry = to.add_positions();
-    entry->set_group(group);
-    entry->set_term(position.first.in_term.get());
-    entry->set_number(position.first.position.get());
-    entry->set_age_us(to_us(position.second));
+    write_position(group, position, *to.add_positions());
   }
   to.set_grant(view.grant.number);
   to.set_grant_clock_us(to_us(view.grant.requested_at));
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -26,6 +26,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace persimmonshelf {
@@ -61,6 +62,13 @@
     // Returns true while sessions run here, even if the carrier plan no longer includes this
     // instance.
     std::function<bool()> has_sessions;
+    // Called with each position that a view or, at the coordinator, a report contained. `origin` is
+    // "view" or "report".
+    std::function<void(std::string_view origin,
+                       const std::string& group,
+                       const timed_position&,
+                       observation_outcome)>
+      position_observed;
   };
 
   fleet_participant(boost::asio::io_context& context,
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -56,7 +56,7 @@
   report.demands = limiter_.demands(now);
   for (const auto& group : fleet_state_.configuration().configuration().groups) {
     if (const auto newest = positions_.newest(group.name)) {
-      report.positions[group.name] = { newest->position, newest->sent };
+      report.positions[group.name] = *newest;
     }
   }
   report.reachability = hooks_.reachability();
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -74,7 +74,10 @@
   for (const auto& [group, position] : view.positions) {
     const auto primary = fleet_state_.primary_of(group, now);
     if (primary && primary->usable) {
-      positions_.observe(group, position.first, view.echo_clock - position.second);
+      const timed_position observed{ position.position,
+                                     view.echo_clock - position.age,
+                                     position.source };
+      hooks_.position_observed("view", group, observed, positions_.observe(group, observed, now));
     }
   }
   if (groups_before != fleet_state_.groups()) {
--- a/Source/ProxyNode/node_metrics.cxx
+++ b/Source/ProxyNode/node_metrics.cxx
@@ -34,6 +34,7 @@
   prometheus::Registry registry;
   prometheus::Family<prometheus::Histogram>* answers = nullptr;
   prometheus::Family<prometheus::Counter>* log_events = nullptr;
+  prometheus::Family<prometheus::Counter>* positions = nullptr;
   prometheus::Family<prometheus::Gauge>* gauges = nullptr;
   std::function<sample()> read;
   std::unique_ptr<http_server> server;
@@ -66,6 +67,10 @@
                          .Name("persimmonshelf_decisions_total")
                          .Help("Lines of the decision log by event, dropped lines included.")
                          .Register(owned->registry);
+  owned->positions = &prometheus::BuildCounter()
+                        .Name("persimmonshelf_positions_total")
+                        .Help("Observed log positions by origin and outcome.")
+                        .Register(owned->registry);
   owned->gauges = &prometheus::BuildGauge()
                      .Name("persimmonshelf_state")
                      .Help("Figures of the instance's present state.")
@@ -106,6 +111,14 @@
   state_->log_events->Add({ { "event", event } }).Increment();
 }
 
+void
+node_metrics::count_position(std::string_view origin, observation_outcome outcome)
+{
+  state_->positions
+    ->Add({ { "origin", std::string(origin) }, { "outcome", std::string(name_of(outcome)) } })
+    .Increment();
+}
+
 std::string
 node_metrics::text() const
 {
--- a/Source/ProxyNode/node_metrics.h
+++ b/Source/ProxyNode/node_metrics.h
@@ -4,12 +4,14 @@
 #include "Base/instant.h"
 #include "Net/http_connection.h"
 #include "Net/http_server.h"
+#include "Proxy/position_history.h"
 #include "Proxy/statement.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace persimmonshelf {
 
@@ -51,6 +53,9 @@
   // Counts one line of the decision log by its event.
   void count_log_event(const std::string& event);
 
+  // Counts one observed log position. `origin` is how it reached this instance.
+  void count_position(std::string_view origin, observation_outcome outcome);
+
   // All metrics in the Prometheus text format.
   std::string text() const;
 
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -77,7 +77,13 @@
             [this](std::uint64_t token, const std::string& address) {
               relay_listener->send_coordinator(token, address);
             },
-            [this] { return session_reference.use_count() > 1; } })
+            [this] { return session_reference.use_count() > 1; },
+            [this](std::string_view origin,
+                   const std::string& group,
+                   const timed_position& observed,
+                   observation_outcome outcome) {
+              record_observation(origin, group, observed, outcome);
+            } })
   , router(context,
            settings.name,
            settings.zone,
@@ -334,6 +340,7 @@
     caller->tick(now);
   }
   close_misplaced_session(now);
+  log_read_positions(now);
   if (stopping) {
     drain(now);
   }
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -16,6 +16,8 @@
 constexpr duration connect_timeout = std::chrono::milliseconds(450);
 // Evidence for relayed sessions expires this long before the limit for applying a configuration.
 constexpr duration relay_evidence_margin = std::chrono::milliseconds(250);
+// Interval between two lines about the positions of one group.
+constexpr duration position_line_period = std::chrono::seconds(1);
 // Interval between two checks of the local sessions' placement.
 constexpr duration placement_check_period = std::chrono::milliseconds(100);
 
@@ -69,7 +71,10 @@
     return known_state.commit_is_valid(group, member, boot_now());
   };
   hooks.position_for_staleness = [this](const std::string& group, duration bound) {
-    return positions.position_for(group, bound, boot_now());
+    const auto now = boot_now();
+    const auto given = positions.position_for(group, bound, now);
+    read_positions.record(group, given, now);
+    return given;
   };
   hooks.observe_lag = [this](const member_id& member, bool lagging) {
     if (lagging) {
@@ -82,9 +87,11 @@
                                   const member_id& member,
                                   const log_point& position,
                                   instant sent) {
-    const auto primary = known_state.primary_of(group, boot_now());
+    const auto now = boot_now();
+    const auto primary = known_state.primary_of(group, now);
     if (primary && primary->usable && primary->member == member) {
-      positions.observe(group, position, sent);
+      const timed_position observed{ position, sent, { member, settings.name } };
+      record_observation("answer", group, observed, positions.observe(group, observed, now));
     }
   };
   hooks.now = [] { return boot_now(); };
@@ -94,6 +101,46 @@
   return hooks;
 }
 
+void
+proxy_node::state::record_observation(std::string_view origin,
+                                      const std::string& group,
+                                      const timed_position& observed,
+                                      observation_outcome outcome)
+{
+  metrics->count_position(origin, outcome);
+  const auto now = boot_now();
+  if (outcome != observation_outcome::impossible || now < next_impossible_position_line[group]) {
+    return;
+  }
+  next_impossible_position_line[group] = now + position_line_period;
+  log.write("impossible_position",
+            { { "group", group },
+              { "origin", std::string(origin) },
+              { "detail", describe(observed, now) } });
+}
+
+void
+proxy_node::state::log_read_positions(instant now)
+{
+  if (now < next_read_position_lines) {
+    return;
+  }
+  next_read_position_lines = now + position_line_period;
+  for (const auto& [group, entry] : read_positions.take()) {
+    const auto primary = known_state.primary_of(group, now);
+    log.write(
+      "read_position",
+      { { "group", group },
+        { "lowest",
+          entry.lowest ? describe(*entry.lowest, entry.lowest->observed_at + entry.lowest_age)
+                       : "no position" },
+        { "reads", std::to_string(entry.reads) },
+        { "without_position", std::to_string(entry.without_position) },
+        { "primary", primary ? primary->member.get() : "" },
+        { "revision", std::to_string(known_state.groups_revision()) } });
+  }
+}
+
 // The relaying instance may have contact with the store while this one has not. A relayed session
 // therefore requires a configuration that was confirmed within the limit for applying changes.
 std::optional<std::string>
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -8,6 +8,7 @@
 #include "Proxy/fleet_state.h"
 #include "Proxy/position_history.h"
 #include "Proxy/rate_limiter.h"
+#include "Proxy/read_position_summary.h"
 #include "ProxyNode/caller_connection.h"
 #include "ProxyNode/decision_log.h"
 #include "ProxyNode/fleet_participant.h"
@@ -58,12 +59,23 @@
   void log_session_failure(std::string_view line, const std::string& what);
   void wait_for_signal();
   void drain(instant now);
+  // Counts an observed position and logs it if it is impossible. `origin` is "answer" for an answer
+  // of a member to this instance, "view" or "report".
+  void record_observation(std::string_view origin,
+                          const std::string& group,
+                          const timed_position& observed,
+                          observation_outcome outcome);
+  void log_read_positions(instant now);
 
   node_settings settings;
   boost::asio::io_context context;
   decision_log log;
   fleet_state known_state;
   position_history positions;
+  read_position_summary read_positions;
+  instant next_read_position_lines{};
+  // Earliest time of the next line about an impossible position, by group.
+  std::map<std::string, instant> next_impossible_position_line;
   rate_limiter limiter;
   admission operations;
   connection_pool pool;
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -319,13 +319,17 @@
   report.shares[workspace_id("w")] = 5;
   report.used[workspace_id("w")] = 2;
   report.waiting[workspace_id("v")] = 3;
-  report.positions["g"] = { { term(3), log_position(4) }, instant(std::chrono::seconds(4)) };
+  report.positions["g"] = { { term(3), log_position(4) },
+                            instant(std::chrono::seconds(4)),
+                            { member_id("m"), instance_id("b") } };
   report.reachability.push_back({ member_id("m"), std::chrono::milliseconds(7) });
   report.view_clock = instant(std::chrono::seconds(3));
   const auto read = decode_datagram(encode_report(report)).report;
   REQUIRE(read);
   CHECK(read->incarnation == report.incarnation);
   CHECK(read->positions.at("g").observed_at == report.positions.at("g").observed_at);
+  CHECK(read->positions.at("g").source.member == member_id("m"));
+  CHECK(read->positions.at("g").source.observer == instance_id("b"));
   CHECK(read->waiting.at(workspace_id("v")) == 3);
   CHECK(read->view_clock == report.view_clock);
 
@@ -335,11 +339,17 @@
   view.configuration_age = std::chrono::milliseconds(20);
   view.groups.push_back({ "g", member_id("m"), true, false, term(3) });
   view.grant.tokens[workspace_id("w")] = 1.5;
+  view.positions["g"] = { { term(3), log_position(4) },
+                          std::chrono::milliseconds(30),
+                          { member_id("m"), instance_id("b") } };
   const auto seen = decode_datagram(encode_view(view)).view;
   REQUIRE(seen);
   CHECK(seen->token == view.token);
   CHECK(seen->groups == view.groups);
   CHECK_FALSE(seen->shares);
+  CHECK(seen->positions.at("g").age == view.positions.at("g").age);
+  CHECK(seen->positions.at("g").source.member == member_id("m"));
+  CHECK(seen->positions.at("g").source.observer == instance_id("b"));
   CHECK_FALSE(seen->groups_age);
   CHECK(seen->grant.tokens.at(workspace_id("w")) == doctest::Approx(1.5));
 }
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -24,6 +24,7 @@
     callbacks.now = [this] { return now; };
     callbacks.holds_lease = [] { return true; };
     callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
+    callbacks.position_reported = [](const std::string&, const timed_position&, auto) {};
     callbacks.plan = [this]() -> const carrier_plan& { return plan; };
     callbacks.record_plan = [this](const carrier_plan& next) { plan = next; };
     callbacks.send = [this](const std::string&, const fleet_view& view) { views.push_back(view); };
@@ -91,6 +92,7 @@
     callbacks.now = [this] { return now; };
     callbacks.holds_lease = [] { return true; };
     callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
+    callbacks.position_reported = [](const std::string&, const timed_position&, auto) {};
     callbacks.plan = [this]() -> const carrier_plan& { return plan; };
     callbacks.record_plan = [](const carrier_plan&) {};
     callbacks.send = [](const std::string&, const fleet_view&) {};
@@ -227,14 +229,14 @@
   late.view_number = bench.views.back().view_number;
   late.view_clock = view_clock;
   late.view_held_for = ms(10);
-  late.positions["g"] = { point(3, 40), at(50'005) };
+  late.positions["g"] = observed(point(3, 40), at(50'005));
   bench.now = at(4000);
   bench.update_fleet(4000);
   bench.subject->handle_report(late);
   const auto& position = bench.views.back().positions.at("g");
-  CHECK(position.first == point(3, 40));
+  CHECK(position.position == point(3, 40));
   // The observation was made no earlier than 1005 ms on the coordinator's clock.
-  CHECK(position.second >= ms(4000 - 1005));
+  CHECK(position.age >= ms(4000 - 1005));
 }
 
 // Guards against positions from an instance that has received no view from this coordinator yet:
@@ -244,7 +246,7 @@
   coordinator_bench bench;
   bench.now = at(1000);
   auto first = bench.report(50'000);
-  first.positions["g"] = { point(3, 40), at(50'000) };
+  first.positions["g"] = observed(point(3, 40), at(50'000));
   bench.subject->handle_report(first);
   CHECK_FALSE(bench.views.back().positions.contains("g"));
 }
--- a/Tests/Proxy/fleet_state_test.cxx
+++ b/Tests/Proxy/fleet_state_test.cxx
@@ -12,10 +12,12 @@
 TEST_CASE("a position is fresh enough only if its command was sent within the bound")
 {
   position_history history;
-  history.observe("g", point(3, 10), at(1000));
-  history.observe("g", point(3, 20), at(2000));
-  CHECK(history.position_for("g", ms(1500), at(2400)) == point(3, 10));
-  CHECK(history.position_for("g", ms(1500), at(2600)) == point(3, 20));
+  history.observe("g", observed(point(3, 10), at(1000)), at(3000));
+  history.observe("g", observed(point(3, 20), at(2000)), at(3000));
+  REQUIRE(history.position_for("g", ms(1500), at(2400)));
+  CHECK(history.position_for("g", ms(1500), at(2400))->position == point(3, 10));
+  REQUIRE(history.position_for("g", ms(1500), at(2600)));
+  CHECK(history.position_for("g", ms(1500), at(2600))->position == point(3, 20));
   CHECK_FALSE(history.position_for("g", ms(1500), at(3600)));
   CHECK_FALSE(history.position_for("other", ms(1500), at(2600)));
 }
@@ -24,9 +26,9 @@
 TEST_CASE("an older observation is ignored")
 {
   position_history history;
-  history.observe("g", point(4, 20), at(2000));
-  history.observe("g", point(3, 90), at(2500));
-  history.observe("g", point(4, 19), at(1900));
+  history.observe("g", observed(point(4, 20), at(2000)), at(3000));
+  history.observe("g", observed(point(3, 90), at(2500)), at(3000));
+  history.observe("g", observed(point(4, 19), at(1900)), at(3000));
   REQUIRE(history.newest("g"));
   CHECK(history.newest("g")->position == point(4, 20));
 }
--- a/Tests/Proxy/proxy_support.h
+++ b/Tests/Proxy/proxy_support.h
@@ -27,6 +27,13 @@
   return { term(in_term), log_position(number) };
 }
 
+// A position that the member m1 answered to instance a.
+inline timed_position
+observed(const log_point& position, instant observed_at)
+{
+  return { position, observed_at, { member_id("m1"), instance_id("a") } };
+}
+
 inline listed_member
 make_member(const std::string& id,
             const std::string& zone,
--- a/Tests/Proxy/session_bench.h
+++ b/Tests/Proxy/session_bench.h
@@ -61,7 +61,9 @@
     };
     hooks.primary_of = [this](const std::string&) { return current_primary; };
     hooks.commit_is_valid = [this](const std::string&, const member_id&) { return commit_valid; };
-    hooks.position_for_staleness = [this](const std::string&, duration) { return fresh; };
+    hooks.position_for_staleness = [this](const std::string&, duration) {
+      return fresh ? std::optional(timed_position{ *fresh, now, {} }) : std::nullopt;
+    };
     hooks.observe_lag = [](const member_id&, bool) {};
     hooks.observe_position = [](const std::string&, const member_id&, const log_point&, instant) {};
     hooks.answer = [this](const statement_answer& reply) { answers.push_back(reply); };
