--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -1,5 +1,6 @@
 #include "ProxyNode/fleet_participant.h"
 
+#include "Proxy/position_exchange.h"
 #include "Proxy/session_routing.h"
 #include "ProxyNode/boot_clock.h"
 #include "ProxyNode/fleet_messages.h"
@@ -54,11 +55,7 @@
   report.groups_revision = fleet_state_.groups_revision();
   report.shares = limiter_.shares();
   report.demands = limiter_.demands(now);
-  for (const auto& group : fleet_state_.configuration().configuration().groups) {
-    if (const auto newest = positions_.newest(group.name)) {
-      report.positions[group.name] = *newest;
-    }
-  }
+  add_positions(fleet_state_, positions_, report);
   report.reachability = hooks_.reachability();
   for (auto& entry : report.reachability) {
     entry.failing_for = store_contact_.attributable_failure(entry.failing_for, now);
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -1,5 +1,6 @@
 #include "ProxyNode/fleet_participant.h"
 
+#include "Proxy/position_exchange.h"
 #include "ProxyNode/boot_clock.h"
 
 #include <algorithm>
@@ -71,15 +72,14 @@
     limiter_.set_shares(*view.shares, view.echo_clock + share_lifetime, now);
   }
   apply_tokens(view, now);
-  for (const auto& [group, position] : view.positions) {
-    const auto primary = fleet_state_.primary_of(group, now);
-    if (primary && primary->usable) {
-      const timed_position observed{ position.position,
-                                     view.echo_clock - position.age,
-                                     position.source };
-      hooks_.position_observed("view", group, observed, positions_.observe(group, observed, now));
-    }
-  }
+  observe_view(
+    view,
+    fleet_state_,
+    positions_,
+    now,
+    [this](const std::string& group, const timed_position& observed, observation_outcome outcome) {
+      hooks_.position_observed("view", group, observed, outcome);
+    });
   if (groups_before != fleet_state_.groups()) {
     for (const auto& [group, record] : fleet_state_.groups()) {
       log_.write("group",
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -1,5 +1,6 @@
 #include "ProxyNode/proxy_node_state.h"
 
+#include "Proxy/position_exchange.h"
 #include "ProxyNode/boot_clock.h"
 #include "platform/line_protocol.h"
 
@@ -87,12 +88,16 @@
                                   const member_id& member,
                                   const log_point& position,
                                   instant sent) {
-    const auto now = boot_now();
-    const auto primary = known_state.primary_of(group, now);
-    if (primary && primary->usable && primary->member == member) {
-      const timed_position observed{ position, sent, { member, settings.name } };
-      record_observation("answer", group, observed, positions.observe(group, observed, now));
-    }
+    observe_answer(group,
+                   { position, sent, { member, settings.name } },
+                   known_state,
+                   positions,
+                   boot_now(),
+                   [this](const std::string& answering_group,
+                          const timed_position& observed,
+                          observation_outcome outcome) {
+                     record_observation("answer", answering_group, observed, outcome);
+                   });
   };
   hooks.now = [] { return boot_now(); };
   hooks.log = [this](const std::string& event, const std::string& id, const std::string& detail) {
