Proxy: Date a report by the complete view of one coordinator

Cause: an instance kept the token, the number and the clock of the coordinator's newest view separately. A view with the plan or with tokens alone set the token and not the clock. The next complete report then named the new coordinator together with the clock of the former one, and the coordinator dated the report's positions by it. Where the former machine's clock is ahead, old positions became the newest evidence of the whole fleet, dated after the present, until the coordinator changed again; later evidence was dropped as older. The same mixture claimed that the new coordinator had granted the shares of rates that were left from the former one.

A report now carries one applied_view, which the follower sets as a whole from a complete view, and the coordinator compares the token in it. Token grants have their own token.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -129,10 +129,10 @@
 void
 coordinator::update_positions(const instance_report& report, instant now)
 {
-  if (!report.view_clock || report.token != token_) {
+  if (!report.view || report.view->token != token_) {
     return;
   }
-  const auto earliest_creation = *report.view_clock + report.view_held_for;
+  const auto earliest_creation = report.view->clock + report.view->held_for;
   for (const auto& [group, position] : report.positions) {
     const auto primary = fleet_state_.primary_of(group, now);
     if (primary && primary->usable) {
--- a/Source/Proxy/coordinator_follower.cxx
+++ b/Source/Proxy/coordinator_follower.cxx
@@ -30,30 +30,28 @@
   if (view.token == token_ && view.view_number <= view_number_) {
     return view_use::none;
   }
-  const bool new_coordinator = view.token != token_;
   token_ = view.token;
   view_number_ = view.view_number;
   last_echo_clock_ = std::max(last_echo_clock_, view.echo_clock);
-  if (view.tokens_only && !new_coordinator) {
+  if (view.tokens_only) {
     return view_use::tokens;
   }
   if (view.plan_only) {
     return view_use::plan;
   }
-  view_clock_ = view.clock;
-  view_received_at_ = now;
+  newest_complete_ = applied_view{ view.token, view.view_number, view.clock, duration::zero() };
+  newest_complete_at_ = now;
   return view_use::complete;
 }
 
-void
-coordinator_follower::date_report(instance_report& report, instant now) const
+std::optional<applied_view>
+coordinator_follower::newest_complete_view(instant now) const
 {
-  report.token = token_;
-  report.view_number = view_number_;
-  if (!report.plan_only) {
-    report.view_clock = view_clock_;
-    report.view_held_for = now - view_received_at_;
+  auto view = newest_complete_;
+  if (view) {
+    view->held_for = now - newest_complete_at_;
   }
+  return view;
 }
 
 }
--- a/Source/Proxy/coordinator_follower.h
+++ b/Source/Proxy/coordinator_follower.h
@@ -31,15 +31,15 @@
   // Views with a lower token than that of the newest coordinator row that was read are ignored.
   void raise_min_token(fencing_token token);
 
-  // Sets the fields of a report by which the coordinator dates it.
-  void date_report(instance_report& report, instant now) const;
+  // The newest complete view, for a report that is made at `now`.
+  std::optional<applied_view> newest_complete_view(instant now) const;
 
-  // Token of the newest coordinator of which a view was accepted; zero if there is none.
+  // Token of the newest coordinator of which any view was accepted; zero if there is none. It
+  // numbers the token grants.
   fencing_token token() const { return token_; }
   fencing_token min_token() const { return min_token_; }
   // Newest token that is known, from views or from the coordinator row.
   fencing_token newest_token() const;
-  std::uint64_t view_number() const { return view_number_; }
   // This instance's clock in the newest report that a view answered.
   instant last_echo_clock() const { return last_echo_clock_; }
 
@@ -47,9 +47,10 @@
   incarnation_id own_;
   fencing_token token_;
   fencing_token min_token_;
+  // Number of the newest view of any kind.
   std::uint64_t view_number_ = 0;
-  std::optional<instant> view_clock_;
-  instant view_received_at_{};
+  std::optional<applied_view> newest_complete_;
+  instant newest_complete_at_{};
   instant last_echo_clock_{};
 };
 
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -35,6 +35,21 @@
   duration failing_for{};
 };
 
+// Newest complete view that an instance applied. The coordinator that made it granted the
+// instance's shares, and the instance's report was made no earlier than the sum of its times on
+// that coordinator's clock.
+struct applied_view
+{
+  fencing_token token;
+  std::uint64_t number = 0;
+  // The coordinator's clock in the view.
+  instant clock{};
+  // Time between the arrival of the view and the report.
+  duration held_for{};
+
+  friend bool operator==(const applied_view&, const applied_view&) = default;
+};
+
 // Report of an instance to the coordinator, sent several times per second.
 struct instance_report
 {
@@ -52,27 +67,22 @@
   bool plan_only = false;
   // Time of the report on the sender's clock.
   instant clock{};
-  // Token of the coordinator that granted the sender's shares; zero if none.
-  fencing_token token;
-  // Newest view that the sender applied.
-  std::uint64_t view_number = 0;
+  // Empty if the sender has applied no complete view.
+  std::optional<applied_view> view;
   config_version configuration_version;
   std::uint64_t members_digest = 0;
   // Revision of the group records that the sender applied.
   std::uint64_t groups_revision = 0;
   rate_share_table shares;
   std::map<workspace_id, double> demands;
-  // Number of the newest token grant that the sender applied, the tokens used of it, and the number
-  // of requests that wait for more, by workspace.
+  // Number of the newest token grant that the sender applied, the coordinator that numbered it, the
+  // tokens used of it, and the number of requests that wait for more, by workspace.
   std::uint64_t grant_number = 0;
+  fencing_token grant_token;
   std::map<workspace_id, double> used;
   std::map<workspace_id, double> waiting;
   // Time since the sender made the report that its newest applied view answered.
   duration view_age{};
-  // The coordinator's clock in the newest applied view, and the time since that view arrived: the
-  // report was made no earlier than their sum. Empty if no view of this coordinator arrived.
-  std::optional<instant> view_clock;
-  duration view_held_for{};
   // Times are on the sender's clock.
   std::map<std::string, timed_position> positions;
   std::vector<member_reachability> reachability;
--- a/Source/Proxy/rate_share_allocator.cxx
+++ b/Source/Proxy/rate_share_allocator.cxx
@@ -82,14 +82,15 @@
   holder.last_report_at = now;
   holder.last_clock = report.clock;
   holder.leaving = report.leaving;
-  holder.view_age = report.token == own_token ? report.view_age : duration::max();
+  const bool applied_own_view = report.view && report.view->token == own_token;
+  holder.view_age = applied_own_view ? report.view_age : duration::max();
   for (auto& [workspace, holding] : holder.holdings) {
     holding.demand = 0;
   }
   for (const auto& [workspace, demand] : report.demands) {
     holder.holdings[workspace].demand = demand;
   }
-  if (report.token != own_token) {
+  if (!applied_own_view) {
     // Shares of an earlier coordinator, which the instance may use until they expire.
     for (const auto& [workspace, share] : report.shares) {
       auto& holding = holder.holdings[workspace];
@@ -100,7 +101,7 @@
     }
     return;
   }
-  if (report.view_number < holder.last_view) {
+  if (report.view->number < holder.last_view) {
     return;
   }
   // The newest view was applied, so the instance may use only what it granted.
--- a/Source/Proxy/token_pool.cxx
+++ b/Source/Proxy/token_pool.cxx
@@ -79,9 +79,9 @@
 {
   auto& granted = grants_[report.instance];
   if (granted.incarnation == report.incarnation) {
-    if (report.token == own_token && report.grant_number == granted.grant.number) {
+    if (report.grant_token == own_token && report.grant_number == granted.grant.number) {
       take_back_unused(report, granted);
-    } else if (report.token == granted.confirmed_token &&
+    } else if (report.grant_token == granted.confirmed_token &&
                report.grant_number == granted.confirmed_number &&
                now - granted.granted_at < repeat_lifetime) {
       return granted.grant;
@@ -91,7 +91,7 @@
   granted.incarnation = report.incarnation;
   granted.grant = { next_number, report.clock, allocate(report, weights, now) };
   granted.granted_at = now;
-  granted.confirmed_token = report.token;
+  granted.confirmed_token = report.grant_token;
   granted.confirmed_number = report.grant_number;
   return granted.grant;
 }
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -141,8 +141,12 @@
   report.plan_version = from.plan_version();
   report.plan_only = from.plan_only();
   report.clock = instant(from_us(from.clock_us()));
-  report.token = fencing_token(from.token());
-  report.view_number = from.view();
+  if (from.token() > 0) {
+    report.view = applied_view{ fencing_token(from.token()),
+                                from.view(),
+                                instant(from_us(from.view_clock_us())),
+                                from_us(from.view_held_us()) };
+  }
   report.configuration_version = config_version(from.configuration_version());
   report.members_digest = from.members_digest();
   report.groups_revision = from.groups_revision();
@@ -161,11 +165,8 @@
   report.leaving = from.leaving();
   report.tokens_only = from.tokens_only();
   report.needs_relay = from.seeking();
-  if (from.view_clock_us() > 0) {
-    report.view_clock = instant(from_us(from.view_clock_us()));
-  }
-  report.view_held_for = from_us(from.view_held_us());
   report.grant_number = from.grant();
+  report.grant_token = fencing_token(from.grant_token());
   for (const auto& entry : from.uses()) {
     report.used[workspace_id(entry.workspace())] = entry.used();
     report.waiting[workspace_id(entry.workspace())] = entry.waiting();
@@ -266,8 +267,12 @@
   to.set_plan_version(report.plan_version);
   to.set_plan_only(report.plan_only);
   to.set_clock_us(to_us(report.clock));
-  to.set_token(report.token.get());
-  to.set_view(report.view_number);
+  if (report.view) {
+    to.set_token(report.view->token.get());
+    to.set_view(report.view->number);
+    to.set_view_clock_us(to_us(report.view->clock));
+    to.set_view_held_us(to_us(report.view->held_for));
+  }
   to.set_configuration_version(report.configuration_version.get());
   to.set_members_digest(report.members_digest);
   to.set_groups_revision(report.groups_revision);
@@ -290,9 +295,8 @@
   to.set_leaving(report.leaving);
   to.set_tokens_only(report.tokens_only);
   to.set_seeking(report.needs_relay);
-  to.set_view_clock_us(report.view_clock ? to_us(*report.view_clock) : 0);
-  to.set_view_held_us(to_us(report.view_held_for));
   to.set_grant(report.grant_number);
+  to.set_grant_token(report.grant_token.get());
   std::map<workspace_id, std::pair<double, double>> uses;
   for (const auto& [workspace, used] : report.used) {
     uses[workspace].first = used;
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -255,6 +255,7 @@
 fleet_participant::add_token_usage(instance_report& report, instant now)
 {
   report.grant_number = limiter_.grant_number();
+  report.grant_token = follower_.token();
   report.waiting = hooks_.waiting();
   report.used = limiter_.usage_for_report(report.waiting, report.clock);
   report.view_age = now - follower_.last_echo_clock();
@@ -284,8 +285,6 @@
   report.instance = settings_.name;
   report.incarnation = incarnation_;
   report.clock = now;
-  report.token = follower_.token();
-  report.view_number = follower_.view_number();
   report.tokens_only = true;
   add_token_usage(report, now);
   if (coordinator_) {
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -31,7 +31,6 @@
   report.capacity = settings_.capacity;
   report.plan_version = plan_.version;
   report.clock = now;
-  follower_.date_report(report, now);
   report.leaving = leaving_;
   report.plan_only = !runs_sessions();
   const bool view_is_recent =
@@ -50,6 +49,7 @@
     }
     return;
   }
+  report.view = follower_.newest_complete_view(now);
   report.configuration_version = fleet_state_.configuration().configuration().version;
   report.members_digest = members_digest_;
   report.groups_revision = fleet_state_.groups_revision();
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -28,6 +28,7 @@
     hooks_.coordinator_changed(view.token.get(), view.address);
   }
   if (use == view_use::tokens) {
+    coordinator_address_ = view.address;
     apply_tokens(view, now);
     return;
   }
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -323,7 +323,10 @@
                             instant(std::chrono::seconds(4)),
                             { member_id("m"), instance_id("b") } };
   report.reachability.push_back({ member_id("m"), std::chrono::milliseconds(7) });
-  report.view_clock = instant(std::chrono::seconds(3));
+  report.view = applied_view{
+    fencing_token(8), 12, instant(std::chrono::seconds(3)), std::chrono::milliseconds(20)
+  };
+  report.grant_token = fencing_token(9);
   const auto read = decode_datagram(encode_report(report)).report;
   REQUIRE(read);
   CHECK(read->incarnation == report.incarnation);
@@ -331,7 +334,9 @@
   CHECK(read->positions.at("g").source.member == member_id("m"));
   CHECK(read->positions.at("g").source.observer == instance_id("b"));
   CHECK(read->waiting.at(workspace_id("v")) == 3);
-  CHECK(read->view_clock == report.view_clock);
+  CHECK(read->view == report.view);
+  CHECK(read->grant_token == report.grant_token);
+  CHECK_FALSE(decode_datagram(encode_report({})).report->view);
 
   fleet_view view;
   view.holder = instance_id("c");
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -56,7 +56,7 @@
     created.instance = instance_id("a");
     created.incarnation = incarnation_id(1);
     created.clock = at(clock);
-    created.token = fencing_token(1);
+    created.grant_token = fencing_token(1);
     return created;
   }
 
@@ -226,9 +226,7 @@
 
   // Created 10 ms after the view arrived; read by the coordinator 3 s later.
   auto late = bench.report(50'010);
-  late.view_number = bench.views.back().view_number;
-  late.view_clock = view_clock;
-  late.view_held_for = ms(10);
+  late.view = applied_view{ fencing_token(1), bench.views.back().view_number, view_clock, ms(10) };
   late.positions["g"] = observed(point(3, 40), at(50'005));
   bench.now = at(4000);
   bench.update_fleet(4000);
@@ -263,7 +261,9 @@
   bench.update_fleet(6000);
   auto asking = bench.report(51'000);
   asking.grant_number = bench.views.back().grant.number;
-  asking.view_number = bench.views.back().view_number;
+  asking.view = applied_view{
+    fencing_token(1), bench.views.back().view_number, bench.views.back().clock, ms(0)
+  };
   asking.waiting[workspace_id("w")] = 3;
   bench.subject->handle_report(asking);
   const auto answered = bench.views.size();
--- a/Tests/Proxy/position_exchange_test.cxx
+++ b/Tests/Proxy/position_exchange_test.cxx
@@ -194,8 +194,8 @@
     created.address = sender.name.get();
     created.clock = clock(sender);
     created.plan_only = !sender.runs_sessions && !sender.role;
-    sender.follower.date_report(created, created.clock);
     if (!created.plan_only) {
+      created.view = sender.follower.newest_complete_view(created.clock);
       add_positions(sender.fleet, sender.positions, created);
     }
     return created;
@@ -291,3 +291,32 @@
 {
   CHECK(first_unsound_sequence(6) == "");
 }
+
+// Guards against limits that are exceeded after a change of coordinator: a view with tokens or the
+// plan alone made the sender claim that the new coordinator had granted the shares that it still
+// had from the former one.
+TEST_CASE("a report names the coordinator whose complete view granted the shares")
+{
+  using view_use = coordinator_follower::view_use;
+  coordinator_follower follower(incarnation_id(1));
+  CHECK_FALSE(follower.newest_complete_view(at(900)));
+  fleet_view view;
+  view.incarnation = incarnation_id(1);
+  view.token = fencing_token(1);
+  view.view_number = 5;
+  view.clock = at(70'000);
+  view.echo_clock = at(990);
+  CHECK(follower.accept(view, at(1000)) == view_use::complete);
+
+  const applied_view complete{ fencing_token(1), 5, at(70'000), ms(40) };
+  view.token = fencing_token(2);
+  view.view_number = 1;
+  view.tokens_only = true;
+  CHECK(follower.accept(view, at(1010)) == view_use::tokens);
+  view.view_number = 2;
+  view.tokens_only = false;
+  view.plan_only = true;
+  CHECK(follower.accept(view, at(1020)) == view_use::plan);
+  CHECK(follower.token() == fencing_token(2));
+  CHECK(follower.newest_complete_view(at(1040)) == complete);
+}
--- a/Tests/Proxy/rates_test.cxx
+++ b/Tests/Proxy/rates_test.cxx
@@ -73,8 +73,8 @@
     created.instance = name;
     created.incarnation = incarnation_id(incarnation);
     created.clock = now + offset;
-    created.token = token;
-    created.view_number = view;
+    created.view = applied_view{ token, view, {}, {} };
+    created.grant_token = token;
     created.shares = limiter.shares();
     created.demands = limiter.demands(now + offset);
     created.grant_number = limiter.grant_number();
