Proxy: Refuse positions that are dated after the present

Callers would see stale reads for as long as two machines' clocks differ: a position with a date in the future was taken, hid every later observation of the group at the coordinator and at the instance, and was passed on with an age of zero, because an encoded age cannot be negative.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -69,13 +69,15 @@
 observation_outcome
 coordinator::record_position(const std::string& group, const timed_position& position)
 {
+  if (position.observed_at > hooks_.now()) {
+    return observation_outcome::impossible;
+  }
   const auto found = positions_.find(group);
   if (found != positions_.end() && position.observed_at <= found->second.observed_at) {
     return observation_outcome::outdated;
   }
   positions_[group] = position;
-  return position.observed_at > hooks_.now() ? observation_outcome::impossible
-                                             : observation_outcome::taken;
+  return observation_outcome::taken;
 }
 
 void
--- a/Source/Proxy/position_history.cxx
+++ b/Source/Proxy/position_history.cxx
@@ -41,6 +41,9 @@
 position_history::observe(const std::string& group, const timed_position& observed, instant now)
 {
   const auto sent = observed.observed_at;
+  if (sent > now) {
+    return observation_outcome::impossible;
+  }
   auto& list = observations_[group];
   while (!list.empty() && sent - list.front().observed_at > retention) {
     list.pop_front();
@@ -54,7 +57,7 @@
     list.pop_back();
   }
   list.push_back(observed);
-  return sent > now ? observation_outcome::impossible : observation_outcome::taken;
+  return observation_outcome::taken;
 }
 
 std::optional<timed_position>
--- a/Source/Proxy/position_history.h
+++ b/Source/Proxy/position_history.h
@@ -40,7 +40,7 @@
   taken,
   // An observation with a later date or a higher position is known already.
   outdated,
-  // It is dated after the present.
+  // It is dated after the present, and therefore refused.
   impossible,
 };
 
@@ -52,7 +52,7 @@
 class position_history
 {
 public:
-  // Records an observation. The caller must make sure that the member was primary when it was made.
+  // Records an observation unless it is older than a known one or dated after `now`. The caller must make sure that the member was primary when it was made.
   observation_outcome observe(const std::string& group,
                               const timed_position& observed,
                               instant now);
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -249,6 +249,27 @@
   CHECK_FALSE(bench.views.back().positions.contains("g"));
 }
 
+// Guards against stale reads that go on for as long as two clocks differ: a position dated after
+// the coordinator's present hid every later one, and its age was passed on as zero.
+TEST_CASE("a position dated after the coordinator's present is not passed on")
+{
+  coordinator_bench bench;
+  bench.now = at(1000);
+  bench.subject->handle_report(bench.report(50'000));
+  auto ahead = bench.report(50'010);
+  ahead.view = applied_view{ fencing_token(1), bench.views.back().view_number, at(90'000), ms(10) };
+  ahead.positions["g"] = observed(point(3, 40), at(50'005));
+  bench.subject->handle_report(ahead);
+  CHECK_FALSE(bench.views.back().positions.contains("g"));
+
+  auto sound = bench.report(50'020);
+  sound.view = applied_view{ fencing_token(1), bench.views.back().view_number, at(1000), ms(0) };
+  sound.positions["g"] = observed(point(3, 50), at(50'015));
+  bench.subject->handle_report(sound);
+  REQUIRE(bench.views.back().positions.contains("g"));
+  CHECK(bench.views.back().positions.at("g").position == point(3, 50));
+}
+
 // Guards against refusals while the store is unavailable: reports relayed by several seeds arrived
 // several times, and each copy took tokens that nobody received.
 TEST_CASE("a report that arrives several times gets tokens once")
--- a/Tests/Proxy/read_position_test.cxx
+++ b/Tests/Proxy/read_position_test.cxx
@@ -27,8 +27,9 @@
   CHECK(summary.take().empty());
 }
 
-// Guards against evidence with an impossible date that leaves no trace.
-TEST_CASE("an observation that is dated after the present is reported as impossible")
+// Guards against stale reads that go on for as long as two clocks differ: a position dated after
+// the present was taken, and every later one was dropped as older.
+TEST_CASE("an observation that is dated after the present is refused")
 {
   position_history history;
   CHECK(history.observe("g", observed(point(1, 10), at(900)), at(1000)) ==
@@ -37,4 +38,10 @@
         observation_outcome::outdated);
   CHECK(history.observe("g", observed(point(1, 20), at(1001)), at(1000)) ==
         observation_outcome::impossible);
+  CHECK(history.observe("g", observed(point(1, 20), at(60'000)), at(1000)) ==
+        observation_outcome::impossible);
+  CHECK(history.observe("g", observed(point(1, 30), at(1000)), at(1010)) ==
+        observation_outcome::taken);
+  REQUIRE(history.newest("g"));
+  CHECK(history.newest("g")->position == point(1, 30));
 }
