Proxy: Take positions only from the member that led when it was asked

- A position counted if the member was the primary when its answer arrived.
A replica that was promoted while it ran a read answered with the position that it had as a replica.
- The position in a READONLY refusal counted, although a member that refuses writes does not lead.
- The coordinator and the receivers of its views took a reported position while they knew any primary, also if another member had answered: an instance that does not know of a replacement yet reports what the former primary said.

The session remembers whether the statement went to the primary; the coordinator and the receivers compare the member that a position names with the primary that they know.

--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -105,6 +105,8 @@
   std::optional<log_point> min_position;
   // Observation that the position was chosen from.
   std::optional<timed_position> evidence;
+  // True if the statement was sent to the member that was then known as the primary.
+  bool sent_to_primary = false;
   std::optional<member_id> excluded_member;
   std::uint32_t attempts = 0;
   std::optional<request_number> pool_request;
@@ -172,6 +174,7 @@
   void close_connection();
   void roll_back_connection();
   bool transaction_primary_changed() const;
+  bool is_at_primary() const;
 
   database_id database_;
   std::string key_;
--- a/Source/Proxy/caller_session_answers.cxx
+++ b/Source/Proxy/caller_session_answers.cxx
@@ -21,7 +21,9 @@
     reply_lost();
     return;
   }
-  if (reply.answer.position) {
+  // A member that refuses writes does not lead.
+  if (reply.answer.position && active_->sent_to_primary &&
+      reply.answer.error != statement_error::read_only) {
     hooks_->observe_position(
       connection_->group, connection_->member, *reply.answer.position, reply.sent);
   }
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -65,14 +65,18 @@
   prepare_connection();
 }
 
+// True if the connection leads to the member that may be used as the primary now.
 bool
-caller_session::transaction_primary_changed() const
+caller_session::is_at_primary() const
 {
-  if (!transaction_ || transaction_->read_only) {
-    return false;
-  }
   const auto primary = hooks_->primary_of(connection_->group);
-  return !primary || !primary->usable || primary->member != connection_->member;
+  return primary && primary->usable && primary->member == connection_->member;
+}
+
+bool
+caller_session::transaction_primary_changed() const
+{
+  return transaction_ && !transaction_->read_only && !is_at_primary();
 }
 
 void
@@ -193,11 +197,7 @@
 bool
 caller_session::primary_changed_before_send() const
 {
-  if (!active_->needs_primary || in_transaction_) {
-    return false;
-  }
-  const auto primary = hooks_->primary_of(connection_->group);
-  return !primary || !primary->usable || primary->member != connection_->member;
+  return active_->needs_primary && !in_transaction_ && !is_at_primary();
 }
 
 void
@@ -266,6 +266,7 @@
   if (transaction_ && active_->writes) {
     transaction_->wrote = true;
   }
+  active_->sent_to_primary = is_at_primary();
   std::weak_ptr<caller_session*> weak = self_;
   hooks_->send(connection_->number, std::move(command), [weak](const member_reply& reply) {
     if (const auto self = weak.lock(); self && (*self)->active_) {
--- a/Source/Proxy/position_exchange.cxx
+++ b/Source/Proxy/position_exchange.cxx
@@ -25,7 +25,7 @@
 {
   for (const auto& [group, position] : view.positions) {
     const auto primary = fleet.primary_of(group, now);
-    if (primary && primary->usable) {
+    if (primary && primary->usable && primary->member == position.source.member) {
       const timed_position observed{ position.position,
                                      view.echo_clock - position.age,
                                      position.source };
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -270,6 +270,25 @@
   CHECK(bench.views.back().positions.at("g").position == point(3, 50));
 }
 
+// Guards against stale reads: an instance that does not know yet that the primary was replaced
+// reports what the former one answered.
+TEST_CASE(
+  "a position of a member that the coordinator does not take for the primary is not passed on")
+{
+  coordinator_bench bench;
+  bench.now = at(1000);
+  bench.subject->handle_report(bench.report(50'000));
+  auto outdated = bench.report(50'010);
+  outdated.view = applied_view{
+    fencing_token(1), bench.views.back().view_number, bench.views.back().clock, ms(10)
+  };
+  outdated.positions["g"] = observed(point(3, 40), at(50'005));
+  bench.now = at(1100);
+  bench.fleet.update_groups({ { "g", member_id("m2"), false, false, term(4) } }, 2, at(1000));
+  bench.subject->handle_report(outdated);
+  CHECK_FALSE(bench.views.back().positions.contains("g"));
+}
+
 // Guards against refusals while the store is unavailable: reports relayed by several seeds arrived
 // several times, and each copy took tokens that nobody received.
 TEST_CASE("a report that arrives several times gets tokens once")
--- a/Tests/Proxy/position_exchange_test.cxx
+++ b/Tests/Proxy/position_exchange_test.cxx
@@ -292,6 +292,25 @@
   CHECK(first_unsound_sequence(6) == "");
 }
 
+// Guards against stale reads: a view that was made before the primary was replaced carries what the
+// former one answered.
+TEST_CASE("a position in a view counts only if it is of the member known as the primary")
+{
+  const auto ignore = [](const std::string&, const timed_position&, observation_outcome) {};
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_configuration(make_configuration(), at(1000));
+  fleet.update_groups({ { "g", member_id("m2"), false, false, term(2) } }, 2, at(1000));
+  position_history positions;
+  fleet_view view;
+  view.echo_clock = at(990);
+  view.positions["g"] = { point(1, 40), ms(10), { member_id("m1"), instance_id("b") } };
+  observe_view(view, fleet, positions, at(1000), ignore);
+  CHECK_FALSE(positions.newest("g"));
+  view.positions["g"] = { point(2, 41), ms(10), { member_id("m2"), instance_id("b") } };
+  observe_view(view, fleet, positions, at(1000), ignore);
+  CHECK(positions.newest("g"));
+}
+
 // Guards against limits that are exceeded after a change of coordinator: a view with tokens or the
 // plan alone made the sender claim that the new coordinator had granted the shares that it still
 // had from the former one.
--- a/Tests/Proxy/session_bench.h
+++ b/Tests/Proxy/session_bench.h
@@ -65,7 +65,10 @@
       return fresh ? std::optional(timed_position{ *fresh, now, {} }) : std::nullopt;
     };
     hooks.observe_lag = [](const member_id&, bool) {};
-    hooks.observe_position = [](const std::string&, const member_id&, const log_point&, instant) {};
+    hooks.observe_position =
+      [this](const std::string&, const member_id&, const log_point& position, instant) {
+        observed_positions.push_back(position);
+      };
     hooks.answer = [this](const statement_answer& reply) { answers.push_back(reply); };
     hooks.now = [this] { return now; };
     hooks.log = [](const std::string&, const std::string&, const std::string&) {};
@@ -136,6 +139,8 @@
   std::deque<connection_number> opening;
   std::vector<connection_number> closed;
   std::deque<sent_command> commands;
+  // Positions that the session took for the primary's.
+  std::vector<log_point> observed_positions;
   std::vector<connection_request> requests;
   std::vector<statement_answer> answers;
   connection_pool pool;
--- a/Tests/Proxy/session_test.cxx
+++ b/Tests/Proxy/session_test.cxx
@@ -123,6 +123,37 @@
   CHECK(bench.requests.back().needs_primary);
 }
 
+// Guards against stale reads: a replica that was promoted while it ran a read answered with the
+// position it had as a replica, and that counted as the primary's.
+TEST_CASE("a position counts only if the member was the primary when the command left")
+{
+  session_bench bench("stale");
+  bench.submit(statement_kind::read, "READ 1");
+  REQUIRE(bench.commands.size() == 1);
+  // The read runs at a replica, which is promoted before its answer arrives.
+  bench.current_primary = group_primary{ member_id("m2"), true, std::nullopt };
+  bench.reply(std::nullopt, transaction_state::idle, point(3, 12));
+  CHECK(bench.observed_positions.empty());
+
+  bench.current_primary = group_primary{ member_id("m1"), true, std::nullopt };
+  bench.fresh.reset();
+  bench.submit(statement_kind::read, "READ 1");
+  REQUIRE(bench.commands.size() == 1);
+  bench.reply(std::nullopt, transaction_state::idle, point(3, 20));
+  CHECK(bench.observed_positions == std::vector{ point(3, 20) });
+}
+
+// Guards against stale reads: a member that refuses writes does not lead, whatever the records say,
+// and its log may lack commits.
+TEST_CASE("the position in a refusal of a write does not count")
+{
+  session_bench bench("writes");
+  bench.submit(statement_kind::write, "WRITE 1 x");
+  REQUIRE(bench.commands.size() == 1);
+  bench.reply(statement_error::read_only, transaction_state::idle, point(3, 12));
+  CHECK(bench.observed_positions.empty());
+}
+
 // Guards against reads that miss the session's own commit.
 TEST_CASE("a read after a write of the session requires at least the write's position")
 {
