Proxy: Date a fetched configuration by the view before its fetch

A configuration that the coordinator served counted as the newest one for the time of the newest announcement at the arrival of the answer. If a view announced the next version meanwhile, or another coordinator did, an older version counted as newest at that time, and a key that the next version withdrew could run past its limit while the next fetch failed.

configuration_fetch keeps the announcement with which a fetch began. An older version than that gets the date of the present one, at which nothing newer than it can have existed.

--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -2,6 +2,7 @@
 
 #include "Net/http_server.h"
 #include "Proxy/carriers.h"
+#include "Proxy/configuration_fetch.h"
 #include "Proxy/coordinator.h"
 #include "Proxy/coordinator_follower.h"
 #include "Proxy/coordinator_lease.h"
@@ -126,8 +127,10 @@
   void update_fleet(const std::map<std::string, platform::store_row>& rows,
                     std::uint64_t revision,
                     instant confirmed_at);
+  // Returns the time at which no version newer than `version` existed; empty if it is unknown.
+  using configuration_dater = std::function<std::optional<instant>(config_version version)>;
   void apply_configuration(const std::string& text,
-                           instant confirmed_at,
+                           const configuration_dater& confirmed_at,
                            const std::string& source);
   void fetch_configuration(instant now);
   void serve_peer_request(const http_request& request, const http_server::responder& send) const;
@@ -188,14 +191,10 @@
   instant member_list_failed_at_{};
   std::uint64_t members_digest_ = 0;
   std::uint32_t live_instances_ = 0;
-  // Newest configuration version that a view named, and when it was confirmed, on this instance's
-  // clock.
-  config_version announced_configuration_;
-  instant announced_confirmed_at_{};
+  configuration_fetch configuration_fetch_;
   std::string configuration_text_;
   std::unique_ptr<api_client> coordinator_client_;
   std::string coordinator_client_address_;
-  bool fetch_in_flight_ = false;
   instant next_fetch_at_{};
   std::unique_ptr<http_server> peer_server_;
   bool registered_in_view_ = true;
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -30,12 +30,13 @@
   if (row == rows.end()) {
     return;
   }
-  apply_configuration(row->second.value, confirmed_at, "store");
+  apply_configuration(
+    row->second.value, [confirmed_at](config_version) { return confirmed_at; }, "store");
 }
 
 void
 fleet_participant::apply_configuration(const std::string& text,
-                                       instant confirmed_at,
+                                       const configuration_dater& confirmed_at,
                                        const std::string& source)
 {
   auto parsed = platform::parse_configuration(text);
@@ -45,7 +46,12 @@
   }
   const auto version = parsed.value().version;
   const auto previous_version = fleet_state_.configuration().configuration().version;
-  if (!fleet_state_.update_configuration(std::move(parsed.value()), confirmed_at)) {
+  const auto date = confirmed_at(version);
+  if (!date) {
+    log_.write("configuration_undated", { { "version", std::to_string(version.get()) } });
+    return;
+  }
+  if (!fleet_state_.update_configuration(std::move(parsed.value()), *date)) {
     log_.write("configuration_older", { { "version", std::to_string(version.get()) } });
     return;
   }
@@ -67,10 +73,9 @@
 void
 fleet_participant::fetch_configuration(instant now)
 {
-  const bool newer =
-    fleet_state_.configuration().configuration().version < announced_configuration_;
-  if (!newer || !runs_sessions() || fetch_in_flight_ || coordinator_ || now < next_fetch_at_ ||
-      coordinator_address_.empty()) {
+  const auto current = fleet_state_.configuration().configuration().version;
+  if (!configuration_fetch_.is_due(current) || !runs_sessions() || coordinator_ ||
+      now < next_fetch_at_ || coordinator_address_.empty()) {
     return;
   }
   if (coordinator_client_address_ != coordinator_address_) {
@@ -81,16 +86,23 @@
     coordinator_client_address_ = coordinator_address_;
     coordinator_client_ = std::make_unique<api_client>(context_, address);
   }
-  fetch_in_flight_ = true;
+  configuration_fetch_.begin();
   next_fetch_at_ = now + fetch_retry_delay;
   coordinator_client_->get(
     std::string(configuration_path), write_timeout, [this](const api_reply& reply) {
-      fetch_in_flight_ = false;
       if (reply.status == platform::status_ok) {
-        // The fetched version is at least the one that the view named, and that was the newest
-        // version at its confirmation time.
-        apply_configuration(reply.body, announced_confirmed_at_, "coordinator");
-      } else {
+        apply_configuration(
+          reply.body,
+          [this](config_version fetched) {
+            const auto date = configuration_fetch_.finish(fetched);
+            // Nothing newer than the present version existed when that one was confirmed.
+            return date ? date : fleet_state_.configuration_confirmed_at();
+          },
+          "coordinator");
+      }
+      // Nothing was finished if the body cannot be read.
+      configuration_fetch_.fail();
+      if (reply.status != platform::status_ok) {
         log_.write("configuration_fetch_failed", { { "status", std::to_string(reply.status) } });
       }
     });
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -52,10 +52,7 @@
   if (view.configuration_age) {
     fleet_state_.confirm_configuration(view.configuration_version,
                                        confirmed_at(view.configuration_age));
-    if (view.configuration_version >= announced_configuration_) {
-      announced_configuration_ = view.configuration_version;
-      announced_confirmed_at_ = confirmed_at(view.configuration_age);
-    }
+    configuration_fetch_.announce(view.configuration_version, confirmed_at(view.configuration_age));
   }
   coordinator_address_ = view.address;
   fetch_configuration(now);
