Proxy: Keep a carrier in the plan if its token request comes first

After a change of coordinator a carrier was left out of the plan for a quarter of a second: a request for tokens that arrived before the carrier's first complete report made an entry without a time of a report, and the carrier counted as gone.

A request for tokens no longer makes an entry.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -84,23 +84,25 @@
 coordinator::handle_report(const instance_report& report)
 {
   const auto now = hooks_.now();
-  if (!peers_.contains(report.instance)) {
-    newest_peer_at_ = now;
-  }
-  auto& peer = peers_[report.instance];
+  const auto known = peers_.find(report.instance);
+  const bool known_run = known != peers_.end() && known->second.incarnation == report.incarnation;
   // Reports can arrive out of order, and a report that several instances relayed arrives more than
   // once.
-  if (peer.incarnation == report.incarnation && report.clock <= peer.last_report_clock) {
+  if (known_run && report.clock <= known->second.last_report_clock) {
     return;
   }
   if (report.tokens_only) {
     // The other fields are known from the last complete report.
-    if (peer.incarnation == report.incarnation) {
-      peer.last_report_clock = report.clock;
-      answer_token_request(report, peer);
+    if (known_run) {
+      known->second.last_report_clock = report.clock;
+      answer_token_request(report, known->second);
     }
     return;
   }
+  if (known == peers_.end()) {
+    newest_peer_at_ = now;
+  }
+  auto& peer = peers_[report.instance];
   peer.address = report.address;
   peer.incarnation = report.incarnation;
   peer.last_report_at = now;
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -20,6 +20,12 @@
     : fleet({ ms(4750), primary_use_limit, commit_answer_limit })
   {
     update_fleet(0);
+    start_coordinator();
+  }
+
+  // Starts the coordinator of an instance that has just acquired the lease.
+  void start_coordinator()
+  {
     coordinator::hooks callbacks;
     callbacks.now = [this] { return now; };
     callbacks.holds_lease = [] { return true; };
@@ -387,3 +393,29 @@
   CHECK_FALSE(bench.plan.carries(instance_id("b")));
   CHECK_FALSE(bench.plan.carries(instance_id("d")));
 }
+
+// Guards against carriers that are left out of the plan for a moment after a change of coordinator:
+// a request for tokens that arrived before the first complete report made an entry without a time,
+// and the carrier counted as gone. Its sessions moved, and it followed the new coordinator
+// without a complete view.
+TEST_CASE(
+  "a carrier stays in the plan if its token request is the first that a coordinator receives")
+{
+  coordinator_bench bench;
+  bench.plan.version = 3;
+  bench.plan.carriers = {
+    { instance_id("a"), zone_id("z"), "10.0.0.1:1", 0.5, false, false },
+    { instance_id("b"), zone_id("z"), "10.0.0.2:1", 0.5, false, false },
+  };
+  // So late that an entry without a time counts as expired.
+  bench.now = at(1'000'000);
+  bench.update_fleet(1'000'000);
+  bench.start_coordinator();
+  bench.now = at(1'000'100);
+  auto request = bench.report(50'000);
+  request.tokens_only = true;
+  bench.subject->handle_report(request);
+  bench.subject->tick(true);
+  CHECK(bench.plan.carries(instance_id("a")));
+  CHECK(bench.plan.version == 3);
+}
