Proxy: Count earlier shares unless the coordinator is the fleet's first

A workspace could use more than its rate for up to five seconds after the first change of coordinator (rule QUOTA).

Cause: whether there had been a coordinator was read once, with the first read of the fleet's table, and used when the instance became coordinator. An instance that had read before the first coordinator's row was written took over later as if no shares were in use.

The token tells: only the first coordinator that a fleet ever had holds the first one. The test fails if every coordinator counts as the first.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -37,7 +37,6 @@
 coordinator::coordinator(instance_id own,
                          std::string address,
                          fencing_token token,
-                         bool no_earlier_shares,
                          bool replaces_primaries,
                          const fleet_state& fleet,
                          const position_history& positions,
@@ -49,7 +48,7 @@
   , fleet_state_(fleet)
   , own_positions_(positions)
   , hooks_(std::move(callbacks))
-  , shares_(no_earlier_shares, hooks_.now())
+  , shares_(token == first_fencing_token, hooks_.now())
   , fence_(hooks_.now())
   , started_at_(hooks_.now())
   , newest_peer_at_(started_at_)
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -39,12 +39,10 @@
     std::function<void(const carrier_plan&)> record_plan;
   };
 
-  // `no_earlier_shares` is true if no earlier coordinator can have granted shares.
   // `replaces_primaries` is false where the platform does not ask for it.
   coordinator(instance_id own,
               std::string address,
               fencing_token token,
-              bool no_earlier_shares,
               bool replaces_primaries,
               const fleet_state& fleet,
               const position_history& positions,
--- a/Source/Proxy/coordinator_lease.cxx
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -183,7 +183,7 @@
     }
     return;
   }
-  const fencing_token next(row_ ? row_->token.get() + 1 : 1);
+  const auto next = row_ ? fencing_token(row_->token.get() + 1) : first_fencing_token;
   const bool restarted = row_ && row_->holder == own_;
   const bool vacant = !row_ || row_->holder.get().empty() || vacated_token_ == row_->token;
   duration wait = claim_delay_;
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -19,6 +19,8 @@
 
 // Identifies one holder of the coordinator lease; increases with each new holder.
 using fencing_token = strong<struct fencing_token_tag, std::uint64_t>;
+// Token of the first coordinator that a fleet ever had.
+inline const fencing_token first_fencing_token(1);
 
 // An observed position with its age instead of its time, for a receiver with another clock.
 struct aged_position
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -175,8 +175,6 @@
   // answer can arrive.
   std::vector<std::pair<instant, std::unique_ptr<coordinator>>> former_coordinators_;
   std::map<instance_id, incarnation_id> registered_instances_;
-  bool fleet_table_read_ = false;
-  bool outstanding_shares_known_ = false;
   std::string coordinator_address_;
   coordinator_follower follower_;
   // Token of the coordinator that another instance announced most recently.
--- a/Source/ProxyNode/fleet_participant_coordinator.cxx
+++ b/Source/ProxyNode/fleet_participant_coordinator.cxx
@@ -236,7 +236,6 @@
   coordinator_ = std::make_unique<coordinator>(settings_.name,
                                                address_,
                                                lease_.token(),
-                                               std::exchange(outstanding_shares_known_, false),
                                                settings_.replaces_primaries,
                                                fleet_state_,
                                                positions_,
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -184,10 +184,6 @@
       }
     }
   }
-  if (!std::exchange(fleet_table_read_, true)) {
-    // Without any coordinator row there was never a coordinator, so no rate shares can be in use.
-    outstanding_shares_known_ = !holder;
-  }
   registered_instances_ = registered;
   const auto own = registered.find(settings_.name);
   const bool listed = own != registered.end() && own->second == incarnation_;
--- a/Tests/Proxy/configuration_fetch_test.cxx
+++ b/Tests/Proxy/configuration_fetch_test.cxx
@@ -6,8 +6,8 @@
 using namespace persimmonshelf;
 using namespace persimmonshelf::testing;
 
-// Guards against withdrawn keys that go on working: a configuration whose fetch was in flight when a
-// view announced the next version counted as the newest one for the time of that view.
+// Guards against withdrawn keys that go on working: a configuration whose fetch was in flight when
+// a view announced the next version counted as the newest one for the time of that view.
 TEST_CASE("a fetched configuration is dated by the view before its fetch")
 {
   configuration_fetch fetch;
@@ -19,8 +19,8 @@
   CHECK(fetch.is_due(config_version(5)));
 }
 
-// Guards against the same after a change of coordinator: the new one may not have read the announced
-// version yet.
+// Guards against the same after a change of coordinator: the new one may not have read the
+// announced version yet.
 TEST_CASE("a configuration older than the announced one is not dated")
 {
   configuration_fetch fetch;
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -24,7 +24,7 @@
   }
 
   // Starts the coordinator of an instance that has just acquired the lease.
-  void start_coordinator()
+  void start_coordinator(fencing_token token = fencing_token(1))
   {
     coordinator::hooks callbacks;
     callbacks.now = [this] { return now; };
@@ -37,15 +37,9 @@
     callbacks.failover_hooks.now = callbacks.now;
     callbacks.failover_hooks.log = [](const std::string&, const std::string&, const std::string&) {
     };
-    subject = std::make_unique<coordinator>(instance_id("c"),
-                                            "10.0.0.9:1",
-                                            fencing_token(1),
-                                            true,
-                                            false,
-                                            fleet,
-                                            positions,
-                                            std::move(callbacks));
-    subject->set_registered_instances({ { instance_id("a"), incarnation_id(1) } });
+    subject = std::make_unique<coordinator>(
+      instance_id("c"), "10.0.0.9:1", token, false, fleet, positions, std::move(callbacks));
+    subject->set_registered_instances(registered);
   }
 
   void update_fleet(std::int64_t ms_now)
@@ -67,6 +61,7 @@
   }
 
   instant now = at(0);
+  std::map<instance_id, incarnation_id> registered{ { instance_id("a"), incarnation_id(1) } };
   fleet_state fleet;
   position_history positions;
   std::vector<fleet_view> views;
@@ -123,7 +118,6 @@
     subject = std::make_unique<coordinator>(instance_id("c"),
                                             "10.0.0.9:1",
                                             fencing_token(2),
-                                            false,
                                             true,
                                             fleet,
                                             positions,
@@ -419,3 +413,25 @@
   CHECK(bench.plan.carries(instance_id("a")));
   CHECK(bench.plan.version == 3);
 }
+
+// Guards against limits that are exceeded after the first change of coordinator: an instance that
+// had read the fleet's table before there was any coordinator took over from the first one as if no
+// shares were in use.
+TEST_CASE("only the fleet's first coordinator grants shares at once")
+{
+  for (const std::uint64_t token : { 1, 2 }) {
+    coordinator_bench bench;
+    bench.now = at(1000);
+    bench.update_fleet(1000);
+    // The others may hold all shares of an earlier coordinator and have not reported yet.
+    for (const auto* name : { "b", "c", "d", "e" }) {
+      bench.registered[instance_id(name)] = incarnation_id(1);
+    }
+    bench.start_coordinator(fencing_token(token));
+    bench.subject->handle_report(bench.report(50'000));
+    REQUIRE(bench.views.back().shares);
+    const auto share = bench.views.back().shares->find(workspace_id("w"));
+    const auto granted = share == bench.views.back().shares->end() ? 0 : share->second;
+    CHECK((granted > 0) == (token == 1));
+  }
+}
--- a/Tests/Proxy/position_exchange_test.cxx
+++ b/Tests/Proxy/position_exchange_test.cxx
@@ -64,7 +64,7 @@
   static const std::vector<std::string>& step_names()
   {
     static const std::vector<std::string> names{
-      "commit",    "a reads",       "a reports", "r reports", "coordinator changes",
+      "commit",    "a reads",       "a reports", "r reports",     "coordinator changes",
       "a toggles", "a asks tokens", "a holds",   "r's views wait"
     };
     return names;
@@ -177,7 +177,6 @@
                                               next.name.get(),
                                               fencing_token(++token_),
                                               false,
-                                              false,
                                               next.fleet,
                                               next.positions,
                                               std::move(callbacks));
