Proxy: Confirm rate shares by the view that granted them

Cause: an instance reported the number of its newest complete view, and the coordinator took any number from the newest grant on as a confirmation of that grant. A coordinator without its lease makes complete views without shares, which leave the former ones in use. If the view that lowered the shares was lost and one without shares arrived, the coordinator counted the lower ones while the instance still used the higher ones; after contact was lost, the pool granted the difference to others. This needs no regained lease: a coordinator that resigned goes on granting tokens. In the same way a new coordinator that had granted no shares yet counted those of its predecessor as none.

A report now also names the newest view whose shares were applied, with its coordinator, and the allocator compares that one. Reports of instances with the former version name none; a share of theirs then counts with its largest value as long as they report to this coordinator.

The rates' tests now step the follower of the product instead of a copy of its rules.

--- a/Source/Proxy/coordinator_follower.cxx
+++ b/Source/Proxy/coordinator_follower.cxx
@@ -41,6 +41,9 @@
   }
   newest_complete_ = applied_view{ view.token, view.view_number, view.clock, duration::zero() };
   newest_complete_at_ = now;
+  if (view.shares) {
+    shares_view_ = { view.token, view.view_number };
+  }
   return view_use::complete;
 }
 
--- a/Source/Proxy/coordinator_follower.h
+++ b/Source/Proxy/coordinator_follower.h
@@ -34,6 +34,8 @@
   // The newest complete view, for a report that is made at `now`.
   std::optional<applied_view> newest_complete_view(instant now) const;
 
+  const applied_shares& shares_view() const { return shares_view_; }
+
   // Token of the newest coordinator of which any view was accepted; zero if there is none. It
   // numbers the token grants.
   fencing_token token() const { return token_; }
@@ -51,6 +53,7 @@
   std::uint64_t view_number_ = 0;
   std::optional<applied_view> newest_complete_;
   instant newest_complete_at_{};
+  applied_shares shares_view_;
   instant last_echo_clock_{};
 };
 
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -37,9 +37,8 @@
   duration failing_for{};
 };
 
-// Newest complete view that an instance applied. The coordinator that made it granted the
-// instance's shares, and the instance's report was made no earlier than the sum of its times on
-// that coordinator's clock.
+// Newest complete view that an instance applied. The instance's report was made no earlier than the
+// sum of its times on the clock of the coordinator that made the view.
 struct applied_view
 {
   fencing_token token;
@@ -52,6 +51,17 @@
   friend bool operator==(const applied_view&, const applied_view&) = default;
 };
 
+// Newest view with shares that an instance applied. A complete view without shares leaves those of
+// an earlier one in use, so it may be older than the newest complete view.
+struct applied_shares
+{
+  // Zero if there is none.
+  fencing_token token;
+  std::uint64_t number = 0;
+
+  friend bool operator==(const applied_shares&, const applied_shares&) = default;
+};
+
 // Report of an instance to the coordinator, sent several times per second.
 struct instance_report
 {
@@ -76,6 +86,8 @@
   // Revision of the group records that the sender applied.
   std::uint64_t groups_revision = 0;
   rate_share_table shares;
+  // The view that granted the shares.
+  applied_shares shares_view;
   std::map<workspace_id, double> demands;
   // Number of the newest token grant that the sender applied, the coordinator that numbered it, the
   // tokens used of it, and the number of requests that wait for more, by workspace.
--- a/Source/Proxy/rate_share_allocator.cxx
+++ b/Source/Proxy/rate_share_allocator.cxx
@@ -90,7 +90,7 @@
   for (const auto& [workspace, demand] : report.demands) {
     holder.holdings[workspace].demand = demand;
   }
-  if (!applied_own_view) {
+  if (report.shares_view.token != own_token) {
     // Shares of an earlier coordinator, which the instance may use until they expire.
     for (const auto& [workspace, share] : report.shares) {
       auto& holding = holder.holdings[workspace];
@@ -101,10 +101,10 @@
     }
     return;
   }
-  if (report.view->number < holder.last_view) {
+  if (report.shares_view.number < holder.last_view) {
     return;
   }
-  // The newest view was applied, so the instance may use only what it granted.
+  // The newest grant was applied, so the instance may use only that.
   for (auto& [workspace, holding] : holder.holdings) {
     holding.held = holding.granted;
   }
--- a/Source/Proxy/rate_share_allocator.h
+++ b/Source/Proxy/rate_share_allocator.h
@@ -65,6 +65,7 @@
     incarnation_id incarnation;
     instant last_report_at{};
     instant last_clock{};
+    // Number of the newest view with shares.
     std::uint64_t last_view = 0;
     instant last_grant_at{};
     bool leaving = false;
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -151,6 +151,7 @@
   report.members_digest = from.members_digest();
   report.groups_revision = from.groups_revision();
   report.shares = read_shares(from);
+  report.shares_view = { fencing_token(from.shares_token()), from.shares_view() };
   for (const auto& entry : from.demands()) {
     report.demands[workspace_id(entry.workspace())] = entry.per_second();
   }
@@ -277,6 +278,8 @@
   to.set_members_digest(report.members_digest);
   to.set_groups_revision(report.groups_revision);
   add_shares(report.shares, to);
+  to.set_shares_token(report.shares_view.token.get());
+  to.set_shares_view(report.shares_view.number);
   for (const auto& [workspace, demand] : report.demands) {
     auto* entry = to.add_demands();
     entry->set_workspace(workspace.get());
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -54,6 +54,7 @@
   report.members_digest = members_digest_;
   report.groups_revision = fleet_state_.groups_revision();
   report.shares = limiter_.shares();
+  report.shares_view = follower_.shares_view();
   report.demands = limiter_.demands(now);
   add_positions(fleet_state_, positions_, report);
   report.reachability = hooks_.reachability();
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -327,6 +327,7 @@
     fencing_token(8), 12, instant(std::chrono::seconds(3)), std::chrono::milliseconds(20)
   };
   report.grant_token = fencing_token(9);
+  report.shares_view = { fencing_token(7), 11 };
   const auto read = decode_datagram(encode_report(report)).report;
   REQUIRE(read);
   CHECK(read->incarnation == report.incarnation);
@@ -336,6 +337,7 @@
   CHECK(read->waiting.at(workspace_id("v")) == 3);
   CHECK(read->view == report.view);
   CHECK(read->grant_token == report.grant_token);
+  CHECK(read->shares_view == report.shares_view);
   CHECK_FALSE(decode_datagram(encode_report({})).report->view);
 
   fleet_view view;
--- a/Tests/Proxy/position_exchange_test.cxx
+++ b/Tests/Proxy/position_exchange_test.cxx
@@ -339,7 +339,7 @@
 // Guards against limits that are exceeded after a change of coordinator: a view with tokens or the
 // plan alone made the sender claim that the new coordinator had granted the shares that it still
 // had from the former one.
-TEST_CASE("a report names the coordinator whose complete view granted the shares")
+TEST_CASE("a report names the views that its times and its shares come from")
 {
   using view_use = coordinator_follower::view_use;
   coordinator_follower follower(incarnation_id(1));
@@ -350,8 +350,11 @@
   view.view_number = 5;
   view.clock = at(70'000);
   view.echo_clock = at(990);
+  view.shares.emplace();
   CHECK(follower.accept(view, at(1000)) == view_use::complete);
 
+  const applied_shares granted{ fencing_token(1), 5 };
+  CHECK(follower.shares_view() == granted);
   const applied_view complete{ fencing_token(1), 5, at(70'000), ms(40) };
   view.token = fencing_token(2);
   view.view_number = 1;
@@ -363,4 +366,13 @@
   CHECK(follower.accept(view, at(1020)) == view_use::plan);
   CHECK(follower.token() == fencing_token(2));
   CHECK(follower.newest_complete_view(at(1040)) == complete);
+  CHECK(follower.shares_view() == granted);
+
+  view.view_number = 3;
+  view.plan_only = false;
+  view.shares.reset();
+  CHECK(follower.accept(view, at(1050)) == view_use::complete);
+  CHECK(follower.newest_complete_view(at(1050)) ==
+        applied_view{ fencing_token(2), 3, at(70'000), ms(0) });
+  CHECK(follower.shares_view() == granted);
 }
--- a/Tests/Proxy/rates_test.cxx
+++ b/Tests/Proxy/rates_test.cxx
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "Proxy/admission.h"
+#include "Proxy/coordinator_follower.h"
 #include "Proxy/rate_limiter.h"
 #include "Proxy/rate_share_allocator.h"
 #include "Proxy/token_pool.h"
@@ -44,6 +45,7 @@
   {
     fleet_view view;
     view.token = token;
+    view.incarnation = report.incarnation;
     view.echo_clock = report.clock;
     view.view_number = ++views;
     shares.record_report(report, token, now);
@@ -73,28 +75,27 @@
     created.instance = name;
     created.incarnation = incarnation_id(incarnation);
     created.clock = now + offset;
-    created.view = applied_view{ token, view, {}, {} };
-    created.grant_token = token;
+    created.view = follower.newest_complete_view(created.clock);
+    created.grant_token = follower.token();
     created.shares = limiter.shares();
+    created.shares_view = follower.shares_view();
     created.demands = limiter.demands(now + offset);
     created.grant_number = limiter.grant_number();
     created.waiting[workspace] = 1;
     created.used = limiter.usage_for_report(created.waiting, created.clock);
-    created.view_age = now + offset - echo;
+    created.view_age = created.clock - follower.last_echo_clock();
     return created;
   }
 
   void apply(const fleet_view& next, instant now)
   {
-    if (next.token < token || (next.token == token && next.view_number <= view)) {
+    const auto previous_token = follower.token();
+    if (follower.accept(next, now + offset) == coordinator_follower::view_use::none) {
       return;
     }
-    if (next.token > token) {
+    if (next.token > previous_token) {
       limiter.coordinator_changed(now + offset);
     }
-    token = next.token;
-    view = next.view_number;
-    echo = std::max(echo, next.echo_clock);
     if (next.shares) {
       limiter.set_shares(*next.shares, next.echo_clock + share_lifetime, now + offset);
     }
@@ -106,18 +107,20 @@
     ++incarnation;
     limiter = rate_limiter(tolerance);
     limiter.set_workspaces({ make_workspace("w", rate, burst) }, now + offset);
-    token = fencing_token(0);
-    view = 0;
-    echo = now + offset - std::chrono::seconds(100);
+    follower = coordinator_follower(incarnation_id(incarnation));
+  }
+
+  // Part of the workspace's rate that the instance uses while no coordinator answers.
+  double share() const
+  {
+    return static_cast<double>(limiter.shares().at(workspace)) / full_rate_share;
   }
 
   instance_id name;
   std::uint64_t incarnation = 1;
   duration offset{};
   rate_limiter limiter;
-  fencing_token token;
-  std::uint64_t view = 0;
-  instant echo{};
+  coordinator_follower follower{ incarnation_id(1) };
 };
 
 }
@@ -394,6 +397,53 @@
   CHECK(shares.pool_fraction(workspace, later) == doctest::Approx(1.0));
 }
 
+// A view with lower shares is lost, the lease lapses, and a view without shares arrives, which the
+// instance reports. Then the instance is cut off. Guards against counting the lost view as applied:
+// the pool gained what the instance still used, and together they exceeded the rate.
+TEST_CASE("a view without shares does not confirm lower shares that were lost")
+{
+  coordinator_limits current(1, true, at(0));
+  limited_instance cut;
+  cut.name = instance_id("a");
+  cut.restart(at(0));
+  limited_instance busy;
+  busy.name = instance_id("b");
+  busy.restart(at(0));
+  cut.apply(current.answer(cut.report(at(0)), true, at(0)), at(0));
+  const double former_share = cut.share();
+  for (int i = 0; i < 50; ++i) {
+    busy.limiter.take(workspace, true, at(100));
+  }
+  busy.apply(current.answer(busy.report(at(100)), true, at(100)), at(100));
+  const auto lost = current.answer(cut.report(at(200)), true, at(200));
+  REQUIRE(lost.shares);
+  REQUIRE(lost.shares->at(workspace) < former_share * full_rate_share);
+  cut.apply(current.answer(cut.report(at(300)), false, at(300)), at(300));
+  current.answer(cut.report(at(400)), false, at(400));
+  REQUIRE(cut.share() == former_share);
+  for (const auto now : { at(1400), at(1500) }) {
+    busy.apply(current.answer(busy.report(now), false, now), now);
+  }
+  CHECK(current.shares.pool_fraction(workspace, at(1500)) + former_share <= doctest::Approx(1.0));
+}
+
+// A new coordinator loses its lease before it grants shares. Guards against counting its view
+// without shares as a grant of none while the instance uses those of the former coordinator.
+TEST_CASE("a view without shares does not end the shares of a former coordinator")
+{
+  coordinator_limits former(1, true, at(0));
+  limited_instance cut;
+  cut.name = instance_id("a");
+  cut.restart(at(0));
+  cut.apply(former.answer(cut.report(at(0)), true, at(0)), at(0));
+  coordinator_limits current(2, false, at(1000));
+  current.shares.set_registered_instances({ { cut.name, incarnation_id(cut.incarnation) } });
+  cut.apply(current.answer(cut.report(at(1000)), false, at(1000)), at(1000));
+  current.answer(cut.report(at(1100)), false, at(1100));
+  REQUIRE(cut.share() > 0);
+  CHECK(current.shares.pool_fraction(workspace, at(2000)) + cut.share() <= doctest::Approx(1.0));
+}
+
 // A power failure during a rolling restart. Guards against instances without sessions that withhold
 // shares from a new coordinator, by which all callers were refused below their rate for five
 // seconds.
