Proxy: Wait for the fence also when the old primary stepped down

Cause: once the old primary had answered DEMOTE, the replacement went on without the instances. No commit was lost by that, but an instance that hears neither the coordinator nor the store uses the primary that it knows for up to 1.5 s more: it read there without AFTER and took the positions in its answers for the primary's, while the successor acknowledged commits.

As long as no other member leads there are no newer commits, and the former primary's answers are true. So each promotion now waits in the new state awaiting_fence until every registered instance confirmed the record of the replacement or the evidence has expired (2.1 s, as before for a primary that does not answer). Every way to promoting leads through it: planned, unplanned, resumed by another coordinator, after a refusal. Comparing the members and catching up go on meanwhile, and the limit for catching up counts from the step-down as before. The chosen member is asked again during the wait, since a restart may cost it its log; one that does not answer stays chosen, since it may alone have caught up in time. The coordinator's own instance reports at once after writing a record, as the others do; its confirmation would otherwise take up to a report period.

Tests: five new ones. Three existing tests never completed the fence and relied on the step-down instead; they now complete it at the start, and every check in them stays as it was: - "a leaving primary steps down before the most advanced replica is promoted" said "without waiting for evidence to expire", which holds only if all instances confirm. Taking out the check of the position, treating silence as a reason to choose again, and keeping the pause when the fence is complete each make one of the new tests fail.

--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -46,6 +46,7 @@
            { "choose", [this] { query_candidates(); } },
            { "choose_later", [this] { retry_choice(); } },
            { "publish_later", [this] { retry_later(); } },
+           { "await_fence", [this] { await_fence(); } },
            { "exclude", [this] { excluded_members_.insert(*chosen_); } },
            { "promote", [this] { promote(); } },
            { "confirm",
@@ -224,8 +225,8 @@
         }
         step_down_pending_ = false;
         update_newest_term(*after);
-        if (chart_->state() == "promoting" || chart_->state() == "confirming" ||
-            chart_->state() == "publishing") {
+        if (chart_->state() == "awaiting_fence" || chart_->state() == "promoting" ||
+            chart_->state() == "confirming" || chart_->state() == "publishing") {
           // Another member was chosen meanwhile.
           return;
         }
@@ -244,6 +245,47 @@
   handle_event("not_reached");
 }
 
+bool
+failover::fence_complete() const
+{
+  return hooks_.fence_complete(recorded_revision_, recorded_at_);
+}
+
+// Until the fence is complete, an instance may still read at the old primary and take its answers
+// for the primary's, even after it stepped down. They are true as long as no other member leads.
+void
+failover::await_fence()
+{
+  if (fence_complete()) {
+    handle_event("fenced");
+    return;
+  }
+  retry_later();
+}
+
+// Asks the chosen member again while the fence is waited for, because a restart may have cost it
+// its log. One that does not answer stays chosen: it may alone have caught up in time.
+void
+failover::check_choice()
+{
+  member_command status;
+  status.kind = member_command::command_kind::status;
+  hooks_.send_command(
+    *chosen_, status, [this, generation = generation_](std::optional<member_status> answer) {
+      if (generation != generation_ || chart_->state() != "awaiting_fence") {
+        return;
+      }
+      if (answer) {
+        update_newest_term(*answer);
+      }
+      if (answer && answer->received < chosen_position_) {
+        handle_event("none_fit");
+        return;
+      }
+      retry_later();
+    });
+}
+
 void
 failover::promote()
 {
@@ -316,7 +358,9 @@
 void
 failover::tick()
 {
-  if (chart_->state() == "fencing" && hooks_.fence_complete(recorded_revision_, recorded_at_)) {
+  const bool awaits_fence = chart_->state() == "fencing" || chart_->state() == "awaiting_fence";
+  if (awaits_fence && fence_complete()) {
+    retry_pending_ = false;
     handle_event("fenced");
     return;
   }
@@ -326,6 +370,8 @@
   retry_pending_ = false;
   if (chart_->state() == "choosing") {
     query_candidates();
+  } else if (chart_->state() == "awaiting_fence") {
+    check_choice();
   } else if (chart_->state() == "promoting") {
     promote();
   } else if (chart_->state() == "confirming") {
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -26,9 +26,9 @@
 };
 
 // Replaces the primary of one group, on behalf of the coordinator. failover.chart.json defines the
-// order of the steps: wait until no instance passes on commits of the old primary, compare the
-// positions that the other members received, promote the most advanced one, and record it once it
-// is primary.
+// order of the steps: wait until the old primary stepped down or no instance passes on its commits,
+// compare the positions that the other members received, wait until no instance reads at the old
+// primary as the primary, promote the most advanced member, and record it once it is primary.
 class failover
 {
 public:
@@ -94,6 +94,9 @@
   void retry_choice();
   void end_replacement();
   void start_fence();
+  bool fence_complete() const;
+  void await_fence();
+  void check_choice();
   void query_candidates();
   void compare_members(const std::map<member_id, member_status>& answers);
   std::optional<member_id> find_successor(const std::map<member_id, member_status>& answers) const;
@@ -131,6 +134,8 @@
   instant stepped_down_at_{};
   std::set<member_id> excluded_members_;
   std::optional<member_id> chosen_;
+  // Position of the chosen member when it was chosen.
+  log_point chosen_position_;
   // Term in which the chosen member leads, once it does.
   term chosen_term_;
   instant retry_at_{};
--- a/Source/Proxy/failover_selection.cxx
+++ b/Source/Proxy/failover_selection.cxx
@@ -117,6 +117,7 @@
   const auto* best = required ? best_candidate(answers) : nullptr;
   if (best != nullptr && answers.at(best->id).received >= *required) {
     chosen_ = best->id;
+    chosen_position_ = answers.at(best->id).received;
     handle_event("chosen");
     return;
   }
--- a/Source/Proxy/fence.h
+++ b/Source/Proxy/fence.h
@@ -9,9 +9,9 @@
 
 namespace persimmonshelf {
 
-// Determines when no instance can still pass on a commit of a primary that is being replaced: when
-// every registered instance reported that it has applied the record of the replacement, or when any
-// evidence that an instance may still use has expired.
+// Determines when no instance can still pass on a commit of a primary that is being replaced, or
+// read at it as the primary: when every registered instance reported that it has applied the record
+// of the replacement, or when any evidence that an instance may still use has expired.
 class fence
 {
 public:
--- a/Source/ProxyNode/fleet_participant_coordinator.cxx
+++ b/Source/ProxyNode/fleet_participant_coordinator.cxx
@@ -97,6 +97,8 @@
                 done(written, revision);
                 if (written && coordinator_) {
                   coordinator_->send_views();
+                  // This instance confirms the record too.
+                  send_report(boot_now());
                 }
               });
 }
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -184,6 +184,38 @@
   CHECK_FALSE(bench.members["m1"].primary);
 }
 
+// Guards against stale reads: an instance that hears neither the coordinator nor the store uses the
+// primary that it knows until its evidence expires, also if that one stepped down.
+TEST_CASE("a leaving primary is not replaced before every instance confirmed it or cannot use it")
+{
+  for (const bool all_confirm : { true, false }) {
+    CAPTURE(all_confirm);
+    replacement_bench bench;
+    bench.unreachable.clear();
+    bench.take_over();
+    std::map<instance_id, incarnation_id> registered{ { instance_id("a"), incarnation_id(1) } };
+    if (!all_confirm) {
+      registered[instance_id("b")] = incarnation_id(2);
+    }
+    bench.subject->set_registered_instances(registered);
+    bench.run(3000);
+    auto listed = bench.fleet.members();
+    listed[1].draining = true;
+    bench.fleet.update_members(listed, bench.now);
+    bench.run(100);
+    CHECK_FALSE(bench.members["m2"].primary);
+    if (!all_confirm) {
+      CHECK(bench.promoted.empty());
+      CHECK(bench.fleet.groups().at("g").changing);
+      bench.run(1400);
+      CHECK(bench.promoted.empty());
+      bench.run(800);
+    }
+    CHECK(bench.promoted == std::vector<std::string>{ "m3" });
+    CHECK(bench.fleet.groups().at("g").primary == member_id("m3"));
+  }
+}
+
 // Guards against a second promotion after the coordinator failed between the promotion and its
 // record: the member that leads in the next term is the successor.
 TEST_CASE("a new coordinator records a successor that was promoted but not recorded")
--- a/Tests/Proxy/failover_test.cxx
+++ b/Tests/Proxy/failover_test.cxx
@@ -45,6 +45,9 @@
       if (!promote_answers.empty()) {
         promote_answers.pop_front();
       }
+      if (promote_is_pending) {
+        return;
+      }
       if (outcome != promote_outcome::refused && !promote_is_lost) {
         for (auto& [name, status] : members) {
           status.primary = name == id.get() || (unreachable.contains(name) && status.primary);
@@ -116,6 +119,8 @@
   std::vector<member_id> promoted;
   std::deque<promote_outcome> promote_answers;
   bool promote_is_lost = false;
+  // The platform has not answered yet.
+  bool promote_is_pending = false;
   bool store_answers = true;
   bool lease = true;
   bool fenced = false;
@@ -125,10 +130,11 @@
 }
 
 // Guards against lost commits during planned maintenance: the leaving primary steps down first, and
-// a replica with every commit takes over, without waiting for evidence to expire.
+// a replica with every commit takes over at once if all instances confirmed the record.
 TEST_CASE("a leaving primary steps down before the most advanced replica is promoted")
 {
   failover_bench bench;
+  bench.fenced = true;
   bench.start(replacement_reason::leaving);
   bench.run(200);
   REQUIRE(bench.promoted.size() == 1);
@@ -140,6 +146,94 @@
   CHECK(bench.records[1].primary == member_id("m3"));
 }
 
+// Guards against stale reads: an instance that was out of touch went on reading at a primary that
+// had stepped down, while its successor already acknowledged newer commits.
+TEST_CASE("a primary that stepped down is replaced only when the fence is complete")
+{
+  for (const std::string way : { "leaving", "unreachable", "resumed", "taken over" }) {
+    for (const std::uint32_t sync_replicas : { 0U, 1U }) {
+      CAPTURE(way);
+      CAPTURE(sync_replicas);
+      failover_bench bench;
+      bench.set_members({ "m1", "m2", "m3" }, sync_replicas);
+      bench.promote_answers = { promote_outcome::refused };
+      if (way == "resumed") {
+        bench.group_failover->resume({ "g", member_id("m1"), true, true, term(3) }, 12);
+      } else {
+        bench.start(way == "unreachable" ? replacement_reason::unreachable
+                                         : replacement_reason::leaving);
+      }
+      bench.run(1000);
+      if (way == "taken over") {
+        bench.group_failover->duty_lost();
+        bench.group_failover->resume(bench.records.back(), 12);
+      }
+      bench.run(2000);
+      CHECK_FALSE(bench.members["m1"].primary);
+      CHECK(bench.promoted.empty());
+      // The members were compared meanwhile.
+      bench.fenced = true;
+      bench.run(20);
+      REQUIRE_FALSE(bench.promoted.empty());
+      CHECK(bench.promoted[0] == member_id("m3"));
+      bench.run(300);
+      CHECK(bench.members[bench.promoted.back().get()].primary);
+      CHECK_FALSE(bench.group_failover->in_progress());
+    }
+  }
+}
+
+// Guards against promotion calls beyond the platform's limit: the pause between two questions to
+// the chosen member went on after the fence was complete, and its end repeated the call in flight.
+TEST_CASE("a member is promoted by one call after the fence was waited for")
+{
+  failover_bench bench;
+  bench.promote_is_pending = true;
+  bench.start(replacement_reason::leaving);
+  bench.run(200);
+  CHECK(bench.promoted.empty());
+  bench.fenced = true;
+  bench.run(1000);
+  CHECK(bench.promoted.size() == 1);
+}
+
+// Guards against lost commits: the member that was chosen while instances were waited for restarted
+// without its log before it was promoted.
+TEST_CASE("a chosen member that lost its log while the fence was waited for is not promoted")
+{
+  failover_bench bench;
+  bench.members["m2"].received = point(3, 50);
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.start(replacement_reason::leaving);
+  bench.run(200);
+  CHECK(bench.promoted.empty());
+  bench.members["m2"].received = point(0, 0);
+  bench.run(200);
+  bench.fenced = true;
+  bench.run(200);
+  CHECK(bench.promoted == std::vector<member_id>{ member_id("m3") });
+}
+
+// Guards against lost commits and promotions of members that are leaving: a replica that had caught
+// up in time was passed over because it did not answer when the fence was complete.
+TEST_CASE("a replica that caught up in time stays chosen while the fence is waited for")
+{
+  for (const std::uint32_t sync_replicas : { 0U, 1U }) {
+    CAPTURE(sync_replicas);
+    failover_bench bench;
+    bench.draining = { "m1" };
+    bench.set_members({ "m1", "m2", "m3" }, sync_replicas);
+    bench.start(replacement_reason::leaving);
+    bench.run(1000);
+    CHECK(bench.promoted.empty());
+    bench.unreachable = { "m3" };
+    bench.run(1100);
+    bench.fenced = true;
+    bench.run(200);
+    CHECK(bench.promoted == std::vector<member_id>{ member_id("m3") });
+  }
+}
+
 // Guards against two primaries: until the fence is complete, an unreachable primary may still
 // acknowledge commits through instances that reach it.
 TEST_CASE("an unreachable primary is replaced only when the fence is complete")
@@ -288,6 +382,7 @@
   bench.members["m1"].received = point(3, 51);
   bench.draining = { "m1" };
   bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.fenced = true;
   bench.start(replacement_reason::leaving);
   bench.unreachable = { "m1" };
   bench.run(1400);
@@ -304,6 +399,7 @@
   bench.members["m1"].received = point(3, 51);
   bench.draining = { "m1" };
   bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.fenced = true;
   bench.start(replacement_reason::leaving);
   bench.run(2500);
   CHECK(bench.promoted == std::vector<member_id>{ member_id("m1") });
