--- a/Tests/Proxy/rates_test.cxx
+++ b/Tests/Proxy/rates_test.cxx
@@ -444,6 +444,96 @@
   CHECK(current.shares.pool_fraction(workspace, at(2000)) + cut.share() <= doctest::Approx(1.0));
 }
 
+// A report of an instance's former run was delayed, by a suspended instance that relays it, and
+// arrives when the next run holds shares. Then the instance is cut off. Guards against forgetting
+// the shares of the present run: the pool gained them while the instance still used them.
+TEST_CASE("a late report of a former run does not end the shares of the present one")
+{
+  coordinator_limits current(1, true, at(0));
+  limited_instance cut;
+  cut.name = instance_id("a");
+  cut.restart(at(0));
+  limited_instance busy;
+  busy.name = instance_id("b");
+  busy.restart(at(0));
+  const auto late = cut.report(at(0));
+  cut.restart(at(100));
+  for (const auto now : { at(200), at(250) }) {
+    cut.apply(current.answer(cut.report(now), true, now), now);
+  }
+  for (int i = 0; i < 50; ++i) {
+    busy.limiter.take(workspace, true, at(300));
+  }
+  busy.apply(current.answer(busy.report(at(300)), true, at(300)), at(300));
+  cut.apply(current.answer(late, true, at(400)), at(400));
+  for (const auto now : { at(1400), at(1500) }) {
+    busy.apply(current.answer(busy.report(now), true, now), now);
+  }
+  CHECK(current.shares.pool_fraction(workspace, at(1500)) + cut.share() <= doctest::Approx(1.0));
+}
+
+// The coordinator is cut off with the callers of its own instance, and goes on granting tokens when
+// its lease has ended. Guards against two pools that together exceed the limit: a new coordinator
+// withholds only the largest share of an instance that has not reported to it.
+TEST_CASE("the pools of a former and a new coordinator together hold rate and burst")
+{
+  std::vector<std::unique_ptr<limited_instance>> instances;
+  std::map<instance_id, incarnation_id> registered;
+  for (int i = 0; i < 5; ++i) {
+    auto created = std::make_unique<limited_instance>();
+    created->name = instance_id("i" + std::to_string(i));
+    created->restart(at(0));
+    registered[created->name] = incarnation_id(created->incarnation);
+    instances.push_back(std::move(created));
+  }
+  constexpr std::int64_t cut_at = 5000;
+  constexpr std::int64_t idle_at = cut_at - 600;
+  constexpr std::int64_t lapsed_at = cut_at + 1000;
+  constexpr std::int64_t regained_at = lapsed_at + 750 + 50;
+  // Without contact to the store, an instance refuses all callers when their keys expire.
+  constexpr std::int64_t keys_expire_at = cut_at + 4750;
+  coordinator_limits former(1, true, at(0));
+  std::unique_ptr<coordinator_limits> next;
+  std::deque<std::int64_t> runs;
+  std::size_t most_runs = 0;
+  for (std::int64_t time = 0; time < 12'000; time += 10) {
+    const auto now = at(time);
+    if (time == regained_at) {
+      next = std::make_unique<coordinator_limits>(2, false, now);
+      next->shares.set_registered_instances(registered);
+    }
+    for (std::size_t i = 0; i < instances.size(); ++i) {
+      auto& instance = *instances[i];
+      auto* target = i == 0 || time < cut_at ? &former : next.get();
+      const auto exchange = [&] {
+        const bool holds_lease = target != &former || time < lapsed_at;
+        instance.apply(target->answer(instance.report(now), holds_lease, now), now);
+      };
+      if (target != nullptr && time % 250 == static_cast<std::int64_t>(i) * 10) {
+        exchange();
+      }
+      const bool is_asked =
+        i == 0 ? time < idle_at || (time >= cut_at && time < keys_expire_at) : time >= cut_at;
+      if (!is_asked) {
+        continue;
+      }
+      auto verdict = instance.limiter.take(workspace, true, now);
+      if (verdict == rate_limiter::verdict::wait_for_grant && target != nullptr) {
+        exchange();
+        verdict = instance.limiter.take(workspace, false, now);
+      }
+      if (verdict == rate_limiter::verdict::granted) {
+        runs.push_back(time);
+      }
+    }
+    while (!runs.empty() && runs.front() <= time - 5000) {
+      runs.pop_front();
+    }
+    most_runs = std::max(most_runs, runs.size());
+  }
+  CHECK(static_cast<double>(most_runs) <= (rate * 5 + burst) * 1.1 + 20);
+}
+
 // A power failure during a rolling restart. Guards against instances without sessions that withhold
 // shares from a new coordinator, by which all callers were refused below their rate for five
 // seconds.
