--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -142,7 +142,7 @@
       const timed_position observed{ position.position,
                                      earliest_creation - (report.clock - position.observed_at),
                                      position.source };
-      hooks_.position_reported(group, observed, record_position(group, observed));
+      hooks_.position_reported(report.instance, group, observed, record_position(group, observed));
     }
   }
 }
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -31,8 +31,11 @@
     // True while the lease is valid; rate shares are granted only then.
     std::function<bool()> holds_lease;
     std::function<std::uint64_t()> lease_revision;
-    // Reports what became of a position in a report.
-    std::function<void(const std::string& group, const timed_position&, observation_outcome)>
+    // Reports what became of a position in a report of `reporter`.
+    std::function<void(const instance_id& reporter,
+                       const std::string& group,
+                       const timed_position&,
+                       observation_outcome)>
       position_reported;
     // The carrier plan in the store, and the request to replace it.
     std::function<const carrier_plan&()> plan;
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -64,8 +64,9 @@
     // instance.
     std::function<bool()> has_sessions;
     // Called with each position that a view or, at the coordinator, a report contained. `origin` is
-    // "view" or "report".
+    // "view" or "report", `sender` the instance that sent it.
     std::function<void(std::string_view origin,
+                       const instance_id& sender,
                        const std::string& group,
                        const timed_position&,
                        observation_outcome)>
--- a/Source/ProxyNode/fleet_participant_coordinator.cxx
+++ b/Source/ProxyNode/fleet_participant_coordinator.cxx
@@ -193,10 +193,12 @@
 {
   coordinator::hooks callbacks;
   callbacks.now = [] { return boot_now(); };
-  callbacks.position_reported =
-    [this](const std::string& group, const timed_position& observed, observation_outcome outcome) {
-      hooks_.position_observed("report", group, observed, outcome);
-    };
+  callbacks.position_reported = [this](const instance_id& reporter,
+                                       const std::string& group,
+                                       const timed_position& observed,
+                                       observation_outcome outcome) {
+    hooks_.position_observed("report", reporter, group, observed, outcome);
+  };
   callbacks.lease_revision = [this] { return lease_.revision(); };
   callbacks.holds_lease = [this] { return lease_.holds(boot_now()); };
   callbacks.send = [this](const std::string& address, const fleet_view& view) {
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -70,14 +70,15 @@
     limiter_.set_shares(*view.shares, view.echo_clock + share_lifetime, now);
   }
   apply_tokens(view, now);
-  observe_view(
-    view,
-    fleet_state_,
-    positions_,
-    now,
-    [this](const std::string& group, const timed_position& observed, observation_outcome outcome) {
-      hooks_.position_observed("view", group, observed, outcome);
-    });
+  observe_view(view,
+               fleet_state_,
+               positions_,
+               now,
+               [this, &view](const std::string& group,
+                             const timed_position& observed,
+                             observation_outcome outcome) {
+                 hooks_.position_observed("view", view.holder, group, observed, outcome);
+               });
   if (groups_before != fleet_state_.groups()) {
     for (const auto& [group, record] : fleet_state_.groups()) {
       log_.write("group",
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -79,10 +79,11 @@
             },
             [this] { return session_reference.use_count() > 1; },
             [this](std::string_view origin,
+                   const instance_id& sender,
                    const std::string& group,
                    const timed_position& observed,
                    observation_outcome outcome) {
-              record_observation(origin, group, observed, outcome);
+              record_observation(origin, sender, group, observed, outcome);
             } })
   , router(context,
            settings.name,
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -96,7 +96,8 @@
                    [this](const std::string& answering_group,
                           const timed_position& observed,
                           observation_outcome outcome) {
-                     record_observation("answer", answering_group, observed, outcome);
+                     record_observation(
+                       "answer", settings.name, answering_group, observed, outcome);
                    });
   };
   hooks.now = [] { return boot_now(); };
@@ -108,6 +109,7 @@
 
 void
 proxy_node::state::record_observation(std::string_view origin,
+                                      const instance_id& sender,
                                       const std::string& group,
                                       const timed_position& observed,
                                       observation_outcome outcome)
@@ -121,6 +123,7 @@
   log.write("impossible_position",
             { { "group", group },
               { "origin", std::string(origin) },
+              { "sender", sender.get() },
               { "detail", describe(observed, now) } });
 }
 
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -60,8 +60,9 @@
   void wait_for_signal();
   void drain(instant now);
   // Counts an observed position and logs it if it is impossible. `origin` is "answer" for an answer
-  // of a member to this instance, "view" or "report".
+  // of a member to this instance, "view" or "report"; `sender` is the instance that passed it on.
   void record_observation(std::string_view origin,
+                          const instance_id& sender,
                           const std::string& group,
                           const timed_position& observed,
                           observation_outcome outcome);
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -30,7 +30,8 @@
     callbacks.now = [this] { return now; };
     callbacks.holds_lease = [] { return true; };
     callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
-    callbacks.position_reported = [](const std::string&, const timed_position&, auto) {};
+    callbacks.position_reported =
+      [](const instance_id&, const std::string&, const timed_position&, auto) {};
     callbacks.plan = [this]() -> const carrier_plan& { return plan; };
     callbacks.record_plan = [this](const carrier_plan& next) { plan = next; };
     callbacks.send = [this](const std::string&, const fleet_view& view) { views.push_back(view); };
@@ -93,7 +94,8 @@
     callbacks.now = [this] { return now; };
     callbacks.holds_lease = [] { return true; };
     callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
-    callbacks.position_reported = [](const std::string&, const timed_position&, auto) {};
+    callbacks.position_reported =
+      [](const instance_id&, const std::string&, const timed_position&, auto) {};
     callbacks.plan = [this]() -> const carrier_plan& { return plan; };
     callbacks.record_plan = [](const carrier_plan&) {};
     callbacks.send = [](const std::string&, const fleet_view&) {};
--- a/Tests/Proxy/position_exchange_test.cxx
+++ b/Tests/Proxy/position_exchange_test.cxx
@@ -162,7 +162,8 @@
     callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
     callbacks.plan = [this]() -> const carrier_plan& { return plan_; };
     callbacks.record_plan = [](const carrier_plan&) {};
-    callbacks.position_reported = [](const std::string&, const timed_position&, auto) {};
+    callbacks.position_reported =
+      [](const instance_id&, const std::string&, const timed_position&, auto) {};
     callbacks.send = [this](const std::string& address, const fleet_view& view) {
       for (auto* instance : instances_) {
         if (instance == &r_ && views_to_r_wait_ && r_.name.get() == address) {
