Proxy: Use only the plan of a view that precedes the own farewell

Cause: an instance that leaves the carriers drops its shares and says so in a report with the plan alone; the coordinator then counts it as holding nothing. A complete view that the coordinator had made before arrived later and gave the shares back.

The follower notes when the instance reported the plan alone, and uses only the plan of views that answer an earlier report. The test fails on the code before (2 checks) and passes now.

--- a/Source/Proxy/coordinator_follower.cxx
+++ b/Source/Proxy/coordinator_follower.cxx
@@ -36,7 +36,7 @@
   if (view.tokens_only) {
     return view_use::tokens;
   }
-  if (view.plan_only) {
+  if (view.plan_only || view.echo_clock < plan_reported_at_) {
     return view_use::plan;
   }
   newest_complete_ = applied_view{ view.token, view.view_number, view.clock, duration::zero() };
--- a/Source/Proxy/coordinator_follower.h
+++ b/Source/Proxy/coordinator_follower.h
@@ -31,6 +31,10 @@
   // Views with a lower token than that of the newest coordinator row that was read are ignored.
   void raise_min_token(fencing_token token);
 
+  // Notes that this instance told the coordinator at `now` that it runs no sessions and has dropped
+  // its shares. Of a view that answers an earlier report only the plan is used.
+  void record_plan_report(instant now) { plan_reported_at_ = now; }
+
   // The newest complete view, for a report that is made at `now`.
   std::optional<applied_view> newest_complete_view(instant now) const;
 
@@ -55,6 +59,7 @@
   instant newest_complete_at_{};
   applied_shares shares_view_;
   instant last_echo_clock_{};
+  std::optional<instant> plan_reported_at_;
 };
 
 }
--- a/Source/Proxy/position_history.h
+++ b/Source/Proxy/position_history.h
@@ -52,7 +52,8 @@
 class position_history
 {
 public:
-  // Records an observation unless it is older than a known one or dated after `now`. The caller must make sure that the member was primary when it was made.
+  // Records an observation unless it is older than a known one or dated after `now`. The caller
+  // must make sure that the member was primary when it was made.
   observation_outcome observe(const std::string& group,
                               const timed_position& observed,
                               instant now);
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -40,6 +40,7 @@
   if (report.plan_only) {
     // The empty shares of the report show the coordinator that this instance uses none.
     limiter_.set_shares({}, now, now);
+    follower_.record_plan_report(now);
     if (coordinator_) {
       coordinator_->handle_report(report);
       return;
--- a/Tests/Proxy/position_exchange_test.cxx
+++ b/Tests/Proxy/position_exchange_test.cxx
@@ -377,3 +377,24 @@
         applied_view{ fencing_token(2), 3, at(70'000), ms(0) });
   CHECK(follower.shares_view() == granted);
 }
+
+// Guards against limits that are exceeded: a complete view that was made before the instance left
+// the carriers arrived after it had dropped its shares, and gave it shares that the coordinator
+// counted as free.
+TEST_CASE("a complete view from before the instance left the carriers grants nothing")
+{
+  using view_use = coordinator_follower::view_use;
+  coordinator_follower follower(incarnation_id(1));
+  fleet_view view;
+  view.incarnation = incarnation_id(1);
+  view.token = fencing_token(1);
+  view.view_number = 5;
+  view.echo_clock = at(990);
+  view.shares.emplace();
+  follower.record_plan_report(at(1000));
+  CHECK(follower.accept(view, at(1010)) == view_use::plan);
+  CHECK_FALSE(follower.newest_complete_view(at(1010)));
+  view.view_number = 6;
+  view.echo_clock = at(1020);
+  CHECK(follower.accept(view, at(1030)) == view_use::complete);
+}
