--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -73,7 +73,7 @@
   };
   hooks.position_for_staleness = [this](const std::string& group, duration bound) {
     const auto now = boot_now();
-    const auto given = positions.position_for(group, bound, now);
+    auto given = positions.position_for(group, bound, now);
     read_positions.record(group, given, now);
     return given;
   };
