--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -69,8 +69,7 @@
 bool
 caller_session::is_at_primary() const
 {
-  const auto primary = hooks_->primary_of(connection_->group);
-  return primary && primary->usable && primary->member == connection_->member;
+  return is_usable_primary(hooks_->primary_of(connection_->group), connection_->member);
 }
 
 bool
--- a/Source/Proxy/connection_pool.cxx
+++ b/Source/Proxy/connection_pool.cxx
@@ -24,6 +24,12 @@
 
 }
 
+bool
+is_usable_primary(const std::optional<group_primary>& primary, const member_id& member)
+{
+  return primary && primary->usable && primary->member == member;
+}
+
 connection_pool::connection_pool(hooks callbacks, zone_id own_zone)
   : hooks_(std::move(callbacks))
   , own_zone_(std::move(own_zone))
--- a/Source/Proxy/connection_pool.h
+++ b/Source/Proxy/connection_pool.h
@@ -44,6 +44,10 @@
   std::optional<instant> replacement_expected_at;
 };
 
+// True if the group's primary is known, may be used, and is `member`.
+bool
+is_usable_primary(const std::optional<group_primary>& primary, const member_id& member);
+
 // Pool of the connections of one instance to all members. Decides which connection a statement
 // gets, which requests wait and which are refused. Opens connections on demand and keeps them.
 class connection_pool
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -137,8 +137,7 @@
   }
   const auto earliest_creation = report.view->clock + report.view->held_for;
   for (const auto& [group, position] : report.positions) {
-    const auto primary = fleet_state_.primary_of(group, now);
-    if (primary && primary->usable && primary->member == position.source.member) {
+    if (is_usable_primary(fleet_state_.primary_of(group, now), position.source.member)) {
       const timed_position observed{ position.position,
                                      earliest_creation - (report.clock - position.observed_at),
                                      position.source };
--- a/Source/Proxy/coordinator_follower.h
+++ b/Source/Proxy/coordinator_follower.h
@@ -7,8 +7,8 @@
 namespace persimmonshelf {
 
 // Follows the coordinator at one instance: decides which of its views count and which parts of them
-// may be used, and dates this instance's reports by the newest view. Times are on a clock that
-// counts time in suspension.
+// may be used, and dates this instance's reports by the newest complete view. Times are on a clock
+// that counts time in suspension.
 class coordinator_follower
 {
 public:
--- a/Source/Proxy/position_exchange.cxx
+++ b/Source/Proxy/position_exchange.cxx
@@ -10,8 +10,7 @@
                instant now,
                const position_listener& listener)
 {
-  const auto primary = fleet.primary_of(group, now);
-  if (primary && primary->usable && primary->member == observed.source.member) {
+  if (is_usable_primary(fleet.primary_of(group, now), observed.source.member)) {
     listener(group, observed, positions.observe(group, observed, now));
   }
 }
@@ -24,8 +23,7 @@
              const position_listener& listener)
 {
   for (const auto& [group, position] : view.positions) {
-    const auto primary = fleet.primary_of(group, now);
-    if (primary && primary->usable && primary->member == position.source.member) {
+    if (is_usable_primary(fleet.primary_of(group, now), position.source.member)) {
       const timed_position observed{ position.position,
                                      view.echo_clock - position.age,
                                      position.source };
