Proxy: Check the caller's access again before a statement is sent

Cause: access was checked only when a statement arrived. It may then wait for its admission, for a new connection, or for another attempt after a lost or lagging answer, and was sent with the workspace found at its arrival.

Change: a session checks route, key, workspace and evidence again when it gets a connection and just before it sends the statement. A statement that lost its access ends with ABORTED, NOAUTH or BUSY; it has not run, so this is true.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -209,6 +209,42 @@
   return std::nullopt;
 }
 
+// The reason why this instance cannot know which workspace holds the key; empty if it can, or if the
+// caller needs no workspace. A route that is open to all still tells the members which workspace
+// holds the caller's key.
+std::optional<std::string>
+caller_session::missing_evidence(const proxy_route& route) const
+{
+  return route.open_to_all && workspace_.get().empty() ? std::nullopt
+                                                       : hooks_->key_evidence_missing();
+}
+
+// Ends the statement in progress if the caller's access changed since it was checked: the statement
+// may have waited for its admission, for a connection, or for another attempt. It has not run.
+// Returns true if it ended.
+bool
+caller_session::end_if_access_changed()
+{
+  const auto checked_for = workspace_;
+  const proxy_route* route = nullptr;
+  auto reason = refuse_access(route);
+  auto error = route == nullptr ? statement_error::aborted : statement_error::unknown_key;
+  if (!reason && workspace_ != checked_for) {
+    reason = "the workspace of the caller's key changed";
+    error = statement_error::aborted;
+  }
+  if (!reason) {
+    reason = missing_evidence(*route);
+    error = statement_error::busy;
+  }
+  if (!reason) {
+    return false;
+  }
+  roll_back_connection();
+  fail_statement(error, *reason);
+  return true;
+}
+
 // Checks access, starts the statement, and counts a new operation against the rate limit.
 void
 caller_session::start_operation(const statement& request)
@@ -224,14 +260,11 @@
                  *reason);
     return;
   }
-  // A route that is open to all still tells the members which workspace holds the caller's key.
-  if (!route->open_to_all || !workspace_.get().empty()) {
-    if (const auto missing = hooks_->key_evidence_missing()) {
-      roll_back_connection();
-      hooks_->log("key_evidence_missing", request.id, *missing);
-      answer_error(statement_error::busy, *missing);
-      return;
-    }
+  if (const auto missing = missing_evidence(*route)) {
+    roll_back_connection();
+    hooks_->log("key_evidence_missing", request.id, *missing);
+    answer_error(statement_error::busy, *missing);
+    return;
   }
   active_.emplace();
   active_->request = request;
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -120,7 +120,9 @@
   in_transaction_ = false;
   active_->granted_at = hooks_->now();
   active_->pool_request.reset();
-  prepare_connection();
+  if (!end_if_access_changed()) {
+    prepare_connection();
+  }
 }
 
 void
@@ -248,6 +250,9 @@
 void
 caller_session::send_statement()
 {
+  if (end_if_access_changed()) {
+    return;
+  }
   active_->step = execution_step::running;
   const auto& request = active_->request;
   member_command command;
--- a/Tests/Proxy/session_bench.h
+++ b/Tests/Proxy/session_bench.h
@@ -27,6 +27,7 @@
     : configuration(make_configuration())
     , pool({ [this](const pooled_connection& connection, const listed_member&) {
               opening.push_back(connection.number);
+              workspaces[connection.number] = connection.workspace;
             },
              [this](connection_number number) { closed.push_back(number); },
              [this](const std::string&) { return current_primary; } },
@@ -42,7 +43,11 @@
     hooks.key_evidence_missing = [this] { return key_evidence_missing; };
     hooks.admit = [this](const workspace_id&, admission::handler done) {
       ++admitted;
-      done(refuse_for);
+      if (admits_at_once) {
+        done(refuse_for);
+      } else {
+        admissions.push_back(std::move(done));
+      }
     };
     hooks.acquire = [this](connection_request request, auto granted, auto refused) {
       requests.push_back(request);
@@ -77,13 +82,37 @@
 
   void open_connections()
   {
-    while (!opening.empty()) {
-      const auto number = opening.front();
-      opening.pop_front();
-      pool.on_connection_opened(number, now);
+    while (opens_at_once && open_next_connection()) {
     }
   }
 
+  // Returns false if no connection is being opened.
+  bool open_next_connection()
+  {
+    if (opening.empty()) {
+      return false;
+    }
+    const auto number = opening.front();
+    opening.pop_front();
+    pool.on_connection_opened(number, now);
+    return true;
+  }
+
+  // Returns false if no operation waits for its admission.
+  bool run_admission()
+  {
+    if (admissions.empty()) {
+      return false;
+    }
+    const auto done = std::move(admissions.front());
+    admissions.pop_front();
+    done(refuse_for);
+    return true;
+  }
+
+  // Workspace in whose name the connection was opened.
+  workspace_id workspace_of(connection_number number) const { return workspaces.at(number); }
+
   void submit(statement_kind kind,
               const std::string& text,
               const std::string& name = "",
@@ -136,7 +165,12 @@
   bool commit_valid = true;
   std::optional<log_point> fresh = point(3, 10);
   int admitted = 0;
+  // False if the test runs the admissions and opens the connections.
+  bool admits_at_once = true;
+  bool opens_at_once = true;
+  std::deque<admission::handler> admissions;
   std::deque<connection_number> opening;
+  std::map<connection_number, workspace_id> workspaces;
   std::vector<connection_number> closed;
   std::deque<sent_command> commands;
   // Positions that the session took for the primary's.
