--- a/Source/ProxyNode/node_settings.cxx
+++ b/Source/ProxyNode/node_settings.cxx
@@ -16,6 +16,16 @@
 constexpr std::int64_t max_duration_ms = 3'600'000;
 constexpr double max_processor_cores = 1024;
 constexpr std::int64_t max_tolerance = 1'000'000;
+constexpr std::int64_t bytes_per_megabyte = 1 << 20;
+// A process at rest uses about 11 MB, and one message of a caller takes several copies of 1 MiB.
+constexpr std::int64_t min_memory_mb = 32;
+constexpr std::int64_t max_memory_mb = 1 << 20;
+constexpr std::int64_t default_memory_mb = 256;
+// Leaves room for files, the listeners, the store and some members beside the callers.
+constexpr std::int64_t min_descriptors = 256;
+constexpr std::int64_t max_descriptors = 1 << 20;
+constexpr std::int64_t default_descriptors = 1024;
+constexpr std::int64_t default_evacuation_limit_ms = 5000;
 
 result<tcp_address>
 address_field(json_fields& fields, std::string_view name)
@@ -82,6 +92,28 @@
   return tolerance;
 }
 
+// The resources of the machine; a small machine is assumed if the section is missing.
+result<resource_limits>
+resource_section(json_fields& fields)
+{
+  const boost::json::value missing = boost::json::object();
+  const auto* value = fields.find("limits");
+  BOOST_OUTCOME_TRY(
+    auto section,
+    json_fields::create(value == nullptr ? missing : *value, "settings.limits", invalid));
+  resource_limits limits;
+  BOOST_OUTCOME_TRY(
+    const auto memory,
+    section.integer_or("memory_mb", default_memory_mb, min_memory_mb, max_memory_mb));
+  limits.memory_bytes = static_cast<std::uint64_t>(memory * bytes_per_megabyte);
+  BOOST_OUTCOME_TRY(
+    const auto descriptors,
+    section.integer_or("descriptors", default_descriptors, min_descriptors, max_descriptors));
+  limits.descriptors = static_cast<std::uint32_t>(descriptors);
+  BOOST_OUTCOME_TRYV(section.finish());
+  return limits;
+}
+
 result<std::vector<std::string>>
 text_list(const boost::json::value* value, const std::string& place)
 {
@@ -158,6 +190,11 @@
                     milliseconds_field(fields, "configuration_limit_ms"));
   BOOST_OUTCOME_TRY(settings.tolerance, tolerance_section(fields));
   BOOST_OUTCOME_TRY(settings.capacity, capacity_field(fields));
+  BOOST_OUTCOME_TRY(settings.resources, resource_section(fields));
+  BOOST_OUTCOME_TRY(
+    const auto evacuation_limit,
+    fields.integer_or("evacuation_limit_ms", default_evacuation_limit_ms, 1, max_duration_ms));
+  settings.evacuation_limit = std::chrono::milliseconds(evacuation_limit);
   BOOST_OUTCOME_TRY(settings.first_start, fields.boolean_or("first_start", false));
   BOOST_OUTCOME_TRYV(fields.finish());
   return settings;
--- a/Source/ProxyNode/node_settings.h
+++ b/Source/ProxyNode/node_settings.h
@@ -12,6 +12,16 @@
 
 namespace persimmonshelf {
 
+// Resources of the machine that the process may use.
+struct resource_limits
+{
+  std::uint64_t memory_bytes = 0;
+  // Number of open descriptors.
+  std::uint32_t descriptors = 0;
+
+  friend bool operator==(const resource_limits&, const resource_limits&) = default;
+};
+
 // Settings of one proxy instance, read from a JSON file.
 struct node_settings
 {
@@ -41,6 +51,9 @@
   rate_tolerance tolerance;
   // Number of processor cores that the instance has, possibly a fraction.
   double capacity = 0;
+  resource_limits resources;
+  // From this long after the operator took a zone out of use, nothing may be sent to its members.
+  duration evacuation_limit{};
   // True at the first start of the whole fleet.
   bool first_start = false;
 
