Base, Home: Move the account of a workspace's share out of the fair queue

The proxy's queue for member connections needs the same accounting as the queue of a member home: charge the average at the start, overruns while the use lasts, and the difference at its end.

Change: Base/fair_share holds the account; Home/fair_queue uses it. Behaviour is unchanged.

--- a/Source/Home/fair_queue.cxx
+++ b/Source/Home/fair_queue.cxx
@@ -7,19 +7,10 @@
 
 namespace {
 
-// Weight of a new sample in the moving average; about the last eight statements determine it.
-constexpr double average_weight = 0.125;
-
 // From this number of workspaces on, idle ones are removed before a new one is added. Otherwise
 // memory would grow without bound as workspaces come and go.
 constexpr std::size_t flow_cleanup_threshold = 4096;
 
-double
-to_microseconds(duration value)
-{
-  return static_cast<double>(value.count());
-}
-
 }
 
 fair_queue::fair_queue(limits bounds, std::size_t slots)
@@ -34,11 +25,12 @@
   if (flows_.size() >= flow_cleanup_threshold && !flows_.contains(workspace)) {
     remove_idle_flows();
   }
-  auto [position, created] = flows_.try_emplace(workspace);
-  if (created) {
-    position->second.start_tag = virtual_time_;
-    position->second.average_us = to_microseconds(bounds_.initial_estimate);
-  }
+  const auto position =
+    flows_
+      .try_emplace(
+        workspace,
+        flow{ .entries = {}, .share = fair_share(virtual_time_, bounds_.initial_estimate) })
+      .first;
   return position->second;
 }
 
@@ -47,18 +39,11 @@
 {
   std::erase_if(flows_, [&](const auto& item) {
     const auto& [workspace, state] = item;
-    return state.entries.empty() && state.slots.empty() && state.start_tag <= virtual_time_;
+    return state.entries.empty() && state.share.uses_in_progress() == 0 &&
+           state.share.start_tag_us() <= virtual_time_;
   });
 }
 
-// A workspace that becomes active again starts at the current virtual time. It earns no credit for
-// the time in which it was idle.
-void
-fair_queue::raise_to_virtual_time(flow& target) const
-{
-  target.start_tag = std::max(target.start_tag, virtual_time_);
-}
-
 result<void>
 fair_queue::push(queue_entry entry)
 {
@@ -73,7 +58,7 @@
                 std::to_string(size_) + " requests are queued at this member");
   }
   if (target.entries.empty()) {
-    raise_to_virtual_time(target);
+    target.share.raise_to(virtual_time_);
   }
   earliest_expiry_ = std::min(earliest_expiry_, entry.expires);
   target.entries.push_back(std::move(entry));
@@ -90,32 +75,18 @@
   ++size_;
 }
 
-// Charges a statement that takes longer than estimated while it still runs. Otherwise a workspace
-// whose statements became slow would get more slots at the old estimate until the first one ends.
-void
-fair_queue::charge_overrun(flow& target, instant now)
-{
-  for (auto& slot : target.slots) {
-    const double elapsed_us = to_microseconds(now - slot.since);
-    if (elapsed_us > slot.charged_us) {
-      target.start_tag += elapsed_us - slot.charged_us;
-      slot.charged_us = elapsed_us;
-    }
-  }
-}
-
 std::optional<queue_entry>
 fair_queue::pop(instant now, const ready_check& ready)
 {
   std::vector<flow*> waiting;
   for (auto& [workspace, state] : flows_) {
-    charge_overrun(state, now);
+    state.share.charge_overrun(now);
     if (!state.entries.empty()) {
       waiting.push_back(&state);
     }
   }
   std::stable_sort(waiting.begin(), waiting.end(), [](auto* left, auto* right) {
-    return left->start_tag < right->start_tag;
+    return left->share.start_tag_us() < right->share.start_tag_us();
   });
 
   const auto runnable = [&](const queue_entry& entry) {
@@ -127,11 +98,12 @@
     const auto entry = std::find_if(candidate->entries.begin(), candidate->entries.end(), runnable);
     if (entry == candidate->entries.end()) {
       // No request of this workspace can run now, so it counts as idle and earns no credit.
-      raise_to_virtual_time(*candidate);
+      candidate->share.raise_to(virtual_time_);
       continue;
     }
     // A workspace may take the last slot only if no other workspace has a runnable request.
-    const bool would_take_last_slot = slots_ > 1 && candidate->slots.size() + 1 >= slots_;
+    const bool would_take_last_slot =
+      slots_ > 1 && candidate->share.uses_in_progress() + 1 >= slots_;
     if (chosen == nullptr || !would_take_last_slot) {
       chosen = candidate;
       chosen_entry = entry;
@@ -146,9 +118,8 @@
   auto taken = std::move(*chosen_entry);
   chosen->entries.erase(chosen_entry);
   --size_;
-  virtual_time_ = std::max(virtual_time_, chosen->start_tag);
-  chosen->start_tag += chosen->average_us;
-  chosen->slots.push_back({ now, chosen->average_us });
+  virtual_time_ = std::max(virtual_time_, chosen->share.start_tag_us());
+  chosen->share.begin_use(now);
   return taken;
 }
 
@@ -156,23 +127,9 @@
 fair_queue::release_slot(const workspace_id& workspace, duration slot_time, instant now, bool ran)
 {
   const auto found = flows_.find(workspace);
-  if (found == flows_.end() || found->second.slots.empty()) {
-    return;
-  }
-  auto& state = found->second;
-  const instant since = now - slot_time;
-  auto slot = std::find_if(
-    state.slots.begin(), state.slots.end(), [&](const auto& one) { return one.since == since; });
-  if (slot == state.slots.end()) {
-    slot = state.slots.begin();
-  }
-  const double used_us = to_microseconds(slot_time);
-  state.consumed_slot_time += slot_time;
-  state.start_tag += used_us - slot->charged_us;
-  if (ran) {
-    state.average_us += average_weight * (used_us - state.average_us);
+  if (found != flows_.end()) {
+    found->second.share.end_use(slot_time, now, ran);
   }
-  state.slots.erase(slot);
 }
 
 std::vector<queue_entry>
@@ -216,9 +173,9 @@
     workspace_stats item;
     item.workspace = workspace;
     item.queued = state.entries.size();
-    item.slots_held = state.slots.size();
-    item.average_slot_time = duration(static_cast<duration::rep>(state.average_us));
-    item.consumed_slot_time = state.consumed_slot_time;
+    item.slots_held = state.share.uses_in_progress();
+    item.average_slot_time = duration(static_cast<duration::rep>(state.share.average_us()));
+    item.consumed_slot_time = state.share.consumed();
     all.push_back(item);
   }
   return all;
--- a/Source/Home/fair_queue.h
+++ b/Source/Home/fair_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/error.h"
+#include "Base/fair_share.h"
 #include "Base/ids.h"
 #include "Base/instant.h"
 
@@ -86,27 +87,14 @@
   std::vector<workspace_stats> workspaces() const;
 
 private:
-  // A slot in use, with the slot time charged for it so far.
-  struct held_slot
-  {
-    instant since;
-    double charged_us = 0;
-  };
-
-  // Queue of one workspace. `start_tag` is the virtual time, in microseconds of slot time, at which
-  // its next request starts.
+  // Queue of one workspace, with its use of slot time.
   struct flow
   {
     std::deque<queue_entry> entries;
-    std::vector<held_slot> slots;
-    double start_tag = 0;
-    double average_us = 0;
-    duration consumed_slot_time{ 0 };
+    fair_share share;
   };
 
   flow& find_or_create_flow(const workspace_id& workspace);
-  void raise_to_virtual_time(flow& target) const;
-  static void charge_overrun(flow& target, instant now);
   void remove_idle_flows();
 
   limits bounds_;
