Proxy, platform: Decode the priority of workspaces

The order among waiting requests needs the workspace's priority; the field `tenants[].priority` was not read. A workspace without it has the lowest priority, so configurations that state none treat all workspaces alike.

--- a/Source/Proxy/fleet_configuration.h
+++ b/Source/Proxy/fleet_configuration.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -24,6 +25,9 @@
   read_your_writes,
 };
 
+// Priority of workspaces for which the configuration states none.
+inline constexpr std::uint32_t lowest_priority = std::numeric_limits<std::uint32_t>::max();
+
 // One route of the configuration. Callers select it by its database.
 struct proxy_route
 {
@@ -64,6 +68,8 @@
   std::vector<std::string> keys;
   double rate_per_s = 0;
   double burst = 0;
+  // 0 is the highest priority. A workspace without one has the lowest.
+  std::uint32_t priority = lowest_priority;
 
   friend bool operator==(const proxy_workspace&, const proxy_workspace&) = default;
 };
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -298,6 +298,11 @@
   CHECK(route.max_staleness == std::chrono::milliseconds(1500));
   CHECK(configuration.value().groups.at(0).max_connections == 54);
   CHECK(configuration.value().workspaces.at(0).keys.size() == 2);
+  CHECK(configuration.value().workspaces.at(0).priority == 1);
+  const auto unstated = parse_configuration(
+    R"({"version":7,"routes":[],"services":[],"tenants":[{"name":"w","api_keys":[]}]})");
+  REQUIRE(unstated);
+  CHECK(unstated.value().workspaces.at(0).priority == lowest_priority);
   CHECK(configuration.value().transaction_idle_limit == std::chrono::seconds(3));
   CHECK_FALSE(parse_configuration(R"({"version":7,"routes":[{"name":"r"}],"services":[]})"));
 }
