Proxy: Order waiting requests by class and share, and refuse early

Requests of all workspaces and routes waited in one list for each instance, ordered by target time only. Under load they waited until they expired, and each tick and release tried all of them against all connections.

Change: Source/Scheduling/waiting_queue orders the requests of a group by class (route priority, then workspace priority), by the workspaces' shares of connection time, and by target time; at least one of eight grants goes to a waiting lower class. A request whose turn would clearly come after its expiry is refused at once with a retry time, lowest class first. A release, an opened or a lost connection serves its own group only, requests that the same connections can serve are tried once, and connections are found by member.

Test changed: the refusal while a primary is being replaced now ends with a retry time, so its text is checked by its beginning and the range of the time.

With the lower class never due, without the charge, its correction or the raise to the virtual time, with a factor of 1, or with one fast average, a case of test_Scheduling fails.

--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -86,7 +86,9 @@
   request.workspace = workspace_;
   request.needs_primary = active_->needs_primary;
   request.settings = settings_;
-  request.priority = active_->route.priority;
+  const auto* workspace = hooks_->configuration().workspace(workspace_);
+  request.priority = { active_->route.priority,
+                       workspace == nullptr ? lowest_priority : workspace->priority };
   request.target = active_->arrived + active_->route.target_latency;
   // Past the target latency another instance serves the caller better than this queue.
   request.expiry = std::min(
--- a/Source/Proxy/connection_pool.cxx
+++ b/Source/Proxy/connection_pool.cxx
@@ -52,6 +52,10 @@
     }
   }
   members_ = std::move(next);
+  group_members_.clear();
+  for (const auto& [id, member] : members_) {
+    group_members_[member.group].push_back(&member);
+  }
   for (const auto number : closable) {
     close_connection(number);
   }
@@ -91,6 +95,22 @@
   return found == connection_limits_.end() ? default_connection_limit : found->second;
 }
 
+const std::vector<const listed_member*>&
+connection_pool::members_of(const std::string& group) const
+{
+  static const std::vector<const listed_member*> none;
+  const auto found = group_members_.find(group);
+  return found == group_members_.end() ? none : found->second;
+}
+
+const connection_pool::connection_list&
+connection_pool::connections_to(const member_id& id) const
+{
+  static const connection_list none;
+  const auto found = member_connections_.find(id);
+  return found == member_connections_.end() ? none : found->second;
+}
+
 const listed_member*
 connection_pool::find_member(const member_id& id) const
 {
@@ -101,9 +121,9 @@
 bool
 connection_pool::is_connected_to(const member_id& id) const
 {
-  return std::any_of(connections_.begin(), connections_.end(), [&](const auto& entry) {
-    return entry.second->member == id &&
-           entry.second->state != pooled_connection::connection_state::opening;
+  const auto& connections = connections_to(id);
+  return std::any_of(connections.begin(), connections.end(), [](const auto& connection) {
+    return connection->state != pooled_connection::connection_state::opening;
   });
 }
 
@@ -117,91 +137,7 @@
 std::size_t
 connection_pool::count_connections(const member_id& id) const
 {
-  return static_cast<std::size_t>(
-    std::count_if(connections_.begin(), connections_.end(), [&](const auto& entry) {
-      return entry.second->member == id;
-    }));
-}
-
-std::optional<std::string>
-connection_pool::refusal_reason(const waiting_request& waiting, instant now) const
-{
-  if (now >= waiting.request.expiry) {
-    return "no connection to a member became free in time";
-  }
-  if (!waiting.request.needs_primary) {
-    return std::nullopt;
-  }
-  const auto primary = hooks_.primary_of(waiting.request.group);
-  if (!primary) {
-    return "the primary is unknown";
-  }
-  if (!primary->usable && primary->replacement_expected_at &&
-      *primary->replacement_expected_at > waiting.request.expiry) {
-    return "the primary is being replaced";
-  }
-  return std::nullopt;
-}
-
-request_number
-connection_pool::acquire(connection_request request,
-                         grant_handler granted,
-                         refuse_handler refused,
-                         instant now)
-{
-  const request_number number(++last_request_);
-  const auto position =
-    std::find_if(waiting_.begin(), waiting_.end(), [&](const waiting_request& other) {
-      return other.request.target > request.target;
-    });
-  waiting_.insert(position,
-                  { number, std::move(request), std::move(granted), std::move(refused), now });
-  tick(now);
-  return number;
-}
-
-void
-connection_pool::cancel(request_number number)
-{
-  waiting_.remove_if([&](const waiting_request& waiting) { return waiting.number == number; });
-}
-
-void
-connection_pool::tick(instant now)
-{
-  // Handlers may add or remove requests, so each step looks up its request again.
-  std::vector<request_number> numbers;
-  for (const auto& waiting : waiting_) {
-    numbers.push_back(waiting.number);
-  }
-  for (const auto number : numbers) {
-    const auto found =
-      std::find_if(waiting_.begin(), waiting_.end(), [&](const waiting_request& waiting) {
-        return waiting.number == number;
-      });
-    if (found == waiting_.end()) {
-      continue;
-    }
-    // The request is taken out of the queue before a handler runs.
-    std::list<waiting_request> current;
-    const auto next = std::next(found);
-    const bool at_end = next == waiting_.end();
-    const auto next_number = at_end ? request_number(0) : next->number;
-    current.splice(current.begin(), waiting_, found);
-    if (const auto reason = refusal_reason(current.front(), now)) {
-      current.front().refused(statement_error::busy, *reason);
-      continue;
-    }
-    if (try_grant(current.front(), now)) {
-      continue;
-    }
-    const auto position =
-      at_end ? waiting_.end()
-             : std::find_if(waiting_.begin(), waiting_.end(), [&](const waiting_request& waiting) {
-                 return waiting.number == next_number;
-               });
-    waiting_.splice(position, current);
-  }
+  return connections_to(id).size();
 }
 
 void
@@ -212,8 +148,11 @@
     return;
   }
   auto& connection = *found->second;
+  const auto group = connection.group;
   auto& health = health_[connection.member];
-  if (elapsed > duration::zero()) {
+  const bool ran_statement = elapsed > duration::zero();
+  if (ran_statement) {
+    health.hold_time.record(now - connection.state_changed_at, now);
     const auto measured = static_cast<double>(elapsed.count());
     health.statement_time_us =
       health.statement_time_us > 0
@@ -224,9 +163,12 @@
   }
   connection.state = pooled_connection::connection_state::idle;
   connection.state_changed_at = now;
-  close_excess_connections(connection.group);
+  if (const auto queue = queues_.find(group); queue != queues_.end()) {
+    queue->second.end_use(number, ran_statement, now);
+  }
+  close_excess_connections(group);
   if (!connections_.contains(number)) {
-    tick(now);
+    serve(group, now);
     return;
   }
   const auto* listed = find_member(connection.member);
@@ -236,7 +178,7 @@
       close_connection(number);
     }
   }
-  tick(now);
+  serve(group, now);
 }
 
 void
@@ -267,7 +209,8 @@
   found->second->state = pooled_connection::connection_state::idle;
   found->second->state_changed_at = now;
   health_[found->second->member].failing_since.reset();
-  tick(now);
+  const auto group = found->second->group;
+  serve(group, now);
 }
 
 void
@@ -285,8 +228,12 @@
     }
   }
   found->second->state = pooled_connection::connection_state::closed;
-  connections_.erase(found);
-  tick(now);
+  const auto group = found->second->group;
+  if (const auto queue = queues_.find(group); queue != queues_.end()) {
+    queue->second.end_use(number, false, now);
+  }
+  erase_connection(number);
+  serve(group, now);
 }
 
 void
@@ -297,8 +244,20 @@
     return;
   }
   found->second->state = pooled_connection::connection_state::closed;
-  connections_.erase(found);
+  erase_connection(number);
   hooks_.close(number);
 }
 
+void
+connection_pool::erase_connection(connection_number number)
+{
+  const auto found = connections_.find(number);
+  const auto of_member = member_connections_.find(found->second->member);
+  std::erase(of_member->second, found->second);
+  if (of_member->second.empty()) {
+    member_connections_.erase(of_member);
+  }
+  connections_.erase(found);
+}
+
 }
--- a/Source/Proxy/connection_pool.h
+++ b/Source/Proxy/connection_pool.h
@@ -3,20 +3,21 @@
 #include "Proxy/fleet_configuration.h"
 #include "Proxy/pooled_connection.h"
 #include "Proxy/statement.h"
+#include "Scheduling/wait_estimate.h"
+#include "Scheduling/waiting_queue.h"
 
 #include <cstddef>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace persimmonshelf {
 
-using request_number = strong<struct request_number_tag, std::uint64_t>;
-
 // What a statement or transaction requires of a connection.
 struct connection_request
 {
@@ -25,8 +26,9 @@
   bool needs_primary = false;
   // Settings of the session; a connection that already has them is preferred.
   session_settings settings;
-  std::uint32_t priority = 0;
-  // Time by which the whole operation should be answered; determines the order of the queue.
+  // Class of the request; more urgent classes are served first.
+  request_class priority;
+  // Time by which the whole operation should be answered; determines the order within a workspace.
   instant target{};
   // The request is refused if no connection was granted by this time.
   instant expiry{};
@@ -44,6 +46,25 @@
   std::optional<instant> replacement_expected_at;
 };
 
+// Why a waiting request was refused.
+enum class refusal_cause : std::uint8_t
+{
+  // It waited until its expiry.
+  expired,
+  // It would have expired before its turn.
+  queue_too_long,
+  primary_unknown,
+  // The primary is replaced too late for the request.
+  primary_replaced,
+};
+
+std::string_view
+name_of(refusal_cause cause);
+
+// "R/W": priority of the route, and of the workspace or "none" if it states none.
+std::string
+name_of(const request_class& priority);
+
 // True if the group's primary is known, may be used, and is `member`.
 bool
 is_usable_primary(const std::optional<group_primary>& primary, const member_id& member);
@@ -100,6 +121,9 @@
   const listed_member* find_member(const member_id& id) const;
   const std::map<member_id, listed_member>& members() const { return members_; }
   std::size_t waiting_count() const { return waiting_.size(); }
+  std::map<request_class, std::size_t> waiting_by_class() const;
+  // Number of the requests refused so far.
+  const std::map<refusal_cause, std::uint64_t>& refusals() const { return refusals_; }
   std::size_t connection_count() const { return connections_.size(); }
   // Time since which every connection attempt failed; empty if the member answers.
   std::optional<instant> failing_since(const member_id& id) const;
@@ -109,11 +133,9 @@
 private:
   struct waiting_request
   {
-    request_number number;
     connection_request request;
     grant_handler granted;
     refuse_handler refused;
-    instant arrived;
   };
   struct member_health
   {
@@ -124,9 +146,17 @@
     // Smoothed duration of one statement, in microseconds.
     double statement_time_us = 0;
     instant measured_at{};
+    // Time from the grant of a connection to its release.
+    hold_time_average hold_time;
   };
-
-  std::vector<const listed_member*> candidates(const connection_request& request,
+  // Members that may serve a request, the best first, while nothing changes.
+  using candidate_cache = std::map<connection_requirement, std::vector<const listed_member*>>;
+  using connection_list = std::vector<std::shared_ptr<pooled_connection>>;
+
+  const std::vector<const listed_member*>& members_of(const std::string& group) const;
+  const connection_list& connections_to(const member_id& id) const;
+  std::vector<const listed_member*> candidates(const std::string& group,
+                                               const connection_requirement& requirement,
                                                instant now) const;
   double expected_cost(const listed_member& member, instant now) const;
   std::shared_ptr<pooled_connection> idle_connection(const listed_member& member,
@@ -137,11 +167,32 @@
   std::size_t group_connection_limit(const std::string& group) const;
   bool may_open(const listed_member& member, instant now) const;
   void open_connection(const listed_member& member, const workspace_id& workspace, instant now);
-  bool try_grant(waiting_request& waiting, instant now);
-  bool is_worth_waiting(const waiting_request& waiting,
+  std::shared_ptr<pooled_connection> find_connection(
+    const connection_request& request,
+    instant oldest_arrival,
+    const std::vector<const listed_member*>& ranked,
+    instant now);
+  bool is_worth_waiting(const workspace_id& workspace,
+                        instant oldest_arrival,
                         const std::vector<const listed_member*>& ranked,
                         instant now) const;
-  std::optional<std::string> refusal_reason(const waiting_request& waiting, instant now) const;
+  void serve(const std::string& group, instant now);
+  bool serve_next(waiting_queue& queue,
+                  std::set<std::uint64_t>& blocked,
+                  candidate_cache& ranked,
+                  instant now);
+  void refuse_hopeless(const std::string& group, waiting_queue& queue, instant now);
+  void refuse_unservable(const std::string& group, waiting_queue& queue, instant now);
+  void refuse(waiting_queue& queue,
+              request_number number,
+              refusal_cause cause,
+              std::optional<duration> retry_after);
+  std::optional<group_capacity> capacity_of(const std::string& group, instant now) const;
+  std::optional<duration> retry_after_expiry(const std::string& group,
+                                             const waiting_queue& queue,
+                                             const queued_request& request,
+                                             instant now) const;
+  void erase_connection(connection_number number);
   void close_connection(connection_number number);
   void close_excess_connections(const std::string& group);
 
@@ -151,7 +202,13 @@
   std::map<member_id, member_health> health_;
   std::map<std::string, std::size_t> connection_limits_;
   std::map<connection_number, std::shared_ptr<pooled_connection>> connections_;
-  std::list<waiting_request> waiting_;
+  // The same members and connections by group and by member, in the same order.
+  std::map<std::string, std::vector<const listed_member*>> group_members_;
+  std::map<member_id, connection_list> member_connections_;
+  std::map<request_number, waiting_request> waiting_;
+  // Order of the waiting requests of each group.
+  std::map<std::string, waiting_queue> queues_;
+  std::map<refusal_cause, std::uint64_t> refusals_;
   std::uint64_t last_request_ = 0;
   std::uint64_t last_connection_ = 0;
 };
--- a/Source/Proxy/connection_pool_selection.cxx
+++ b/Source/Proxy/connection_pool_selection.cxx
@@ -40,9 +40,8 @@
     }
   }
   std::size_t in_use = 0;
-  for (const auto& [number, connection] : connections_) {
-    if (connection->member == member.id &&
-        connection->state == pooled_connection::connection_state::in_use) {
+  for (const auto& connection : connections_to(member.id)) {
+    if (connection->state == pooled_connection::connection_state::in_use) {
       ++in_use;
     }
   }
@@ -57,16 +56,20 @@
 }
 
 std::vector<const listed_member*>
-connection_pool::candidates(const connection_request& request, instant now) const
+connection_pool::candidates(const std::string& group,
+                            const connection_requirement& requirement,
+                            instant now) const
 {
   std::vector<std::pair<double, const listed_member*>> ranked;
-  const auto primary = hooks_.primary_of(request.group);
-  for (const auto& [id, member] : members_) {
-    if (member.group != request.group || request.excluded_member == id) {
+  const auto primary = hooks_.primary_of(group);
+  for (const auto* listed : members_of(group)) {
+    const auto& member = *listed;
+    const auto& id = member.id;
+    if (requirement.excluded_member == id) {
       continue;
     }
     const bool is_primary = primary && primary->member == id;
-    if (request.needs_primary && (!is_primary || !primary->usable)) {
+    if (requirement.needs_primary && (!is_primary || !primary->usable)) {
       continue;
     }
     const auto health = health_.find(id);
@@ -75,12 +78,12 @@
     }
     // A draining primary keeps its writes until it is replaced. All other draining members get no
     // new work.
-    if (member.draining && !(request.needs_primary && is_primary)) {
+    if (member.draining && !(requirement.needs_primary && is_primary)) {
       continue;
     }
     double cost = expected_cost(member, now);
     // Only the primary can run writes, so reads prefer replicas of equal cost.
-    if (is_primary && !request.needs_primary) {
+    if (is_primary && !requirement.needs_primary) {
       cost *= primary_read_cost_factor;
     }
     ranked.emplace_back(cost, &member);
@@ -100,9 +103,8 @@
 connection_pool::idle_connection(const listed_member& member, const connection_request& request)
 {
   std::shared_ptr<pooled_connection> best;
-  for (auto& [number, connection] : connections_) {
-    if (connection->member != member.id ||
-        connection->state != pooled_connection::connection_state::idle ||
+  for (const auto& connection : connections_to(member.id)) {
+    if (connection->state != pooled_connection::connection_state::idle ||
         connection->workspace != request.workspace) {
       continue;
     }
@@ -136,74 +138,74 @@
   connection->workspace = workspace;
   connection->state_changed_at = now;
   connections_.emplace(connection->number, connection);
+  member_connections_[member.id].push_back(connection);
   hooks_.open(*connection, member);
 }
 
-bool
-connection_pool::try_grant(waiting_request& waiting, instant now)
+// Returns an idle connection for the request. Otherwise opens one if that helps, and returns null.
+// The request may be gone once a connection was opened.
+std::shared_ptr<pooled_connection>
+connection_pool::find_connection(const connection_request& request,
+                                 instant oldest_arrival,
+                                 const std::vector<const listed_member*>& ranked,
+                                 instant now)
 {
-  const auto ranked = candidates(waiting.request, now);
   // An idle connection of the workspace at any member is preferred to a new one at a better member,
   // because connecting costs as much as a statement.
   for (const auto* member : ranked) {
-    if (auto connection = idle_connection(*member, waiting.request)) {
-      connection->state = pooled_connection::connection_state::in_use;
-      connection->state_changed_at = now;
-      // The handler may call back into the pool.
-      const auto granted = std::move(waiting.granted);
-      granted(std::move(connection));
-      return true;
+    if (auto connection = idle_connection(*member, request)) {
+      return connection;
     }
   }
-  const bool opening =
-    std::any_of(connections_.begin(), connections_.end(), [&](const auto& entry) {
-      const auto& connection = *entry.second;
-      return connection.state == pooled_connection::connection_state::opening &&
-             connection.workspace == waiting.request.workspace &&
-             std::any_of(ranked.begin(), ranked.end(), [&](const listed_member* member) {
-               return member->id == connection.member;
-             });
-    });
-  if (opening) {
-    return false;
+  for (const auto* member : ranked) {
+    const auto& connections = connections_to(member->id);
+    const bool opening =
+      std::any_of(connections.begin(), connections.end(), [&](const auto& connection) {
+        return connection->state == pooled_connection::connection_state::opening &&
+               connection->workspace == request.workspace;
+      });
+    if (opening) {
+      return nullptr;
+    }
   }
   for (const auto* member : ranked) {
     if (may_open(*member, now)) {
-      open_connection(*member, waiting.request.workspace, now);
-      return false;
+      open_connection(*member, request.workspace, now);
+      return nullptr;
     }
   }
-  if (is_worth_waiting(waiting, ranked, now)) {
-    return false;
+  if (is_worth_waiting(request.workspace, oldest_arrival, ranked, now)) {
+    return nullptr;
   }
   for (const auto* member : ranked) {
-    if (const auto number = replaceable_connection(*member, waiting.request.workspace)) {
+    if (const auto number = replaceable_connection(*member, request.workspace)) {
+      const auto workspace = request.workspace;
       close_connection(*number);
-      open_connection(*member, waiting.request.workspace, now);
-      return false;
+      open_connection(*member, workspace, now);
+      return nullptr;
     }
   }
-  return false;
+  return nullptr;
 }
 
 // True while a connection of the workspace may soon become free. To replace one of another
 // workspace takes as long as a statement, occupies a slot of the member, and costs the other
 // workspace the same again.
 bool
-connection_pool::is_worth_waiting(const waiting_request& waiting,
+connection_pool::is_worth_waiting(const workspace_id& workspace,
+                                  instant oldest_arrival,
                                   const std::vector<const listed_member*>& ranked,
                                   instant now) const
 {
-  if (now - waiting.arrived >= replacement_delay) {
+  if (now - oldest_arrival >= replacement_delay) {
     return false;
   }
-  return std::any_of(connections_.begin(), connections_.end(), [&](const auto& entry) {
-    const auto& connection = *entry.second;
-    return connection.state == pooled_connection::connection_state::in_use &&
-           connection.workspace == waiting.request.workspace &&
-           std::any_of(ranked.begin(), ranked.end(), [&](const listed_member* member) {
-             return member->id == connection.member;
-           });
+  return std::any_of(ranked.begin(), ranked.end(), [&](const listed_member* member) {
+    const auto& connections = connections_to(member->id);
+    return std::any_of(connections.begin(), connections.end(), [&](const auto& connection) {
+      return connection->state == pooled_connection::connection_state::in_use &&
+             connection->workspace == workspace;
+    });
   });
 }
 
@@ -213,9 +215,8 @@
                                         const workspace_id& workspace) const
 {
   const pooled_connection* oldest = nullptr;
-  for (const auto& [number, connection] : connections_) {
-    if (connection->member == member.id &&
-        connection->state == pooled_connection::connection_state::idle &&
+  for (const auto& connection : connections_to(member.id)) {
+    if (connection->state == pooled_connection::connection_state::idle &&
         connection->workspace != workspace &&
         (oldest == nullptr || connection->state_changed_at < oldest->state_changed_at)) {
       oldest = connection.get();
--- a/Source/Proxy/pooled_connection.h
+++ b/Source/Proxy/pooled_connection.h
@@ -2,6 +2,7 @@
 
 #include "Base/ids.h"
 #include "Base/instant.h"
+#include "Scheduling/scheduling_types.h"
 
 #include <cstdint>
 #include <map>
@@ -10,8 +11,6 @@
 
 namespace persimmonshelf {
 
-using connection_number = strong<struct connection_number_tag, std::uint64_t>;
-
 // Settings of a session by name.
 using session_settings = std::map<std::string, std::string>;
 
--- a/Utilities/check-dependencies.sh
+++ b/Utilities/check-dependencies.sh
@@ -9,7 +9,7 @@
   [Entry]="Base Group Session Entry"
   [Engine]="Base Wire Group Session Limits Home Control Account Entry Engine"
   [Net]="Base Net"
-  [Proxy]="Base Proxy" [FleetWire]="FleetWire"
+  [Scheduling]="Base Scheduling" [Proxy]="Base Scheduling Proxy" [FleetWire]="FleetWire"
   [ProxyNode]="Base Net Proxy FleetWire ProxyNode"
   [Adapters]="Base Wire Group Session Limits Home Control Account Entry Engine Net Adapters")
 status=0
@@ -34,7 +34,8 @@
 names='rows-(tx|get|feed)|blob-|expected_rev"|"servers"|"op"|/promote|Lease-Holder|Fencing-Token'
 names+='|db_role|api_keys|max_conns|sync_replicas"|warmup_left_ms"|max_staleness_ms|NODE_FILE'
 names+='|"(NODB|NOAUTH|LAGGING|READONLY|MISROUTED|TOOMANY|NOSTMT|QUERY|START|STATUS|DEMOTE|PAUSE)'
-if grep -n -E "$names" Source/Proxy/*.h Source/Proxy/*.cxx Source/ProxyNode/*.h Source/ProxyNode/*.cxx; then
+if grep -n -E "$names" Source/Proxy/*.h Source/Proxy/*.cxx Source/Scheduling/*.h \
+  Source/Scheduling/*.cxx Source/ProxyNode/*.h Source/ProxyNode/*.cxx; then
   echo "check-dependencies: names of the platform's interfaces may appear only in platform/" >&2
   status=1
 fi
