--- a/Source/ProxyNode/node_metrics.cxx
+++ b/Source/ProxyNode/node_metrics.cxx
@@ -7,6 +7,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <chrono>
+#include <map>
 #include <utility>
 
 namespace persimmonshelf {
@@ -18,6 +19,11 @@
                                                                  0.05,  0.1,   0.2,  0.5,
                                                                  1,     2,     5 };
 
+// Classes beyond this number are counted together, so that edits of the configuration do not add
+// metrics without bound.
+constexpr std::size_t shown_class_limit = 32;
+const std::string other_class = "other";
+
 std::string
 result_label(const statement_answer& answer)
 {
@@ -36,6 +42,10 @@
   prometheus::Family<prometheus::Counter>* log_events = nullptr;
   prometheus::Family<prometheus::Counter>* positions = nullptr;
   prometheus::Family<prometheus::Gauge>* gauges = nullptr;
+  prometheus::Family<prometheus::Gauge>* waiting = nullptr;
+  prometheus::Family<prometheus::Counter>* refusals = nullptr;
+  // Classes that were shown; those without a waiting request are shown as zero.
+  std::map<std::string, prometheus::Gauge*> shown_classes;
   std::function<sample()> read;
   std::unique_ptr<http_server> server;
 
@@ -43,6 +53,28 @@
   {
     gauges->Add({ { "name", name } }).Set(value);
   }
+
+  void set_waiting(const std::map<std::string, double>& by_class)
+  {
+    for (const auto& [shown, gauge] : shown_classes) {
+      gauge->Set(0);
+    }
+    for (const auto& [label, count] : by_class) {
+      const bool known = shown_classes.contains(label);
+      const auto& shown = known || shown_classes.size() < shown_class_limit ? label : other_class;
+      auto& gauge = waiting->Add({ { "class", shown } });
+      shown_classes[shown] = &gauge;
+      gauge.Increment(count);
+    }
+  }
+
+  void set_refusals(const std::map<std::string, double>& by_cause)
+  {
+    for (const auto& [cause, count] : by_cause) {
+      auto& counter = refusals->Add({ { "cause", cause } });
+      counter.Increment(count - counter.Value());
+    }
+  }
 };
 
 node_metrics::node_metrics(std::unique_ptr<state> owned)
@@ -75,6 +107,14 @@
                      .Name("persimmonshelf_state")
                      .Help("Figures of the instance's present state.")
                      .Register(owned->registry);
+  owned->waiting = &prometheus::BuildGauge()
+                      .Name("persimmonshelf_waiting_requests")
+                      .Help("Requests that wait for a member connection, by class.")
+                      .Register(owned->registry);
+  owned->refusals = &prometheus::BuildCounter()
+                       .Name("persimmonshelf_connection_refusals_total")
+                       .Help("Requests that were refused a member connection, by cause.")
+                       .Register(owned->registry);
   std::unique_ptr<node_metrics> created(new node_metrics(std::move(owned)));
   http_server_options options;
   options.address = address.address;
@@ -134,6 +174,8 @@
   state_->set_gauge("unusable_member_rows", now.unusable_member_rows);
   state_->set_gauge("store_calls", now.store_calls);
   state_->set_gauge("log_lines_dropped", now.log_lines_dropped);
+  state_->set_waiting(now.waiting_by_class);
+  state_->set_refusals(now.refusals);
   return prometheus::TextSerializer().Serialize(state_->registry.Collect());
 }
 
--- a/Source/ProxyNode/node_metrics.h
+++ b/Source/ProxyNode/node_metrics.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -36,6 +37,10 @@
     double unusable_member_rows = 0;
     double store_calls = 0;
     double log_lines_dropped = 0;
+    // Requests that wait for a member connection, by class.
+    std::map<std::string, double> waiting_by_class;
+    // Requests that were refused a member connection since the start, by cause.
+    std::map<std::string, double> refusals;
   };
 
   // Fails with address_unavailable if the address cannot be bound.
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -188,6 +188,12 @@
   current.unusable_member_rows = static_cast<double>(fleet.unusable_member_rows());
   current.store_calls = static_cast<double>(fleet.store_calls());
   current.log_lines_dropped = static_cast<double>(log.dropped());
+  for (const auto& [priority, count] : pool.waiting_by_class()) {
+    current.waiting_by_class[name_of(priority)] += static_cast<double>(count);
+  }
+  for (const auto& [cause, count] : pool.refusals()) {
+    current.refusals[std::string(name_of(cause))] = static_cast<double>(count);
+  }
   return current;
 }
 
