Tests: Check that no waiting request is granted after its expiry

The stepped test of short sequences did not fail when expired requests were left waiting. It now does; all other cases are unchanged.

--- a/Tests/Proxy/waiting_requests_test.cxx
+++ b/Tests/Proxy/waiting_requests_test.cxx
@@ -24,6 +24,7 @@
     int refused = 0;
     bool cancelled = false;
     bool answered_after_cancel = false;
+    bool granted_late = false;
     std::string reason;
   };
 
@@ -56,8 +57,9 @@
     request.expiry = now + patience;
     const auto number = pool.acquire(
       request,
-      [this, index](const std::shared_ptr<pooled_connection>& connection) {
+      [this, index, expiry = request.expiry](const std::shared_ptr<pooled_connection>& connection) {
         ++outcomes[index].granted;
+        outcomes[index].granted_late = now >= expiry;
         outcomes[index].answered_after_cancel |= outcomes[index].cancelled;
         held.push_back(connection);
         grant_order.push_back(index);
@@ -202,9 +204,9 @@
   CHECK(bench.pool.refusals().empty());
 }
 
-// Guards against lost and repeated answers. Load: every sequence of six steps that begins with a
-// request, at a pool with one connection to each member; afterwards connections open and statements
-// end until all is answered.
+// Guards against lost, repeated and late answers. Load: every sequence of six steps that begins
+// with a request, at a pool with one connection to each member; afterwards connections open and
+// statements end until all is answered.
 TEST_CASE("every request is answered exactly once in every short sequence")
 {
   constexpr std::size_t actions = 8;
@@ -257,8 +259,8 @@
     bool correct = bench.pool.waiting_count() == 0;
     for (const auto& one : bench.outcomes) {
       const int answers = one.granted + one.refused;
-      correct =
-        correct && answers <= 1 && (answers == 1 || one.cancelled) && !one.answered_after_cancel;
+      correct = correct && answers <= 1 && (answers == 1 || one.cancelled) &&
+                !one.answered_after_cancel && !one.granted_late;
     }
     violations += correct ? 0 : 1;
   }
