Proxy: Count the shares of a run until a later run is proven

A report of another incarnation always replaced the run that was known, also if it was a delayed report of a former run. The shares of the present run were then granted again while it used them. Incarnation ids are random, so they do not order the runs.

The allocator now keeps the shares of each run. A run gets shares, and ends the others of its name, when it confirms a view that was made after the newest report of the others. Only one process runs under a name at a time, so it is then the later one. This needs neither the register nor the store. A late report never confirms such a view. A report without sessions removes only its own run.

An instance that restarts gets its shares with its second report instead of the first, 250 ms later; if its former run held shares, they stay withheld for as long, at most for their lifetime.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -114,7 +114,7 @@
   peer.plan_version = report.plan_version;
   peer.plan_only = report.plan_only;
   if (report.plan_only) {
-    shares_.remove_instance(report.instance);
+    shares_.remove_run(report.instance, report.incarnation);
     hooks_.send(peer.address, make_plan_view(peer));
     return;
   }
--- a/Source/Proxy/rate_share_allocator.cxx
+++ b/Source/Proxy/rate_share_allocator.cxx
@@ -36,7 +36,7 @@
   }
   register_received_ = true;
   for (const auto& [instance, incarnation] : instances) {
-    if (!holders_.contains(instance)) {
+    if (!newest_runs_.contains(instance)) {
       unreported_instances_.emplace(instance, incarnation);
     }
   }
@@ -71,14 +71,22 @@
                                     instant now)
 {
   unreported_instances_.erase(report.instance);
-  auto& holder = holders_[report.instance];
-  if (holder.incarnation != report.incarnation) {
-    // Only one process runs under a name at a time, so the previous run holds nothing any more.
-    holder = {};
-    holder.incarnation = report.incarnation;
+  const run_id run(report.instance, report.incarnation);
+  newest_runs_[report.instance] = report.incarnation;
+  const auto [entry, is_new] = holders_.try_emplace(run);
+  auto& holder = entry->second;
+  if (is_new) {
+    holder.established = !has_other_runs(run);
   } else if (report.clock < holder.last_clock) {
     return;
   }
+  for (auto other = first_run(report.instance);
+       other != holders_.end() && other->first.first == report.instance;
+       ++other) {
+    if (other->first != run) {
+      other->second.proving_view.reset();
+    }
+  }
   holder.last_report_at = now;
   holder.last_clock = report.clock;
   holder.leaving = report.leaving;
@@ -101,6 +109,12 @@
     }
     return;
   }
+  if (holder.proving_view && report.shares_view.number >= *holder.proving_view) {
+    // Only one process runs under a name at a time, so the runs that reported before this view was
+    // made hold nothing any more.
+    end_other_runs(run);
+    holder.established = true;
+  }
   if (report.shares_view.number < holder.last_view) {
     return;
   }
@@ -114,7 +128,45 @@
 rate_share_allocator::remove_instance(const instance_id& instance)
 {
   unreported_instances_.erase(instance);
-  holders_.erase(instance);
+  newest_runs_.erase(instance);
+  end_other_runs({ instance, incarnation_id(0) });
+  holders_.erase({ instance, incarnation_id(0) });
+}
+
+void
+rate_share_allocator::remove_run(const instance_id& instance, incarnation_id run)
+{
+  unreported_instances_.erase(instance);
+  holders_.erase({ instance, run });
+  const auto newest = newest_runs_.find(instance);
+  if (newest != newest_runs_.end() && newest->second == run) {
+    newest_runs_.erase(newest);
+  }
+}
+
+std::map<rate_share_allocator::run_id, rate_share_allocator::instance_shares>::iterator
+rate_share_allocator::first_run(const instance_id& instance)
+{
+  return holders_.lower_bound({ instance, incarnation_id(0) });
+}
+
+bool
+rate_share_allocator::has_other_runs(const run_id& run)
+{
+  const auto first = first_run(run.first);
+  const auto is_of_instance = [&](auto entry) {
+    return entry != holders_.end() && entry->first.first == run.first;
+  };
+  return is_of_instance(first) && (first->first != run || is_of_instance(std::next(first)));
+}
+
+void
+rate_share_allocator::end_other_runs(const run_id& run)
+{
+  for (auto entry = first_run(run.first);
+       entry != holders_.end() && entry->first.first == run.first;) {
+    entry = entry->first == run ? std::next(entry) : holders_.erase(entry);
+  }
 }
 
 bool
@@ -147,7 +199,15 @@
   for (auto entry = holders_.begin(); entry != holders_.end();) {
     const auto& holder = entry->second;
     const auto last_activity = std::max(holder.last_report_at, holder.last_grant_at);
-    entry = now - last_activity > share_lifetime ? holders_.erase(entry) : std::next(entry);
+    if (now - last_activity <= share_lifetime) {
+      ++entry;
+      continue;
+    }
+    const auto newest = newest_runs_.find(entry->first.first);
+    if (newest != newest_runs_.end() && newest->second == entry->first.second) {
+      newest_runs_.erase(newest);
+    }
+    entry = holders_.erase(entry);
   }
 }
 
@@ -163,7 +223,7 @@
   live_instances_ = 0;
   total_demand_.clear();
   for (const auto& [instance, holder] : holders_) {
-    if (now - holder.last_report_at > liveness_timeout || holder.leaving) {
+    if (now - holder.last_report_at > liveness_timeout || holder.leaving || !holder.established) {
       continue;
     }
     ++live_instances_;
@@ -210,11 +270,26 @@
   expire(now);
   update_demand(now);
   rate_share_table shares;
-  const auto found = holders_.find(instance);
+  const auto run = newest_runs_.find(instance);
+  const auto found =
+    run == newest_runs_.end() ? holders_.end() : holders_.find({ instance, run->second });
   if (found == holders_.end()) {
     return shares;
   }
   auto& holder = found->second;
+  holder.last_view = view;
+  holder.last_grant_at = now;
+  if (has_other_runs(found->first)) {
+    if (!holder.proving_view) {
+      holder.proving_view = view;
+    }
+  } else {
+    // The others expired.
+    holder.established = true;
+  }
+  if (!holder.established) {
+    return shares;
+  }
   for (const auto& workspace : workspaces_) {
     auto& holding = holder.holdings[workspace];
     const auto target = std::min(
@@ -231,8 +306,6 @@
       shares[workspace] = holding.granted;
     }
   }
-  holder.last_view = view;
-  holder.last_grant_at = now;
   return shares;
 }
 
@@ -240,7 +313,9 @@
 rate_share_allocator::granted_shares(const instance_id& instance) const
 {
   rate_share_table shares;
-  const auto found = holders_.find(instance);
+  const auto run = newest_runs_.find(instance);
+  const auto found =
+    run == newest_runs_.end() ? holders_.end() : holders_.find({ instance, run->second });
   if (found == holders_.end()) {
     return shares;
   }
--- a/Source/Proxy/rate_share_allocator.h
+++ b/Source/Proxy/rate_share_allocator.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace persimmonshelf {
 
@@ -34,12 +35,18 @@
   void set_workspaces(const std::vector<proxy_workspace>& workspaces);
 
   // Handles a report of an instance. Reports of one run may arrive in any order; older ones are
-  // ignored.
+  // ignored. A run that reports while another run of the same instance may hold shares gets none
+  // until it confirms a view that was made after the newest report of the other one: then it is the
+  // later of the two, and the other one has ended. A delayed report of a former run never does.
   void record_report(const instance_report& report, fencing_token own_token, instant now);
 
   // Removes an instance that runs no sessions and has dropped its shares.
   void remove_instance(const instance_id& instance);
 
+  // Removes one run that runs no sessions and has dropped its shares. Shares of other runs of the
+  // instance stay counted, because the run may be a former one.
+  void remove_run(const instance_id& instance, incarnation_id run);
+
   // Shares to send in view number `view`. They count as held until the instance confirms lower
   // ones.
   rate_share_table grant_shares(const instance_id& instance, std::uint64_t view, instant now);
@@ -62,7 +69,11 @@
   };
   struct instance_shares
   {
-    incarnation_id incarnation;
+    // True if every other run of the instance is known to have ended. Only then the run gets
+    // shares.
+    bool established = false;
+    // Number of the first view with shares that was made after the newest report of another run.
+    std::optional<std::uint64_t> proving_view;
     instant last_report_at{};
     instant last_clock{};
     // Number of the newest view with shares.
@@ -73,7 +84,12 @@
     std::map<workspace_id, workspace_share> holdings;
   };
 
+  using run_id = std::pair<instance_id, incarnation_id>;
+
   static bool is_in_contact(const instance_shares& holder, instant now);
+  std::map<run_id, instance_shares>::iterator first_run(const instance_id& instance);
+  bool has_other_runs(const run_id& run);
+  void end_other_runs(const run_id& run);
   void expire(instant now);
   // Upper bound of the shares held by instances that have not reported yet.
   rate_share_ppm unknown_shares(instant now) const;
@@ -88,7 +104,9 @@
   std::map<instance_id, incarnation_id> unreported_instances_;
   bool register_received_ = false;
   std::vector<workspace_id> workspaces_;
-  std::map<instance_id, instance_shares> holders_;
+  std::map<run_id, instance_shares> holders_;
+  // The run of each instance that reported last. Views are addressed to it.
+  std::map<instance_id, incarnation_id> newest_runs_;
   // Live instances and their demand together, as of `demand_updated_at_`.
   std::size_t live_instances_ = 0;
   std::map<workspace_id, double> total_demand_;
