Proxy: Limit the token pool of a coordinator whose lease has ended

A coordinator without a lease went on granting tokens from all of the rate that no instance out of its contact could hold. A new coordinator withholds only the largest share of an instance that has not reported to it, so both pools together exceeded the rate.

The harness and the coordinator grant shares after each report while the lease is held, so the allocator recognises the end of the lease. If an instance is out of contact then, the pool may use at most the largest share for each instance in contact, which is what the new coordinator withholds, or their shares if these are more. While every instance is in contact, as during an outage of the store, the pool serves as before. Requests for tokens alone wait for the next complete report, with which the pool's part is lowered.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -151,6 +151,10 @@
 void
 coordinator::answer_token_request(const instance_report& report, const peer_state& from)
 {
+  if (!hooks_.holds_lease() && !shares_.lease_ended()) {
+    // The pool keeps the part of a lease holder until the next complete report.
+    return;
+  }
   fleet_view view;
   view.holder = own_;
   view.address = address_;
@@ -167,8 +171,10 @@
 coordinator::allocate_tokens(const instance_report& report, fleet_view& view)
 {
   const auto now = hooks_.now();
-  if (now - pool_updated_at_ >= pool_update_period) {
+  const bool lease_ended_since = shares_.lease_ended() && !pool_without_lease_;
+  if (now - pool_updated_at_ >= pool_update_period || lease_ended_since) {
     pool_updated_at_ = now;
+    pool_without_lease_ = shares_.lease_ended();
     const auto& workspaces = fleet_state_.configuration().configuration().workspaces;
     pool_.set_workspaces(workspaces, now);
     for (const auto& workspace : workspaces) {
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -123,6 +123,8 @@
   std::uint64_t members_digest_ = 0;
   std::optional<instant> digested_at_;
   instant pool_updated_at_{};
+  // True if the parts of the pool were last updated after the lease had ended.
+  bool pool_without_lease_ = false;
   std::uint64_t last_view_ = 0;
   std::uint64_t last_grant_ = 0;
   // Time when an instance last reported for the first time, and time when the plan was last
--- a/Source/Proxy/rate_share_allocator.cxx
+++ b/Source/Proxy/rate_share_allocator.cxx
@@ -70,6 +70,8 @@
                                     fencing_token own_token,
                                     instant now)
 {
+  // Stays true unless grant_shares() follows.
+  lease_ended_ = shares_granted_;
   unreported_instances_.erase(report.instance);
   const run_id run(report.instance, report.incarnation);
   newest_runs_[report.instance] = report.incarnation;
@@ -180,17 +182,24 @@
 {
   double connected = 0;
   double disconnected = 0;
-  for (const auto& [instance, holder] : holders_) {
+  std::uint64_t instances_in_contact = 0;
+  bool all_in_contact = unreported_instances_.empty();
+  for (const auto& [run, holder] : holders_) {
+    const bool in_contact = is_in_contact(holder, now);
+    instances_in_contact += in_contact && holder.established ? 1 : 0;
+    all_in_contact = all_in_contact && in_contact;
     const auto found = holder.holdings.find(workspace);
     if (found == holder.holdings.end()) {
       continue;
     }
-    (is_in_contact(holder, now) ? connected : disconnected) +=
-      std::max(found->second.held, found->second.granted);
+    (in_contact ? connected : disconnected) += std::max(found->second.held, found->second.granted);
+  }
+  double rest = full_rate_share - disconnected - unknown_shares(now);
+  if (lease_ended_ && !all_in_contact) {
+    rest = std::min(rest, static_cast<double>(max_rate_share * instances_in_contact));
   }
   // Connected instances use the pool instead of their shares.
-  const double share = std::max(connected, full_rate_share - disconnected - unknown_shares(now));
-  return std::clamp(share / full_rate_share, 0.0, 1.0);
+  return std::clamp(std::max(connected, rest) / full_rate_share, 0.0, 1.0);
 }
 
 void
@@ -267,6 +276,8 @@
 rate_share_table
 rate_share_allocator::grant_shares(const instance_id& instance, std::uint64_t view, instant now)
 {
+  shares_granted_ = true;
+  lease_ended_ = false;
   expire(now);
   update_demand(now);
   rate_share_table shares;
--- a/Source/Proxy/rate_share_allocator.h
+++ b/Source/Proxy/rate_share_allocator.h
@@ -48,14 +48,19 @@
   void remove_run(const instance_id& instance, incarnation_id run);
 
   // Shares to send in view number `view`. They count as held until the instance confirms lower
-  // ones.
+  // ones. A caller that holds the lease calls this after each recorded report.
   rate_share_table grant_shares(const instance_id& instance, std::uint64_t view, instant now);
 
   // Shares in the newest view to the instance.
   rate_share_table granted_shares(const instance_id& instance) const;
 
+  // True if the newest report got no shares although earlier ones did: the lease has ended.
+  bool lease_ended() const { return lease_ended_; }
+
   // Part of the workspace's rate, 0 to 1, that no instance may use on its own at `now`: all except
-  // the shares of disconnected instances and those that are unknown.
+  // the shares of disconnected instances and those that are unknown. Once the lease has ended and
+  // an instance is out of contact, another coordinator may have started. The part is then at most
+  // what that one withholds for the instances in contact here.
   double pool_fraction(const workspace_id& workspace, instant now) const;
 
 private:
@@ -103,6 +108,8 @@
   bool no_earlier_shares_;
   std::map<instance_id, incarnation_id> unreported_instances_;
   bool register_received_ = false;
+  bool shares_granted_ = false;
+  bool lease_ended_ = false;
   std::vector<workspace_id> workspaces_;
   std::map<run_id, instance_shares> holders_;
   // The run of each instance that reported last. Views are addressed to it.
