Proxy: Order operations near the rate limit by urgency

An operation that found no token was refused at once if the pool was empty, regardless of its route, and waited at most 60 ms otherwise, in the order of arrival.

Operations now wait in the order of their route's priority, then of their target time, as long as their token is due before the target, and are refused at once otherwise. The retry time lies behind the operations ahead and the retries that were told before. A later operation takes no token that one ahead of it needs. A statement that ends while it waits gives its place back.

--- a/Source/Proxy/admission.cxx
+++ b/Source/Proxy/admission.cxx
@@ -1,84 +1,286 @@
 #include "Proxy/admission.h"
 
+#include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace persimmonshelf {
 
 namespace {
 
-// Longest wait for the token pool: a few round trips between zones, and a small part of a response
-// time.
-constexpr duration max_token_wait = std::chrono::milliseconds(60);
+// How long an operation waits for one answer from the coordinator's token pool, whatever its
+// target: a few round trips between zones, and a small part of a response time.
+constexpr duration max_answer_wait = std::chrono::milliseconds(60);
+// Part of the target latency that is left to run the operation once it has its token: a few round
+// trips between zones, and a statement at a member without load. At most half of the target.
+constexpr duration run_margin = std::chrono::milliseconds(20);
+// Retry delay that is told if no rate is known for the workspace here.
+constexpr duration default_retry_delay = std::chrono::milliseconds(500);
+// Bounds of the interval between requests for tokens that the pool did not have: the tick period,
+// and a small part of the targets. Within them the interval is the time between two tokens.
+constexpr duration min_request_interval = std::chrono::milliseconds(20);
+constexpr duration max_request_interval = std::chrono::milliseconds(100);
+// Longest time that is forecast; longer ones count as never.
+constexpr duration max_forecast = std::chrono::hours(1);
 
+// Time until `tokens` tokens have arrived.
+duration
+time_until(double tokens, const rate_limiter::token_supply& supply)
+{
+  const double missing = tokens - supply.tokens;
+  if (missing <= 0) {
+    return duration::zero();
+  }
+  const double limit_s = std::chrono::duration<double>(max_forecast).count();
+  if (supply.per_s * limit_s <= missing) {
+    return max_forecast;
+  }
+  return std::chrono::duration_cast<duration>(
+    std::chrono::duration<double>(missing / supply.per_s));
+}
+
+}
+
+std::string_view
+name_of(token_wait::result outcome)
+{
+  switch (outcome) {
+    case token_wait::result::admitted:
+      return "admitted";
+    case token_wait::result::refused:
+      return "refused";
+    case token_wait::result::cancelled:
+      break;
+  }
+  return "cancelled";
 }
 
-admission::admission(rate_limiter& limiter, std::function<void()> request_tokens)
+admission::admission(rate_limiter& limiter,
+                     std::function<void()> request_tokens,
+                     std::function<void(const token_wait&)> observe)
   : limiter_(limiter)
   , request_tokens_(std::move(request_tokens))
+  , observe_(std::move(observe))
+{
+}
+
+std::optional<admission_number>
+admission::admit(const workspace_id& workspace,
+                 handler done,
+                 instant now,
+                 const operation_urgency& urgency)
+{
+  limiter_.count_operation(workspace, now);
+  const bool has_queue = queues_.contains(workspace);
+  if (!has_queue && limiter_.take(workspace, false, now) == rate_limiter::verdict::granted) {
+    done(std::nullopt);
+    return std::nullopt;
+  }
+  const admission_number number(++last_number_);
+  const place at{ urgency.priority, now + urgency.target_latency, number };
+  const auto margin = std::min(run_margin, urgency.target_latency / 2);
+  auto& waiting = queues_[workspace];
+  waiting.emplace(at, waiting_operation{ std::move(done), now, at.target - margin });
+  places_.emplace(number, std::pair(workspace, at));
+  if (places_.size() > max_waiting_operations) {
+    // The least urgent operation of the workspace, which may be this one.
+    const auto last = std::prev(waiting.end())->first;
+    refuse_waiting(workspace, last, now);
+  }
+  serve(workspace, now, false);
+  if (!places_.contains(number)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+void
+admission::cancel(admission_number number, instant now)
+{
+  const auto found = places_.find(number);
+  if (found == places_.end()) {
+    return;
+  }
+  const auto [workspace, at] = found->second;
+  if (const auto removed = remove(workspace, at)) {
+    observe({ workspace, at.priority, token_wait::result::cancelled, now - removed->arrived, {} });
+  }
+}
+
+std::optional<admission::waiting_operation>
+admission::remove(const workspace_id& workspace, const place& at)
+{
+  const auto found = queues_.find(workspace);
+  if (found == queues_.end()) {
+    return std::nullopt;
+  }
+  auto node = found->second.extract(at);
+  if (node.empty()) {
+    return std::nullopt;
+  }
+  places_.erase(at.number);
+  if (found->second.empty()) {
+    queues_.erase(found);
+  }
+  return std::move(node.mapped());
+}
+
+void
+admission::observe(const token_wait& wait) const
+{
+  if (observe_) {
+    observe_(wait);
+  }
+}
+
+void
+admission::admit_waiting(const workspace_id& workspace, const place& at, instant now)
 {
+  if (const auto removed = remove(workspace, at)) {
+    observe({ workspace, at.priority, token_wait::result::admitted, now - removed->arrived, {} });
+    removed->done(std::nullopt);
+  }
 }
 
 void
-admission::admit(const workspace_id& workspace, handler done, instant now)
+admission::refuse_waiting(const workspace_id& workspace, const place& at, instant now)
 {
-  switch (limiter_.take(workspace, true, now)) {
-    case rate_limiter::verdict::granted:
-      done(std::nullopt);
-      return;
-    case rate_limiter::verdict::refused:
-      done(limiter_.retry_after(workspace, now));
-      return;
-    case rate_limiter::verdict::wait_for_grant:
-      waiting_.push_back({ workspace, std::move(done), now + max_token_wait });
-      request_tokens_();
-      return;
+  const auto delay = retry_delay(workspace, at, now);
+  if (const auto removed = remove(workspace, at)) {
+    observe({ workspace, at.priority, token_wait::result::refused, now - removed->arrived, delay });
+    removed->done(delay);
+  }
+}
+
+// Time at which the rate has room for the operation: behind those that wait ahead of it, and behind
+// the retries of operations that were refused before.
+duration
+admission::retry_delay(const workspace_id& workspace, const place& at, instant now)
+{
+  const auto found = queues_.find(workspace);
+  const auto supply = limiter_.supply(workspace, now);
+  if (found == queues_.end() || supply.per_s <= 0) {
+    return default_retry_delay;
+  }
+  const auto ahead = std::distance(found->second.begin(), found->second.lower_bound(at));
+  const auto interval = time_until(1, { 0, supply.per_s });
+  const auto room_in = time_until(static_cast<double>(ahead) + 1, supply);
+  return retries_[workspace].next(at.priority, room_in, interval, now);
+}
+
+// Gives the tokens that are left to the operations in their order, and refuses those whose token is
+// due too late.
+void
+admission::serve(const workspace_id& workspace, instant now, bool is_tick)
+{
+  auto state = rate_limiter::verdict::granted;
+  for (auto found = queues_.find(workspace); found != queues_.end();
+       found = queues_.find(workspace)) {
+    const auto first = found->second.begin()->first;
+    const auto waited = now - found->second.begin()->second.arrived;
+    state = limiter_.take(workspace, false, now);
+    if (state == rate_limiter::verdict::wait_for_grant && is_tick && waited >= max_answer_wait &&
+        limiter_.take_unanswered(workspace, now)) {
+      state = rate_limiter::verdict::granted;
+    }
+    if (state != rate_limiter::verdict::granted) {
+      break;
+    }
+    admit_waiting(workspace, first, now);
+  }
+  refuse_late(workspace, state, now);
+  if (!queues_.contains(workspace)) {
+    return;
+  }
+  if (state == rate_limiter::verdict::wait_for_grant) {
+    // No answer shows yet what the pool has.
+    request_tokens_();
+  } else {
+    request_when_due(now);
   }
 }
 
 void
-admission::serve(instant now, bool refuse_all_expired)
-{
-  auto operations = std::exchange(waiting_, {});
-  for (auto& operation : operations) {
-    const auto verdict = limiter_.take(operation.workspace, false, now);
-    const bool expired = refuse_all_expired && now >= operation.expiry;
-    if (verdict == rate_limiter::verdict::granted ||
-        (verdict == rate_limiter::verdict::wait_for_grant && expired &&
-         limiter_.take_unanswered(operation.workspace, now))) {
-      operation.done(std::nullopt);
-    } else if (verdict == rate_limiter::verdict::refused || expired) {
-      operation.done(limiter_.retry_after(operation.workspace, now));
+admission::refuse_late(const workspace_id& workspace, rate_limiter::verdict state, instant now)
+{
+  const auto found = queues_.find(workspace);
+  if (found == queues_.end()) {
+    return;
+  }
+  const auto supply = limiter_.supply(workspace, now);
+  std::vector<place> late;
+  double ahead = 0;
+  for (const auto& [at, operation] : found->second) {
+    const bool awaits_answer =
+      state == rate_limiter::verdict::wait_for_grant && now - operation.arrived < max_answer_wait;
+    const bool in_time =
+      now < operation.deadline && now + time_until(ahead + 1, supply) <= operation.deadline;
+    if (awaits_answer || in_time) {
+      ahead += 1;
     } else {
-      waiting_.push_back(std::move(operation));
+      late.push_back(at);
     }
   }
+  for (const auto& at : late) {
+    refuse_waiting(workspace, at, now);
+  }
 }
 
 void
-admission::on_tokens_granted(instant now)
+admission::request_when_due(instant now)
 {
-  serve(now, false);
-  if (!waiting_.empty()) {
+  if (now >= next_request_at_ && limiter_.uses_pool(now)) {
+    schedule_request(now);
     request_tokens_();
   }
 }
 
+void
+admission::schedule_request(instant now)
+{
+  auto interval = max_request_interval;
+  for (const auto& [workspace, waiting] : queues_) {
+    const double per_s = limiter_.supply(workspace, now).per_s;
+    interval = std::min(interval, time_until(1, { 0, per_s }));
+  }
+  next_request_at_ = now + std::max(interval, min_request_interval);
+}
+
+void
+admission::on_tokens_granted(instant now)
+{
+  schedule_request(now);
+  std::vector<workspace_id> workspaces;
+  for (const auto& [workspace, waiting] : queues_) {
+    workspaces.push_back(workspace);
+  }
+  for (const auto& workspace : workspaces) {
+    serve(workspace, now, false);
+  }
+}
+
 void
 admission::tick(instant now)
 {
-  if (!waiting_.empty()) {
-    serve(now, true);
+  std::vector<workspace_id> workspaces;
+  for (const auto& [workspace, waiting] : queues_) {
+    workspaces.push_back(workspace);
+  }
+  for (const auto& workspace : workspaces) {
+    serve(workspace, now, true);
   }
 }
 
 std::map<workspace_id, double>
 admission::waiting_counts() const
 {
-  std::map<workspace_id, double> waiting;
-  for (const auto& operation : waiting_) {
-    waiting[operation.workspace] += 1;
+  std::map<workspace_id, double> counts;
+  for (const auto& [workspace, waiting] : queues_) {
+    counts[workspace] = static_cast<double>(waiting.size());
   }
-  return waiting;
+  return counts;
 }
 
 }
--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -84,9 +84,7 @@
                   ", workspace " + workspace_.get() + ", after " + std::to_string(waited.count()) +
                   " ms, attempts " + std::to_string(active_->attempts + 1) + ", " +
                   describe_position());
-    if (active_->pool_request) {
-      hooks_->cancel(*active_->pool_request);
-    }
+    cancel_waits();
     if (active_->commits) {
       state_ = transaction_state::idle;
       transaction_.reset();
@@ -209,9 +207,9 @@
   return std::nullopt;
 }
 
-// The reason why this instance cannot know which workspace holds the key; empty if it can, or if the
-// caller needs no workspace. A route that is open to all still tells the members which workspace
-// holds the caller's key.
+// The reason why this instance cannot know which workspace holds the key; empty if it can, or if
+// the caller needs no workspace. A route that is open to all still tells the members which
+// workspace holds the caller's key.
 std::optional<std::string>
 caller_session::missing_evidence(const proxy_route& route) const
 {
@@ -287,18 +285,42 @@
     return;
   }
   std::weak_ptr<caller_session*> weak = self_;
-  hooks_->admit(workspace_, [weak](std::optional<duration> refused_for) {
-    const auto self = weak.lock();
-    if (self && (*self)->active_ &&
-        (*self)->active_->step == execution_step::waiting_for_admission) {
-      (*self)->on_admission(refused_for);
-    }
-  });
+  // A token that is due after the time limit is of no use.
+  const operation_urgency urgency{
+    active_->route.priority,
+    std::clamp(active_->route.target_latency, duration::zero(), active_->expiry - active_->arrived)
+  };
+  const auto waits =
+    hooks_->admit(workspace_, urgency, [weak](std::optional<duration> refused_for) {
+      const auto self = weak.lock();
+      if (self && (*self)->active_ &&
+          (*self)->active_->step == execution_step::waiting_for_admission) {
+        (*self)->on_admission(refused_for);
+      }
+    });
+  if (waits) {
+    active_->admission_wait = waits;
+  }
+}
+
+// Ends the waits of the statement in progress, for its admission or for a connection.
+void
+caller_session::cancel_waits()
+{
+  if (active_->admission_wait) {
+    hooks_->cancel_admission(*active_->admission_wait);
+    active_->admission_wait.reset();
+  }
+  if (active_->pool_request) {
+    hooks_->cancel(*active_->pool_request);
+    active_->pool_request.reset();
+  }
 }
 
 void
 caller_session::on_admission(std::optional<duration> refused_for)
 {
+  active_->admission_wait.reset();
   if (refused_for) {
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*refused_for);
     fail_statement(statement_error::busy,
@@ -414,8 +436,8 @@
 caller_session::disconnect()
 {
   self_.reset();
-  if (active_ && active_->pool_request) {
-    hooks_->cancel(*active_->pool_request);
+  if (active_) {
+    cancel_waits();
   }
   if (connection_ == nullptr) {
     return;
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -34,8 +34,14 @@
   std::function<const configuration_index&()> configuration;
   // Empty if requests with API keys may run now; otherwise the reason why not.
   std::function<std::optional<std::string>()> key_evidence_missing;
-  // Counts one operation against the workspace's rate limit. The handler runs now or later.
-  std::function<void(const workspace_id&, admission::handler)> admit;
+  // Counts one operation against the workspace's rate limit. The handler runs before this returns,
+  // or later; then the result is the number with which the wait can be ended.
+  std::function<std::optional<admission_number>(const workspace_id&,
+                                                const operation_urgency&,
+                                                admission::handler)>
+    admit;
+  // Ends the wait of an operation for its admission. The handler is not called any more.
+  std::function<void(admission_number)> cancel_admission;
   std::function<request_number(connection_request,
                                connection_pool::grant_handler,
                                connection_pool::refuse_handler)>
@@ -109,6 +115,8 @@
   bool sent_to_primary = false;
   std::optional<member_id> excluded_member;
   std::uint32_t attempts = 0;
+  // Number of the wait for admission; empty if the operation does not wait.
+  std::optional<admission_number> admission_wait;
   std::optional<request_number> pool_request;
 };
 
@@ -156,6 +164,7 @@
   std::optional<std::string> missing_evidence(const proxy_route& route) const;
   bool end_if_access_changed();
   void end_unfinished(const std::string& reason);
+  void cancel_waits();
   void select_target();
   void acquire();
   void connection_granted(std::shared_ptr<pooled_connection> connection);
--- a/Source/Proxy/rate_limiter.cxx
+++ b/Source/Proxy/rate_limiter.cxx
@@ -9,8 +9,6 @@
 
 // Demand is averaged over about this time.
 constexpr double demand_window_s = 1.5;
-// Retry hint to a caller when the time of the next token is unknown.
-constexpr duration default_retry_delay = std::chrono::milliseconds(500);
 // Part of the tolerance that instances may use. The rest covers what is counted late.
 constexpr double usable_tolerance = 0.5;
 // An instance whose share of the tolerance is at least this many operations may save up one whole
@@ -90,6 +88,9 @@
     const double used_since_report =
       bucket.used - (used_before == reported.end() ? 0.0 : used_before->second);
     bucket.tokens = (found == grant.tokens.end() ? 0.0 : found->second) - used_since_report;
+    if (found != grant.tokens.end()) {
+      bucket.supplied_at = now;
+    }
     bucket.used = used_since_report;
     bucket.filled_at = now;
     bucket.exhausted = bucket.waiting > 0 && bucket.tokens < bucket.waiting;
@@ -123,10 +124,29 @@
 void
 rate_limiter::decay(workspace_bucket& measured, instant now)
 {
-  measured.demand *= std::exp(-seconds_between(measured.demand_updated_at, now) / demand_window_s);
+  const double remaining =
+    std::exp(-seconds_between(measured.demand_updated_at, now) / demand_window_s);
+  measured.demand *= remaining;
+  measured.admitted *= remaining;
   measured.demand_updated_at = now;
 }
 
+void
+rate_limiter::count_admitted(workspace_bucket& measured, instant now)
+{
+  decay(measured, now);
+  measured.admitted += 1.0 / demand_window_s;
+}
+
+void
+rate_limiter::count_operation(const workspace_id& workspace, instant now)
+{
+  if (const auto found = buckets_.find(workspace); found != buckets_.end()) {
+    decay(found->second, now);
+    found->second.demand += 1.0 / demand_window_s;
+  }
+}
+
 rate_limiter::verdict
 rate_limiter::take(const workspace_id& workspace, bool counted, instant now)
 {
@@ -136,17 +156,18 @@
   }
   auto& bucket = found->second;
   if (counted) {
-    decay(bucket, now);
-    bucket.demand += 1.0 / demand_window_s;
+    count_operation(workspace, now);
   }
   fill(workspace, bucket, now);
   if (bucket.carried >= 1.0 && now < carried_until_) {
     bucket.carried -= 1.0;
+    count_admitted(bucket, now);
     return verdict::granted;
   }
   if (bucket.tokens >= 1.0 && now < std::max(shares_valid_until_, pool_tokens_until_)) {
     bucket.tokens -= 1.0;
     bucket.used += 1.0;
+    count_admitted(bucket, now);
     return verdict::granted;
   }
   if (contact_is_uncertain(now) && take_tolerance(workspace, bucket, now)) {
@@ -201,18 +222,25 @@
   return true;
 }
 
-duration
-rate_limiter::retry_after(const workspace_id& workspace, instant now) const
+rate_limiter::token_supply
+rate_limiter::supply(const workspace_id& workspace, instant now)
 {
   const auto found = buckets_.find(workspace);
-  const double rate = found == buckets_.end()
-                        ? 0.0
-                        : found->second.rate * (uses_pool(now) ? 1.0 : share_of(workspace));
-  if (rate <= 0) {
-    return default_retry_delay;
-  }
-  return std::chrono::duration_cast<duration>(
-    std::chrono::duration<double>(std::max(0.0, 1.0 - found->second.tokens) / rate));
+  if (found == buckets_.end()) {
+    return {};
+  }
+  auto& bucket = found->second;
+  fill(workspace, bucket, now);
+  const double own_part = bucket.rate * share_of(workspace);
+  if (!uses_pool(now)) {
+    const bool usable = now < shares_valid_until_;
+    return usable ? token_supply{ bucket.tokens, own_part } : token_supply{};
+  }
+  decay(bucket, now);
+  const double per_s = std::min(bucket.rate, std::max(own_part, bucket.admitted));
+  // The pool grants only whole tokens, so a part of the next one does not show in any grant.
+  const double accrued = std::min(1.0, per_s * seconds_between(bucket.supplied_at, now));
+  return { bucket.tokens + accrued, per_s };
 }
 
 std::map<workspace_id, double>
--- a/Source/Proxy/rate_limiter.h
+++ b/Source/Proxy/rate_limiter.h
@@ -75,8 +75,20 @@
   // grants less than the rate for some seconds.
   void coordinator_changed(instant now);
 
-  // Time after which a retry may succeed.
-  duration retry_after(const workspace_id& workspace, instant now) const;
+  // Counts an operation that waits behind others and therefore takes no token yet.
+  void count_operation(const workspace_id& workspace, instant now);
+
+  // Forecast of the tokens of a workspace at this instance.
+  struct token_supply
+  {
+    // Tokens that are left, and the part of the next one that has probably accrued. Negative if
+    // more was used than the newest grant contained.
+    double tokens = 0;
+    // Expected tokens per second: while the pool answers, what this instance took lately, at least
+    // its share and at most the whole rate; otherwise its share of the rate.
+    double per_s = 0;
+  };
+  token_supply supply(const workspace_id& workspace, instant now);
 
   // True while tokens come from the pool.
   bool uses_pool(instant now) const { return now < pool_tokens_until_; }
@@ -106,7 +118,11 @@
     // Time up to which the bucket was refilled from the share.
     instant filled_at{};
     double demand = 0;
+    // Recently admitted operations per second.
+    double admitted = 0;
     instant demand_updated_at{};
+    // When the newest tokens of the pool arrived.
+    instant supplied_at{};
     // True if the newest grant was too small for the waiting requests.
     bool exhausted = false;
     // Part of the tolerance that is left, and the time up to which it was refilled.
@@ -117,6 +133,7 @@
   bool contact_is_uncertain(instant now) const;
   void fill(const workspace_id& workspace, workspace_bucket& filled, instant now) const;
   static void decay(workspace_bucket& measured, instant now);
+  static void count_admitted(workspace_bucket& measured, instant now);
   double share_of(const workspace_id& workspace) const;
 
   rate_tolerance tolerance_;
--- a/Source/ProxyNode/node_metrics.cxx
+++ b/Source/ProxyNode/node_metrics.cxx
@@ -6,7 +6,9 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace persimmonshelf {
@@ -18,6 +20,9 @@
                                                                  0.05,  0.1,   0.2,  0.5,
                                                                  1,     2,     5 };
 
+// Bounds the number of series; higher priorities share one.
+constexpr std::uint32_t max_priority_label = 9;
+
 std::string
 result_label(const statement_answer& answer)
 {
@@ -33,6 +38,7 @@
 {
   prometheus::Registry registry;
   prometheus::Family<prometheus::Histogram>* answers = nullptr;
+  prometheus::Family<prometheus::Histogram>* token_waits = nullptr;
   prometheus::Family<prometheus::Counter>* log_events = nullptr;
   prometheus::Family<prometheus::Counter>* positions = nullptr;
   prometheus::Family<prometheus::Gauge>* gauges = nullptr;
@@ -63,6 +69,12 @@
                       .Name("persimmonshelf_answer_seconds")
                       .Help("Time from a statement's arrival to its answer, by result.")
                       .Register(owned->registry);
+  owned->token_waits =
+    &prometheus::BuildHistogram()
+       .Name("persimmonshelf_token_wait_seconds")
+       .Help(
+         "Waits of operations that found no token of their rate at once, by result and priority.")
+       .Register(owned->registry);
   owned->log_events = &prometheus::BuildCounter()
                          .Name("persimmonshelf_decisions_total")
                          .Help("Lines of the decision log by event, dropped lines included.")
@@ -105,6 +117,16 @@
     .Observe(std::chrono::duration<double>(elapsed).count());
 }
 
+void
+node_metrics::record_token_wait(const token_wait& wait)
+{
+  state_->token_waits
+    ->Add({ { "result", std::string(name_of(wait.outcome)) },
+            { "priority", std::to_string(std::min(wait.priority, max_priority_label)) } },
+          latency_buckets_s)
+    .Observe(std::chrono::duration<double>(wait.waited).count());
+}
+
 void
 node_metrics::count_log_event(const std::string& event)
 {
--- a/Source/ProxyNode/node_metrics.h
+++ b/Source/ProxyNode/node_metrics.h
@@ -4,6 +4,7 @@
 #include "Base/instant.h"
 #include "Net/http_connection.h"
 #include "Net/http_server.h"
+#include "Proxy/admission.h"
 #include "Proxy/position_history.h"
 #include "Proxy/statement.h"
 
@@ -50,6 +51,10 @@
   // answer.
   void record_answer(const statement_answer& answer, duration elapsed);
 
+  // Counts an operation that found no token of its workspace at once, and the time until it was
+  // admitted, refused or cancelled.
+  void record_token_wait(const token_wait& wait);
+
   // Counts one line of the decision log by its event.
   void count_log_event(const std::string& event);
 
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -56,7 +56,13 @@
                   primary_use_limit,
                   commit_answer_limit })
   , limiter(initial_settings.tolerance)
-  , operations(limiter, [this] { fleet.request_tokens(); })
+  , operations(
+      limiter,
+      [this] { fleet.request_tokens(); },
+      [this](const token_wait& wait) {
+        metrics->record_token_wait(wait);
+        token_waits.record(wait);
+      })
   , pool({ [this](const pooled_connection& pooled, const listed_member& member) {
             open_connection(pooled, member);
           },
@@ -342,6 +348,7 @@
   }
   close_misplaced_session(now);
   log_read_positions(now);
+  log_token_waits(now);
   if (stopping) {
     drain(now);
   }
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -19,6 +19,12 @@
 constexpr duration relay_evidence_margin = std::chrono::milliseconds(250);
 // Interval between two lines about the positions of one group.
 constexpr duration position_line_period = std::chrono::seconds(1);
+// Interval between two lines about the waits for tokens of one workspace.
+constexpr duration token_wait_line_period = std::chrono::seconds(1);
+// Waits up to this long are usual below the rate: one answer of the coordinator.
+constexpr duration usual_token_wait = std::chrono::milliseconds(60);
+// Bounds the length of a line; names of workspaces are shorter.
+constexpr std::size_t max_logged_name_bytes = 128;
 // Interval between two checks of the local sessions' placement.
 constexpr duration placement_check_period = std::chrono::milliseconds(100);
 
@@ -32,8 +38,13 @@
     return known_state.configuration();
   };
   hooks.key_evidence_missing = [this] { return known_state.key_evidence_missing(boot_now()); };
-  hooks.admit = [this](const workspace_id& workspace, admission::handler done) {
-    operations.admit(workspace, std::move(done), boot_now());
+  hooks.admit = [this](const workspace_id& workspace,
+                       const operation_urgency& urgency,
+                       admission::handler done) {
+    return operations.admit(workspace, std::move(done), boot_now(), urgency);
+  };
+  hooks.cancel_admission = [this](admission_number number) {
+    operations.cancel(number, boot_now());
   };
   hooks.acquire = [this](connection_request request,
                          connection_pool::grant_handler granted,
@@ -127,6 +138,31 @@
               { "detail", describe(observed, now) } });
 }
 
+// Writes a line for each workspace whose operations were refused or waited unusually long for
+// tokens.
+void
+proxy_node::state::log_token_waits(instant now)
+{
+  if (now < next_token_wait_lines) {
+    return;
+  }
+  next_token_wait_lines = now + token_wait_line_period;
+  for (const auto& [workspace, entry] : token_waits.take()) {
+    if (entry.refused > 0 || entry.longest_wait > usual_token_wait) {
+      const auto in_ms = [](duration time) {
+        return std::to_string(std::chrono::ceil<std::chrono::milliseconds>(time).count());
+      };
+      log.write("token_wait",
+                { { "workspace", workspace.get().substr(0, max_logged_name_bytes) },
+                  { "admitted", std::to_string(entry.admitted) },
+                  { "refused", std::to_string(entry.refused) },
+                  { "cancelled", std::to_string(entry.cancelled) },
+                  { "longest_wait_ms", in_ms(entry.longest_wait) },
+                  { "longest_retry_ms", in_ms(entry.longest_retry) } });
+    }
+  }
+}
+
 void
 proxy_node::state::log_read_positions(instant now)
 {
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -9,6 +9,7 @@
 #include "Proxy/position_history.h"
 #include "Proxy/rate_limiter.h"
 #include "Proxy/read_position_summary.h"
+#include "Proxy/token_wait_summary.h"
 #include "ProxyNode/caller_connection.h"
 #include "ProxyNode/decision_log.h"
 #include "ProxyNode/fleet_participant.h"
@@ -67,6 +68,7 @@
                           const timed_position& observed,
                           observation_outcome outcome);
   void log_read_positions(instant now);
+  void log_token_waits(instant now);
 
   node_settings settings;
   boost::asio::io_context context;
@@ -78,6 +80,8 @@
   // Earliest time of the next line about an impossible position, by group.
   std::map<std::string, instant> next_impossible_position_line;
   rate_limiter limiter;
+  token_wait_summary token_waits;
+  instant next_token_wait_lines{};
   admission operations;
   connection_pool pool;
   fleet_participant fleet;
--- a/Tests/Proxy/session_bench.h
+++ b/Tests/Proxy/session_bench.h
@@ -41,13 +41,20 @@
     session_hooks hooks;
     hooks.configuration = [this]() -> const configuration_index& { return configuration; };
     hooks.key_evidence_missing = [this] { return key_evidence_missing; };
-    hooks.admit = [this](const workspace_id&, admission::handler done) {
+    hooks.admit = [this](const workspace_id&,
+                         const operation_urgency& urgency,
+                         admission::handler done) -> std::optional<admission_number> {
       ++admitted;
+      admission_urgency = urgency;
       if (admits_at_once) {
         done(refuse_for);
-      } else {
-        admissions.push_back(std::move(done));
+        return std::nullopt;
       }
+      admissions.push_back(std::move(done));
+      return admission_number(admitted);
+    };
+    hooks.cancel_admission = [this](admission_number number) {
+      cancelled_admissions.push_back(number);
     };
     hooks.acquire = [this](connection_request request, auto granted, auto refused) {
       requests.push_back(request);
@@ -169,6 +176,8 @@
   bool admits_at_once = true;
   bool opens_at_once = true;
   std::deque<admission::handler> admissions;
+  operation_urgency admission_urgency;
+  std::vector<admission_number> cancelled_admissions;
   std::deque<connection_number> opening;
   std::map<connection_number, workspace_id> workspaces;
   std::vector<connection_number> closed;
