Proxy: Keep pool tokens for the more urgent operations of other instances

The pool granted tokens in the order of requests, so less urgent operations of one instance took the tokens that more urgent ones waited for at another.

Reports and token requests now state the waiting operations by priority. The pool notes for 150 ms what it could not grant, and keeps tokens for it: others get them only for operations that are at least as urgent, and none in advance of demand. Nothing changes while the pool has tokens for all. If too many operations wait, the workspace with the most waiting ones gives a place up.

--- a/Source/Proxy/admission.cxx
+++ b/Source/Proxy/admission.cxx
@@ -85,9 +85,7 @@
   waiting.emplace(at, waiting_operation{ std::move(done), now, at.target - margin });
   places_.emplace(number, std::pair(workspace, at));
   if (places_.size() > max_waiting_operations) {
-    // The least urgent operation of the workspace, which may be this one.
-    const auto last = std::prev(waiting.end())->first;
-    refuse_waiting(workspace, last, now);
+    refuse_least_urgent(now);
   }
   serve(workspace, now, false);
   if (!places_.contains(number)) {
@@ -154,6 +152,22 @@
   }
 }
 
+// Refuses the last operation of the workspace with the most waiting ones, so that one workspace far
+// above its rate leaves room for the others.
+void
+admission::refuse_least_urgent(instant now)
+{
+  const auto longest =
+    std::max_element(queues_.begin(), queues_.end(), [](const auto& one, const auto& other) {
+      return one.second.size() < other.second.size();
+    });
+  if (longest != queues_.end()) {
+    const auto workspace = longest->first;
+    const auto last = std::prev(longest->second.end())->first;
+    refuse_waiting(workspace, last, now);
+  }
+}
+
 // Time at which the rate has room for the operation: behind those that wait ahead of it, and behind
 // the retries of operations that were refused before.
 duration
@@ -273,12 +287,15 @@
   }
 }
 
-std::map<workspace_id, double>
+waiting_table
 admission::waiting_counts() const
 {
-  std::map<workspace_id, double> counts;
+  waiting_table counts;
   for (const auto& [workspace, waiting] : queues_) {
-    counts[workspace] = static_cast<double>(waiting.size());
+    auto& by_priority = counts[workspace];
+    for (const auto& [at, operation] : waiting) {
+      by_priority[at.priority] += 1;
+    }
   }
   return counts;
 }
--- a/Source/Proxy/admission.h
+++ b/Source/Proxy/admission.h
@@ -83,8 +83,8 @@
   void on_tokens_granted(instant now);
   void tick(instant now);
 
-  // Number of waiting operations by workspace.
-  std::map<workspace_id, double> waiting_counts() const;
+  // Waiting operations, for a report to the coordinator.
+  waiting_table waiting_counts() const;
 
 private:
   // Place of an operation among those that wait.
@@ -110,6 +110,7 @@
   std::optional<waiting_operation> remove(const workspace_id& workspace, const place& at);
   void admit_waiting(const workspace_id& workspace, const place& at, instant now);
   void refuse_waiting(const workspace_id& workspace, const place& at, instant now);
+  void refuse_least_urgent(instant now);
   duration retry_delay(const workspace_id& workspace, const place& at, instant now);
   void observe(const token_wait& wait) const;
   void request_when_due(instant now);
--- a/Source/Proxy/coordinator_messages.cxx
+++ b/Source/Proxy/coordinator_messages.cxx
@@ -18,4 +18,16 @@
   return stable_hash(text);
 }
 
+std::map<workspace_id, double>
+total_waiting(const waiting_table& waiting)
+{
+  std::map<workspace_id, double> totals;
+  for (const auto& [workspace, counts] : waiting) {
+    for (const auto& [priority, count] : counts) {
+      totals[workspace] += count;
+    }
+  }
+  return totals;
+}
+
 }
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -62,6 +62,13 @@
   friend bool operator==(const applied_shares&, const applied_shares&) = default;
 };
 
+// Number of requests that wait for tokens, by workspace and route priority.
+using waiting_table = std::map<workspace_id, std::map<std::uint32_t, double>>;
+
+// Sum over all priorities, by workspace.
+std::map<workspace_id, double>
+total_waiting(const waiting_table& waiting);
+
 // Report of an instance to the coordinator, sent several times per second.
 struct instance_report
 {
@@ -95,6 +102,8 @@
   fencing_token grant_token;
   std::map<workspace_id, double> used;
   std::map<workspace_id, double> waiting;
+  // The requests that wait, by priority. Empty in reports of earlier builds.
+  waiting_table waiting_by_priority;
   // Time since the sender made the report that its newest applied view answered.
   duration view_age{};
   // Times are on the sender's clock.
--- a/Source/Proxy/token_pool.cxx
+++ b/Source/Proxy/token_pool.cxx
@@ -1,6 +1,7 @@
 #include "Proxy/token_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace persimmonshelf {
 
@@ -14,6 +15,9 @@
 constexpr double extra_tokens = 1.0;
 // A grant that was not confirmed for longer is not repeated, since the pool is full again by then.
 constexpr duration repeat_lifetime = std::chrono::milliseconds(1000);
+// Requests that were not met count for this long: an instance repeats them within 100 ms, and the
+// message may take a few round trips.
+constexpr duration unmet_lifetime = std::chrono::milliseconds(150);
 
 }
 
@@ -102,14 +106,23 @@
   std::map<workspace_id, double> allocated;
   for (auto& [workspace, pool] : pools_) {
     fill(pool, now);
+    pool.unmet.erase(report.instance);
+    std::erase_if(pool.unmet,
+                  [now](const auto& entry) { return now - entry.second.since >= unmet_lifetime; });
+    // Tokens in advance of demand, and for requests without a priority.
     const auto weight = weights.find(workspace);
     double tokens = weight == weights.end()
                       ? 0.0
                       : pool.tokens * prefetch_fraction * weight->second / full_rate_share;
-    if (const auto waiting = report.waiting.find(workspace); waiting != report.waiting.end()) {
+    const auto waiting = report.waiting.find(workspace);
+    if (waiting != report.waiting.end()) {
       tokens = std::max(tokens, waiting->second + extra_tokens);
     }
-    tokens = std::min(tokens, pool.tokens);
+    tokens = std::min(tokens, usable_tokens(pool, std::nullopt));
+    if (const auto urgent = report.waiting_by_priority.find(workspace);
+        urgent != report.waiting_by_priority.end()) {
+      tokens = std::max(tokens, grant_waiting(pool, report.instance, urgent->second, now));
+    }
     // An instance cannot use less than one token, and would withhold it until its next report.
     if (tokens < 1.0) {
       continue;
@@ -120,6 +133,42 @@
   return allocated;
 }
 
+double
+token_pool::usable_tokens(const workspace_pool& from, std::optional<std::uint32_t> priority)
+{
+  double usable = from.tokens;
+  for (const auto& [instance, requests] : from.unmet) {
+    for (const auto& [unmet_priority, count] : requests.by_priority) {
+      if (!priority || unmet_priority < *priority) {
+        usable -= count;
+      }
+    }
+  }
+  return std::max(0.0, usable);
+}
+
+double
+token_pool::grant_waiting(workspace_pool& from,
+                          const instance_id& instance,
+                          const std::map<std::uint32_t, double>& waiting,
+                          instant now)
+{
+  double granted = 0;
+  unmet_requests unmet{ now, {} };
+  for (const auto& [priority, count] : waiting) {
+    const double usable = std::max(0.0, usable_tokens(from, priority) - granted);
+    const double met = std::min(count, usable);
+    granted += met;
+    if (met < count) {
+      unmet.by_priority[priority] = count - met;
+    }
+  }
+  if (!unmet.by_priority.empty()) {
+    from.unmet.emplace(instance, std::move(unmet));
+  }
+  return granted;
+}
+
 double
 token_pool::available(const workspace_id& workspace) const
 {
--- a/Source/Proxy/token_pool.h
+++ b/Source/Proxy/token_pool.h
@@ -2,7 +2,9 @@
 
 #include "Proxy/coordinator_messages.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace persimmonshelf {
@@ -19,6 +21,10 @@
   // Sets the part of the workspace's rate and burst that the pool may use, 0 to 1.
   void set_fraction(const workspace_id& workspace, double fraction, instant now);
 
+  // Tokens go to the most urgent waiting requests first, also of other instances: what could not be
+  // granted to an instance is kept for it for a short time, except from requests that are at least
+  // as urgent.
+  //
   // The answer to a report: takes back the unused tokens of the grant that the report confirms, and
   // allocates new ones until the next report, with the number `next_number`. `weights` are the
   // instance's rate shares; they determine how many tokens it gets in advance of demand. If the
@@ -33,6 +39,11 @@
   double available(const workspace_id& workspace) const;
 
 private:
+  struct unmet_requests
+  {
+    instant since{};
+    std::map<std::uint32_t, double> by_priority;
+  };
   struct workspace_pool
   {
     double rate = 0;
@@ -40,6 +51,8 @@
     double fraction = 0;
     double tokens = 0;
     instant filled_at{};
+    // Requests that the pool could not serve, by instance.
+    std::map<instance_id, unmet_requests> unmet;
   };
   // The newest grant of an instance.
   struct granted_tokens
@@ -55,6 +68,13 @@
   std::map<workspace_id, double> allocate(const instance_report& report,
                                           const rate_share_table& weights,
                                           instant now);
+  // Tokens for the instance's waiting requests; notes those that were not met.
+  static double grant_waiting(workspace_pool& from,
+                              const instance_id& instance,
+                              const std::map<std::uint32_t, double>& waiting,
+                              instant now);
+  // Tokens that requests of this priority may use; empty means tokens in advance of demand.
+  static double usable_tokens(const workspace_pool& from, std::optional<std::uint32_t> priority);
   static void fill(workspace_pool& filled, instant now);
 
   std::map<workspace_id, workspace_pool> pools_;
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -171,6 +171,10 @@
   for (const auto& entry : from.uses()) {
     report.used[workspace_id(entry.workspace())] = entry.used();
     report.waiting[workspace_id(entry.workspace())] = entry.waiting();
+    for (const auto& waiting : entry.waiting_by_priority()) {
+      report.waiting_by_priority[workspace_id(entry.workspace())][waiting.priority()] =
+        waiting.count();
+    }
   }
   report.view_age = from_us(from.view_age_us());
   return report;
@@ -312,6 +316,14 @@
     entry->set_workspace(workspace.get());
     entry->set_used(static_cast<float>(use.first));
     entry->set_waiting(static_cast<float>(use.second));
+    if (const auto found = report.waiting_by_priority.find(workspace);
+        found != report.waiting_by_priority.end()) {
+      for (const auto& [priority, count] : found->second) {
+        auto* waiting = entry->add_waiting_by_priority();
+        waiting->set_priority(priority);
+        waiting->set_count(static_cast<float>(count));
+      }
+    }
   }
   to.set_view_age_us(to_us(report.view_age));
   return serialize_with_type(report_type_byte, to);
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -256,7 +256,8 @@
 {
   report.grant_number = limiter_.grant_number();
   report.grant_token = follower_.token();
-  report.waiting = hooks_.waiting();
+  report.waiting_by_priority = hooks_.waiting();
+  report.waiting = total_waiting(report.waiting_by_priority);
   report.used = limiter_.usage_for_report(report.waiting, report.clock);
   report.view_age = now - follower_.last_echo_clock();
   token_request_pacer_.sent(now);
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -52,9 +52,8 @@
     // Called when members, configuration or group records changed.
     std::function<void()> changed;
     std::function<std::vector<member_reachability>()> reachability;
-    // Number of operations that wait for tokens, by workspace, and the notification that tokens
-    // were granted.
-    std::function<std::map<workspace_id, double>()> waiting;
+    // Operations that wait for tokens, and the notification that tokens were granted.
+    std::function<waiting_table()> waiting;
     std::function<void()> tokens_granted;
     // Called when the carrier plan changed.
     std::function<void()> plan_changed;
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -319,6 +319,7 @@
   report.shares[workspace_id("w")] = 5;
   report.used[workspace_id("w")] = 2;
   report.waiting[workspace_id("v")] = 3;
+  report.waiting_by_priority[workspace_id("v")] = { { 0, 1 }, { 4, 2 } };
   report.positions["g"] = { { term(3), log_position(4) },
                             instant(std::chrono::seconds(4)),
                             { member_id("m"), instance_id("b") } };
@@ -335,6 +336,7 @@
   CHECK(read->positions.at("g").source.member == member_id("m"));
   CHECK(read->positions.at("g").source.observer == instance_id("b"));
   CHECK(read->waiting.at(workspace_id("v")) == 3);
+  CHECK(read->waiting_by_priority == report.waiting_by_priority);
   CHECK(read->view == report.view);
   CHECK(read->grant_token == report.grant_token);
   CHECK(read->shares_view == report.shares_view);
--- a/Tests/Proxy/admission_test.cxx
+++ b/Tests/Proxy/admission_test.cxx
@@ -66,7 +66,8 @@
     report.shares = from.limiter.shares();
     report.shares_view = { fencing_token(1), reports };
     report.demands = from.limiter.demands(now);
-    report.waiting = from.gate.waiting_counts();
+    report.waiting_by_priority = from.gate.waiting_counts();
+    report.waiting = total_waiting(report.waiting_by_priority);
     report.used = from.limiter.usage_for_report(report.waiting, now);
     shares.record_report(report, fencing_token(1), now);
     from.limiter.set_shares(
@@ -124,7 +125,8 @@
   exhausted_gate()
     : gate(limiter, [this] { ++requests; })
   {
-    limiter.set_workspaces({ make_workspace("w", 100, 50) }, at(0));
+    limiter.set_workspaces({ make_workspace("w", 100, 50), make_workspace("other", 100, 50) },
+                           at(0));
     limiter.set_shares({ { workspace, full_rate_share } }, at(100'000), at(0));
     refuse_grant(0);
   }
@@ -138,7 +140,7 @@
 
   void grant(double tokens, std::int64_t time)
   {
-    limiter.usage_for_report(gate.waiting_counts(), at(time));
+    limiter.usage_for_report(total_waiting(gate.waiting_counts()), at(time));
     limiter.apply_grant({ ++grants, at(time), { { workspace, tokens } } }, at(time), at(time));
     gate.on_tokens_granted(at(time));
   }
@@ -212,7 +214,7 @@
   bench.admit("second", 0, 600, 1);
   REQUIRE(first);
   bench.gate.cancel(*first, at(5));
-  CHECK(bench.gate.waiting_counts().at(workspace) == 1);
+  CHECK(total_waiting(bench.gate.waiting_counts()).at(workspace) == 1);
   bench.grant(1, 10);
   CHECK(bench.admitted == std::vector<std::string>{ "second" });
   CHECK(bench.refusals.empty());
@@ -226,10 +228,14 @@
   for (std::size_t i = 0; i < max_waiting_operations + 10; ++i) {
     bench.admit("less urgent", 1, 100'000, 1);
   }
-  CHECK(bench.gate.waiting_counts().at(workspace) == max_waiting_operations);
+  CHECK(total_waiting(bench.gate.waiting_counts()).at(workspace) == max_waiting_operations);
   CHECK(bench.refusals.size() == 10);
   CHECK(bench.admit("urgent", 0, 100'000, 1));
   CHECK(bench.refusals == std::vector<std::string>(11, "less urgent"));
+  // Another workspace is below its rate and waits for an answer of the pool.
+  CHECK(bench.gate.admit(
+    workspace_id("other"), [](std::optional<duration>) {}, at(1)));
+  CHECK(bench.refusals == std::vector<std::string>(12, "less urgent"));
 }
 
 // One workspace at three times its rate, with three kinds of routes of which the first two need 90%
@@ -238,7 +244,7 @@
 TEST_CASE("urgent routes are served while a workspace is at several times its rate")
 {
   constexpr double rate = 100;
-  for (const std::size_t count : { 1 }) {
+  for (const std::size_t count : { 1, 3 }) {
     CAPTURE(count);
     admission_bench bench(rate, count);
     std::mt19937 random(1);
