Places, Proxy, ProxyNode: Take the members of evacuated zones out of use

An operator could not keep requests away from the members of one zone.

Change: rows `evacuate/ZONE` in the configuration's table name the evacuated zones. The new module Places holds the newest set by the store's revision, and the times at which open transactions and all use of a zone end; both are counted from the newest evidence without the row. Views carry the set with its revision and age. Without such rows no decision changes.

The bench of coordinator tests promotes into a term above all members', as the platform does; it used the member's own term before, which let two members lead in the same term.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -209,9 +209,9 @@
   return std::nullopt;
 }
 
-// The reason why this instance cannot know which workspace holds the key; empty if it can, or if the
-// caller needs no workspace. A route that is open to all still tells the members which workspace
-// holds the caller's key.
+// The reason why this instance cannot know which workspace holds the key; empty if it can, or if
+// the caller needs no workspace. A route that is open to all still tells the members which
+// workspace holds the caller's key.
 std::optional<std::string>
 caller_session::missing_evidence(const proxy_route& route) const
 {
@@ -281,6 +281,9 @@
     fail_statement(statement_error::aborted, "the workspace of the caller's key changed");
     return;
   }
+  if (end_evacuated_transaction()) {
+    return;
+  }
   const bool counted = transaction_ && transaction_->admitted;
   if (counted || workspace_.get().empty()) {
     on_admission(std::nullopt);
@@ -348,6 +351,10 @@
     release_connection(duration::zero());
     return;
   }
+  if (!may_send()) {
+    close_connection();
+    return;
+  }
   connection_.reset();
   in_transaction_ = false;
   // The session may be destroyed before the answer arrives, so the handler keeps the hooks.
@@ -369,6 +376,9 @@
 void
 caller_session::tick(instant now)
 {
+  if (end_evacuated_use(now)) {
+    return;
+  }
   if (active_) {
     if (now < active_->expiry) {
       return;
@@ -429,11 +439,12 @@
   const auto hooks = hooks_;
   const auto number = connection_->number;
   // A BEGIN that was sent but not answered may still take effect.
-  const bool may_be_in_transaction = in_transaction_ || active_->step == execution_step::beginning;
+  const bool must_close =
+    !may_send() || in_transaction_ || active_->step == execution_step::beginning;
   connection_->settings.clear();
   connection_->prepared.clear();
   connection_.reset();
-  if (may_be_in_transaction) {
+  if (must_close) {
     hooks->close_connection(number);
     return;
   }
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Places/evacuated_zones.h"
 #include "Proxy/admission.h"
 #include "Proxy/connection_pool.h"
 #include "Proxy/fleet_configuration.h"
@@ -60,6 +61,8 @@
   // `sent`.
   std::function<void(const std::string& group, const member_id&, const log_point&, instant sent)>
     observe_position;
+  // When the use of a zone ends; empty if it is not evacuated. May be unset where no zone ever is.
+  std::function<std::optional<evacuation_deadlines>(const zone_id&)> evacuation_of{};
   std::function<void(const statement_answer&)> answer;
   std::function<instant()> now;
   // Writes one line of the decision log.
@@ -86,6 +89,8 @@
   bool admitted = false;
   proxy_route route;
   instant idle_since{};
+  // True once it was rolled back because of an evacuation, until the caller's next statement.
+  bool evacuated = false;
 };
 
 // The caller's statement in progress.
@@ -175,6 +180,11 @@
   void release_connection(duration elapsed);
   void close_connection();
   void roll_back_connection();
+  std::optional<evacuation_deadlines> evacuation() const;
+  bool may_send() const;
+  bool end_evacuated_use(instant now);
+  bool leave_evacuated_member();
+  bool end_evacuated_transaction();
   bool transaction_primary_changed() const;
   bool is_at_primary() const;
 
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -204,6 +204,9 @@
 void
 caller_session::send_begin()
 {
+  if (leave_evacuated_member()) {
+    return;
+  }
   if (primary_changed_before_send()) {
     release_connection(duration::zero());
     acquire();
@@ -250,7 +253,7 @@
 void
 caller_session::send_statement()
 {
-  if (end_if_access_changed()) {
+  if (end_if_access_changed() || end_evacuated_transaction()) {
     return;
   }
   active_->step = execution_step::running;
--- a/Source/Proxy/connection_pool.cxx
+++ b/Source/Proxy/connection_pool.cxx
@@ -58,6 +58,78 @@
   tick(now);
 }
 
+void
+connection_pool::set_evacuated_zones(const std::set<zone_id>& zones, instant now)
+{
+  if (zones == evacuated_zones_) {
+    return;
+  }
+  evacuated_zones_ = zones;
+  std::vector<connection_number> closable;
+  for (const auto& [number, connection] : connections_) {
+    if (zones.contains(connection->zone) &&
+        connection->state != pooled_connection::connection_state::in_use) {
+      closable.push_back(number);
+    }
+  }
+  for (const auto number : closable) {
+    close_connection(number);
+  }
+  // No attempts are made during an evacuation, so earlier failures say nothing about the time
+  // after.
+  for (const auto& [id, member] : members_) {
+    if (is_evacuated(member)) {
+      health_.erase(id);
+    }
+  }
+  tick(now);
+}
+
+bool
+connection_pool::is_evacuated(const listed_member& member) const
+{
+  return evacuated_zones_.contains(member.zone);
+}
+
+std::size_t
+connection_pool::connections_to(const zone_id& zone) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(connections_.begin(), connections_.end(), [&](const auto& entry) {
+      return entry.second->zone == zone;
+    }));
+}
+
+// The reason why only members in evacuated zones could serve the request; empty if others may.
+std::optional<std::string>
+connection_pool::evacuation_refusal(const connection_request& request,
+                                    const std::optional<group_primary>& primary) const
+{
+  if (evacuated_zones_.empty()) {
+    return std::nullopt;
+  }
+  if (request.needs_primary) {
+    const auto* member = primary ? find_member(primary->member) : nullptr;
+    // A primary that is being replaced may have a successor soon.
+    return member != nullptr && primary->usable && is_evacuated(*member)
+             ? std::optional("the zone " + member->zone.get() + " of the primary is evacuated")
+             : std::nullopt;
+  }
+  bool any_evacuated = false;
+  for (const auto& [id, member] : members_) {
+    if (member.group != request.group || request.excluded_member == id || member.draining) {
+      continue;
+    }
+    if (!is_evacuated(member)) {
+      return std::nullopt;
+    }
+    any_evacuated = true;
+  }
+  return any_evacuated ? std::optional("all members of " + request.group +
+                                       " that may serve are in evacuated zones")
+                       : std::nullopt;
+}
+
 void
 connection_pool::set_connection_limit(const std::string& group, std::size_t limit)
 {
@@ -129,10 +201,13 @@
   if (now >= waiting.request.expiry) {
     return "no connection to a member became free in time";
   }
+  const auto primary = hooks_.primary_of(waiting.request.group);
+  if (auto reason = evacuation_refusal(waiting.request, primary)) {
+    return reason;
+  }
   if (!waiting.request.needs_primary) {
     return std::nullopt;
   }
-  const auto primary = hooks_.primary_of(waiting.request.group);
   if (!primary) {
     return "the primary is unknown";
   }
@@ -229,6 +304,11 @@
     tick(now);
     return;
   }
+  if (evacuated_zones_.contains(connection.zone)) {
+    close_connection(number);
+    tick(now);
+    return;
+  }
   const auto* listed = find_member(connection.member);
   if (listed == nullptr || listed->draining) {
     const auto primary = hooks_.primary_of(connection.group);
--- a/Source/Proxy/connection_pool.h
+++ b/Source/Proxy/connection_pool.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,10 @@
   // when they are released.
   void set_members(const std::vector<listed_member>& members, instant now);
 
+  // Members in these zones get no new work and no connections. Closes the idle connections to them;
+  // connections in use are closed when they are released.
+  void set_evacuated_zones(const std::set<zone_id>& zones, instant now);
+
   // Sets the maximum number of connections that this instance may hold to one member of the group.
   void set_connection_limit(const std::string& group, std::size_t limit);
 
@@ -97,10 +102,13 @@
   // Refuses expired requests and grants connections to the waiting ones.
   void tick(instant now);
 
+  const std::set<zone_id>& evacuated_zones() const { return evacuated_zones_; }
   const listed_member* find_member(const member_id& id) const;
   const std::map<member_id, listed_member>& members() const { return members_; }
   std::size_t waiting_count() const { return waiting_.size(); }
   std::size_t connection_count() const { return connections_.size(); }
+  // Number of connections to members in the zone.
+  std::size_t connections_to(const zone_id& zone) const;
   // Time since which every connection attempt failed; empty if the member answers.
   std::optional<instant> failing_since(const member_id& id) const;
   // True if there is an open connection to the member.
@@ -141,6 +149,9 @@
   bool is_worth_waiting(const waiting_request& waiting,
                         const std::vector<const listed_member*>& ranked,
                         instant now) const;
+  bool is_evacuated(const listed_member& member) const;
+  std::optional<std::string> evacuation_refusal(const connection_request& request,
+                                                const std::optional<group_primary>& primary) const;
   std::optional<std::string> refusal_reason(const waiting_request& waiting, instant now) const;
   void close_connection(connection_number number);
   void close_excess_connections(const std::string& group);
@@ -148,6 +159,7 @@
   hooks hooks_;
   zone_id own_zone_;
   std::map<member_id, listed_member> members_;
+  std::set<zone_id> evacuated_zones_;
   std::map<member_id, member_health> health_;
   std::map<std::string, std::size_t> connection_limits_;
   std::map<connection_number, std::shared_ptr<pooled_connection>> connections_;
--- a/Source/Proxy/connection_pool_selection.cxx
+++ b/Source/Proxy/connection_pool_selection.cxx
@@ -62,7 +62,7 @@
   std::vector<std::pair<double, const listed_member*>> ranked;
   const auto primary = hooks_.primary_of(request.group);
   for (const auto& [id, member] : members_) {
-    if (member.group != request.group || request.excluded_member == id) {
+    if (member.group != request.group || request.excluded_member == id || is_evacuated(member)) {
       continue;
     }
     const bool is_primary = primary && primary->member == id;
@@ -133,6 +133,7 @@
   connection->number = connection_number(++last_connection_);
   connection->member = member.id;
   connection->group = member.group;
+  connection->zone = member.zone;
   connection->workspace = workspace;
   connection->state_changed_at = now;
   connections_.emplace(connection->number, connection);
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -203,6 +203,11 @@
   view.echo_clock = to.last_report_clock;
   view.configuration_version = fleet_state_.configuration().configuration().version;
   view.configuration_age = age(fleet_state_.configuration_confirmed_at());
+  if (const auto& evacuations = fleet_state_.evacuations(); evacuations.known()) {
+    view.evacuated_zones = evacuations.zones();
+    view.evacuations_revision = evacuations.evidence().revision;
+    view.evacuations_age = now - evacuations.evidence().confirmed_at;
+  }
   view.groups_revision = fleet_state_.groups_revision();
   if (hooks_.holds_lease() && fleet_state_.groups_revision() > 0) {
     // Only the holder of the lease changes the records, so its copy is current once it has read
@@ -389,6 +394,24 @@
   }
 }
 
+// Which of the members are in evacuated zones.
+member_evacuation
+coordinator::evacuation_of(const std::vector<listed_member>& members, instant now) const
+{
+  const auto& evacuations = fleet_state_.evacuations();
+  member_evacuation evacuation;
+  for (const auto& member : members) {
+    if (!evacuations.contains(member.zone)) {
+      continue;
+    }
+    evacuation.leaving.insert(member.id);
+    if (evacuations.use_ended(member.zone, now)) {
+      evacuation.left.insert(member.id);
+    }
+  }
+  return evacuation;
+}
+
 void
 coordinator::check_groups(bool list_is_reliable)
 {
@@ -416,6 +439,8 @@
     }
     group_failover->set_members(
       members, group.sync_replicas, fleet_state_.possible_commit_holders(group.name, now));
+    const auto evacuation = evacuation_of(members, now);
+    group_failover->set_evacuation(evacuation);
     const auto record = fleet_state_.groups().find(group.name);
     if (!group_failover->in_progress() && record != fleet_state_.groups().end() &&
         record->second.changing) {
@@ -425,7 +450,8 @@
     if (!primary || group_failover->in_progress()) {
       last_consistent_at_[group.name] = now;
     } else if (primary->usable) {
-      auto reason = failure_detector_.assess(primary->member, members, list_is_reliable, now);
+      auto reason = failure_detector_.assess(
+        primary->member, members, evacuation.leaving, list_is_reliable, now);
       const bool disagrees = std::any_of(members.begin(), members.end(), [&](const auto& member) {
         return member.id == primary->member && !member.claims_primary;
       });
@@ -435,6 +461,10 @@
                  now - last_consistent_at_[group.name] > role_mismatch_timeout) {
         reason = replacement_reason::unreachable;
       }
+      if (!members.empty() && evacuation.leaving.size() == members.size()) {
+        // No member may serve, so a replacement would only stop the group.
+        reason = replacement_reason::none;
+      }
       group_failover->start(fleet_state_.record_of(group.name, primary->member), reason);
     }
     group_failover->tick();
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -97,6 +97,7 @@
   void answer_token_request(const instance_report& report, const peer_state& from);
   void allocate_tokens(const instance_report& report, fleet_view& view);
   void grant_tokens(const instance_report& report, fleet_view& view);
+  member_evacuation evacuation_of(const std::vector<listed_member>& members, instant now) const;
   void check_groups(bool list_is_reliable);
   observation_outcome record_position(const std::string& group, const timed_position& position);
 
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -139,6 +140,11 @@
   instant echo_clock{};
   config_version configuration_version;
   std::optional<duration> configuration_age;
+  // Evacuated zones, the store revision at which they were read, and the age of that read. A
+  // revision of zero means that the sender does not know them.
+  std::set<zone_id> evacuated_zones;
+  std::uint64_t evacuations_revision = 0;
+  duration evacuations_age{};
   std::uint64_t groups_revision = 0;
   std::optional<duration> groups_age;
   std::vector<group_record> groups;
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -82,6 +82,12 @@
   sync_replicas_ = sync_replicas;
 }
 
+void
+failover::set_evacuation(member_evacuation evacuation)
+{
+  evacuation_ = std::move(evacuation);
+}
+
 const listed_member*
 failover::find_member(const member_id& id) const
 {
@@ -99,6 +105,7 @@
   final_position_.reset();
   excluded_members_.clear();
   chosen_.reset();
+  chosen_as_last_resort_ = false;
   step_down_pending_ = false;
   wait_reason_.clear();
 }
@@ -106,7 +113,8 @@
 void
 failover::start(const group_record& recorded, replacement_reason reason)
 {
-  const bool planned = reason == replacement_reason::leaving;
+  const bool planned =
+    reason == replacement_reason::leaving || reason == replacement_reason::evacuated;
   if (in_progress() || reason == replacement_reason::none || hooks_.now() < earliest_start_ ||
       (planned && hooks_.now() < earliest_planned_start_)) {
     return;
@@ -114,7 +122,9 @@
   begin_replacement(recorded);
   record_.changing = true;
   record_.stepped_down = false;
-  handle_event(planned ? "leaving" : "lost");
+  // A primary to which nothing may be sent cannot be asked to step down first.
+  const bool steps_down = planned && !evacuation_.left.contains(recorded.primary);
+  handle_event(steps_down ? "leaving" : "lost");
 }
 
 void
@@ -135,7 +145,7 @@
   retry_pending_ = false;
   earliest_start_ = hooks_.now() + restart_pause;
   const auto* primary = chosen_ ? find_member(*chosen_) : nullptr;
-  if (primary != nullptr && primary->draining) {
+  if (primary != nullptr && (primary->draining || chosen_as_last_resort_)) {
     earliest_planned_start_ = hooks_.now() + planned_restart_pause;
   }
 }
@@ -196,6 +206,10 @@
 {
   const auto generation = generation_;
   const auto primary = record_.primary;
+  if (sync_replicas_ == 0 && evacuation_.left.contains(primary)) {
+    // Nothing may be sent to its zone any more, and the fence ends its use without its answer.
+    return;
+  }
   step_down_pending_ = true;
   member_command status;
   status.kind = member_command::command_kind::status;
@@ -358,6 +372,11 @@
 void
 failover::tick()
 {
+  if (chart_->state() == "awaiting_fence" && choice_is_outdated()) {
+    retry_pending_ = false;
+    handle_event("none_fit");
+    return;
+  }
   const bool awaits_fence = chart_->state() == "fencing" || chart_->state() == "awaiting_fence";
   if (awaits_fence && fence_complete()) {
     retry_pending_ = false;
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -25,6 +25,15 @@
   unanswered,
 };
 
+// Members of a group in evacuated zones.
+struct member_evacuation
+{
+  // All of them. They lead only if nobody else can.
+  std::set<member_id> leaving;
+  // Those that nothing may be sent to any more, as far as that is possible.
+  std::set<member_id> left;
+};
+
 // Replaces the primary of one group, on behalf of the coordinator. failover.chart.json defines the
 // order of the steps: wait until the old primary stepped down or no instance passes on its commits,
 // compare the positions that the other members received, wait until no instance reads at the old
@@ -64,6 +73,8 @@
                    std::uint32_t sync_replicas,
                    std::map<member_id, std::string> possible_commit_holders);
 
+  void set_evacuation(member_evacuation evacuation);
+
   // Starts the replacement of the recorded primary, unless one is in progress.
   void start(const group_record& recorded, replacement_reason reason);
   // Continues a replacement that an earlier coordinator recorded at this revision or before.
@@ -105,7 +116,10 @@
   std::optional<log_point> required_position(
     const std::map<member_id, member_status>& answers) const;
   bool catch_up_ended() const;
-  const listed_member* best_candidate(const std::map<member_id, member_status>& answers) const;
+  const listed_member* best_candidate(const std::map<member_id, member_status>& answers,
+                                      bool include_evacuated) const;
+  std::set<member_id> queried_members() const;
+  bool choice_is_outdated() const;
   bool may_lead(const listed_member& member) const;
   int reluctance(const listed_member& member) const;
   void promote();
@@ -122,6 +136,7 @@
   std::vector<listed_member> members_;
   std::uint32_t sync_replicas_ = 0;
   std::map<member_id, std::string> possible_commit_holders_;
+  member_evacuation evacuation_;
   // The record of the primary that is replaced. Its term is the one in which that primary leads, or
   // zero if it is unknown.
   group_record record_;
@@ -134,6 +149,8 @@
   instant stepped_down_at_{};
   std::set<member_id> excluded_members_;
   std::optional<member_id> chosen_;
+  // True if the chosen member is in an evacuated zone because no other one could be chosen.
+  bool chosen_as_last_resort_ = false;
   // Position of the chosen member when it was chosen.
   log_point chosen_position_;
   // Term in which the chosen member leads, once it does.
--- a/Source/Proxy/failover_selection.cxx
+++ b/Source/Proxy/failover_selection.cxx
@@ -42,17 +42,35 @@
   }
 }
 
-void
-failover::query_candidates()
+// Members to ask for their state. Those in zones that nothing may be sent to any more are left out
+// unless one of them may have to lead or may alone hold acknowledged commits.
+std::set<member_id>
+failover::queried_members() const
 {
-  std::map<member_id, member_command> commands;
+  std::set<member_id> all;
+  std::set<member_id> usable;
   for (const auto& member : members_) {
     // A primary that did not step down is not queried again, because waiting for its answer would
     // delay the others.
-    if (record_.stepped_down || member.id != record_.primary) {
-      commands[member.id].kind = member_command::command_kind::status;
+    if (!record_.stepped_down && member.id == record_.primary) {
+      continue;
+    }
+    all.insert(member.id);
+    if (!evacuation_.left.contains(member.id)) {
+      usable.insert(member.id);
     }
   }
+  const bool others_may_suffice = sync_replicas_ == 0 || (final_position_ && !catch_up_ended());
+  return others_may_suffice && !usable.empty() ? usable : all;
+}
+
+void
+failover::query_candidates()
+{
+  std::map<member_id, member_command> commands;
+  for (const auto& id : queried_members()) {
+    commands[id].kind = member_command::command_kind::status;
+  }
   query_members(commands, [this](const auto& answers) { compare_members(answers); });
 }
 
@@ -114,9 +132,19 @@
 failover::select_candidate(const std::map<member_id, member_status>& answers)
 {
   const auto required = required_position(answers);
-  const auto* best = required ? best_candidate(answers) : nullptr;
-  if (best != nullptr && answers.at(best->id).received >= *required) {
+  const auto fits = [&](const listed_member* member) {
+    return member != nullptr && answers.at(member->id).received >= *required;
+  };
+  const auto* best = required ? best_candidate(answers, false) : nullptr;
+  // Members in evacuated zones lead only if the others had their time to receive all commits.
+  const bool last_resort = required && !evacuation_.leaving.empty() && !fits(best) &&
+                           (!final_position_ || catch_up_ended());
+  if (last_resort) {
+    best = best_candidate(answers, true);
+  }
+  if (fits(best)) {
     chosen_ = best->id;
+    chosen_as_last_resort_ = evacuation_.leaving.contains(best->id);
     chosen_position_ = answers.at(best->id).received;
     handle_event("chosen");
     return;
@@ -173,13 +201,14 @@
 }
 
 const listed_member*
-failover::best_candidate(const std::map<member_id, member_status>& answers) const
+failover::best_candidate(const std::map<member_id, member_status>& answers,
+                         bool include_evacuated) const
 {
   const listed_member* best = nullptr;
   for (const auto& member : members_) {
     const auto found = answers.find(member.id);
     if (found == answers.end() || found->second.primary || excluded_members_.contains(member.id) ||
-        !may_lead(member)) {
+        !may_lead(member) || (!include_evacuated && evacuation_.leaving.contains(member.id))) {
       continue;
     }
     const auto& received = found->second.received;
@@ -191,6 +220,18 @@
   return best;
 }
 
+// True if the zone of the chosen member was evacuated after the choice, and a member elsewhere may
+// lead instead.
+bool
+failover::choice_is_outdated() const
+{
+  return !chosen_as_last_resort_ && evacuation_.leaving.contains(*chosen_) &&
+         std::any_of(members_.begin(), members_.end(), [&](const listed_member& member) {
+           return !evacuation_.leaving.contains(member.id) &&
+                  !excluded_members_.contains(member.id) && may_lead(member);
+         });
+}
+
 bool
 failover::may_lead(const listed_member& member) const
 {
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -28,8 +28,9 @@
 
 }
 
-fleet_state::fleet_state(evidence_age_limits limits)
+fleet_state::fleet_state(evidence_age_limits limits, duration evacuation_limit)
   : limits_(limits)
+  , evacuations_(evacuation_limit)
 {
 }
 
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Places/evacuated_zones.h"
 #include "Proxy/connection_pool.h"
 #include "Proxy/fleet_configuration.h"
 
@@ -53,7 +54,10 @@
 class fleet_state
 {
 public:
-  explicit fleet_state(evidence_age_limits limits);
+  // `evacuation_limit` is the time from the acknowledgement of a zone's evacuation until nothing
+  // may be sent to its members.
+  explicit fleet_state(evidence_age_limits limits,
+                       duration evacuation_limit = default_evacuation_limit);
 
   // Applies a configuration that was current at `confirmed_at`. Returns false for a version older
   // than the current one, which is ignored.
@@ -70,6 +74,13 @@
                      std::uint64_t revision,
                      std::optional<instant> confirmed_at);
 
+  // Applies a set of evacuated zones unless a newer one is known. Returns true if the set changed.
+  bool update_evacuations(const evacuation_evidence& evidence)
+  {
+    return evacuations_.update(evidence);
+  }
+
+  const evacuated_zones& evacuations() const { return evacuations_; }
   const configuration_index& configuration() const { return configuration_; }
   bool has_configuration() const { return configuration_confirmed_at_.has_value(); }
   const std::vector<listed_member>& members() const { return members_; }
@@ -100,6 +111,7 @@
   std::optional<member_id> recorded_or_listed_primary(const std::string& group) const;
 
   evidence_age_limits limits_;
+  evacuated_zones evacuations_;
   configuration_index configuration_;
   std::vector<listed_member> members_;
   struct removed_member
--- a/Source/Proxy/pooled_connection.h
+++ b/Source/Proxy/pooled_connection.h
@@ -39,6 +39,8 @@
   connection_number number;
   member_id member;
   std::string group;
+  // Zone of the member when the connection was opened.
+  zone_id zone;
   workspace_id workspace;
   connection_state state = connection_state::opening;
   session_settings settings;
--- a/Source/Proxy/primary_failure_detector.cxx
+++ b/Source/Proxy/primary_failure_detector.cxx
@@ -33,16 +33,20 @@
 replacement_reason
 primary_failure_detector::assess(const member_id& primary,
                                  const std::vector<listed_member>& members,
+                                 const std::set<member_id>& evacuated,
                                  bool list_is_reliable,
                                  instant now) const
 {
   const auto listed = std::find_if(
     members.begin(), members.end(), [&](const auto& member) { return member.id == primary; });
+  const bool other_may_lead = std::any_of(members.begin(), members.end(), [&](const auto& member) {
+    return member.id != primary && !member.draining && !evacuated.contains(member.id);
+  });
   if (listed == members.end()) {
     if (list_is_reliable) {
       return replacement_reason::unreachable;
     }
-  } else if (listed->draining) {
+  } else if (listed->draining && (evacuated.empty() || other_may_lead)) {
     return replacement_reason::leaving;
   }
   double failing = 0;
@@ -60,7 +64,11 @@
   }
   const bool unreachable = failing >= std::min(min_failing_instances, all) &&
                            failing > unreachable_fraction * all && all > 0;
-  return unreachable ? replacement_reason::unreachable : replacement_reason::none;
+  if (unreachable) {
+    return replacement_reason::unreachable;
+  }
+  return evacuated.contains(primary) && other_may_lead ? replacement_reason::evacuated
+                                                       : replacement_reason::none;
 }
 
 }
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -191,6 +191,11 @@
   view.echo_clock = instant(from_us(from.echo_clock_us()));
   view.configuration_version = config_version(from.configuration_version());
   view.configuration_age = age_from_us(from.configuration_age_us());
+  for (const auto& zone : from.evacuated_zones()) {
+    view.evacuated_zones.emplace(zone);
+  }
+  view.evacuations_revision = from.evacuations_revision();
+  view.evacuations_age = from_us(from.evacuations_age_us());
   view.groups_revision = from.groups_revision();
   view.groups_age = age_from_us(from.groups_age_us());
   for (const auto& entry : from.groups()) {
@@ -332,6 +337,11 @@
   to.set_echo_clock_us(to_us(view.echo_clock));
   to.set_configuration_version(view.configuration_version.get());
   to.set_configuration_age_us(age_to_us(view.configuration_age));
+  for (const auto& zone : view.evacuated_zones) {
+    to.add_evacuated_zones(zone.get());
+  }
+  to.set_evacuations_revision(view.evacuations_revision);
+  to.set_evacuations_age_us(to_us(view.evacuations_age));
   to.set_groups_revision(view.groups_revision);
   to.set_groups_age_us(age_to_us(view.groups_age));
   for (const auto& record : view.groups) {
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -92,17 +92,18 @@
   , address_(format_address(settings.peers))
   , store_(context, settings.store)
   , promotion_client_(context, settings.promotion_api)
-  , configuration_watcher_(context,
-                           store_,
-                           std::string(platform::configuration_table),
-                           configuration_poll_wait,
-                           true,
-                           { [this](const auto& rows, std::uint64_t, instant confirmed_at) {
-                              update_configuration(rows, confirmed_at);
-                            },
-                             [this](bool reachable, const std::string& reason) {
-                               log_reachable("configuration", reachable, reason);
-                             } })
+  , configuration_watcher_(
+      context,
+      store_,
+      std::string(platform::configuration_table),
+      configuration_poll_wait,
+      true,
+      { [this](const auto& rows, std::uint64_t revision, instant confirmed_at) {
+         update_configuration(rows, revision, confirmed_at);
+       },
+        [this](bool reachable, const std::string& reason) {
+          log_reachable("configuration", reachable, reason);
+        } })
   , members_watcher_(context,
                      store_,
                      std::string(platform::members_table),
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -123,7 +124,12 @@
   std::vector<std::string> discovery_targets() const;
   void apply_tokens(const fleet_view& view, instant now);
   void update_configuration(const std::map<std::string, platform::store_row>& rows,
+                            std::uint64_t revision,
                             instant confirmed_at);
+  void update_evacuations(const std::map<std::string, platform::store_row>& rows,
+                          std::uint64_t revision,
+                          instant confirmed_at);
+  bool apply_evacuations(const evacuation_evidence& evidence, const std::string& source);
   void update_members(const std::map<std::string, platform::store_row>& rows, instant confirmed_at);
   void update_fleet(const std::map<std::string, platform::store_row>& rows,
                     std::uint64_t revision,
@@ -192,6 +198,8 @@
   std::uint32_t live_instances_ = 0;
   configuration_fetch configuration_fetch_;
   std::string configuration_text_;
+  // Problems with rows of evacuations that were logged and still exist.
+  std::set<std::string> evacuation_problems_;
   std::unique_ptr<api_client> coordinator_client_;
   std::string coordinator_client_address_;
   instant next_fetch_at_{};
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -24,8 +24,11 @@
 
 void
 fleet_participant::update_configuration(const std::map<std::string, platform::store_row>& rows,
+                                        std::uint64_t revision,
                                         instant confirmed_at)
 {
+  // Before the configuration, so that no session begins without the set.
+  update_evacuations(rows, revision, confirmed_at);
   const auto row = rows.find(std::string(platform::configuration_key));
   if (row == rows.end()) {
     return;
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -49,6 +49,13 @@
   const auto confirmed_at = [&](const std::optional<duration>& age) {
     return view.echo_clock - *age;
   };
+  // Before the configuration, so that no session begins without the set.
+  if (view.evacuations_revision > 0) {
+    apply_evacuations({ view.evacuated_zones,
+                        view.evacuations_revision,
+                        confirmed_at(std::optional(view.evacuations_age)) },
+                      "coordinator");
+  }
   if (view.configuration_age) {
     fleet_state_.confirm_configuration(view.configuration_version,
                                        confirmed_at(view.configuration_age));
--- a/Source/ProxyNode/node_metrics.cxx
+++ b/Source/ProxyNode/node_metrics.cxx
@@ -132,6 +132,8 @@
   state_->set_gauge("configuration_age_seconds", now.configuration_age);
   state_->set_gauge("groups_age_seconds", now.groups_age);
   state_->set_gauge("unusable_member_rows", now.unusable_member_rows);
+  state_->set_gauge("evacuated_zones", now.evacuated_zones);
+  state_->set_gauge("links_in_evacuated_zones", now.evacuated_connections);
   state_->set_gauge("store_calls", now.store_calls);
   state_->set_gauge("log_lines_dropped", now.log_lines_dropped);
   return prometheus::TextSerializer().Serialize(state_->registry.Collect());
--- a/Source/ProxyNode/node_metrics.h
+++ b/Source/ProxyNode/node_metrics.h
@@ -34,6 +34,9 @@
     double configuration_age = 0;
     double groups_age = 0;
     double unusable_member_rows = 0;
+    // Zones that are out of use, and connections to members in them.
+    double evacuated_zones = 0;
+    double evacuated_connections = 0;
     double store_calls = 0;
     double log_lines_dropped = 0;
   };
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -54,7 +54,8 @@
   , log(initial_settings.name.get())
   , known_state({ initial_settings.key_revocation_limit - key_evidence_margin,
                   primary_use_limit,
-                  commit_answer_limit })
+                  commit_answer_limit },
+                initial_settings.evacuation_limit)
   , limiter(initial_settings.tolerance)
   , operations(limiter, [this] { fleet.request_tokens(); })
   , pool({ [this](const pooled_connection& pooled, const listed_member& member) {
@@ -186,6 +187,11 @@
   current.configuration_age = age(known_state.configuration_confirmed_at());
   current.groups_age = age(known_state.groups_confirmed_at());
   current.unusable_member_rows = static_cast<double>(fleet.unusable_member_rows());
+  const auto& evacuated = known_state.evacuations().zones();
+  current.evacuated_zones = static_cast<double>(evacuated.size());
+  for (const auto& zone : evacuated) {
+    current.evacuated_connections += static_cast<double>(pool.connections_to(zone));
+  }
   current.store_calls = static_cast<double>(fleet.store_calls());
   current.log_lines_dropped = static_cast<double>(log.dropped());
   return current;
@@ -263,6 +269,33 @@
     set_connection_limits();
   }
   pool.set_members(known_state.members(), now);
+  apply_evacuations(now);
+}
+
+void
+proxy_node::state::apply_evacuations(instant now)
+{
+  const auto& zones = known_state.evacuations().zones();
+  for (const auto& zone : zones) {
+    if (!pool.evacuated_zones().contains(zone)) {
+      emptying_zones.insert(zone);
+    }
+  }
+  std::erase_if(emptying_zones, [&](const zone_id& zone) { return !zones.contains(zone); });
+  pool.set_evacuated_zones(zones, now);
+}
+
+// Logs each evacuated zone to which the last connection was closed.
+void
+proxy_node::state::log_emptied_zones()
+{
+  std::erase_if(emptying_zones, [this](const zone_id& zone) {
+    if (pool.connections_to(zone) > 0) {
+      return false;
+    }
+    log.write("zone_empty", { { "zone", zone.get() } });
+    return true;
+  });
 }
 
 void
@@ -334,6 +367,7 @@
   fleet.tick(now);
   operations.tick(now);
   pool.tick(now);
+  log_emptied_zones();
   router.tick(now);
   relay_listener->tick(now);
   const auto current = callers;
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -100,6 +100,9 @@
                        "answer", settings.name, answering_group, observed, outcome);
                    });
   };
+  hooks.evacuation_of = [this](const zone_id& zone) {
+    return known_state.evacuations().deadlines(zone);
+  };
   hooks.now = [] { return boot_now(); };
   hooks.log = [this](const std::string& event, const std::string& id, const std::string& detail) {
     log.write(event, { { "request", id }, { "detail", detail } });
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -52,6 +52,8 @@
   void close_connection(connection_number number);
   void apply_fleet_changes();
   void set_connection_limits();
+  void apply_evacuations(instant now);
+  void log_emptied_zones();
   std::vector<member_reachability> reachability() const;
   node_metrics::sample sample() const;
   duration unanswered_time(const member_id& member, instant now) const;
@@ -99,6 +101,8 @@
   // Placement revision for which all local sessions were found on their assigned carrier.
   std::uint64_t checked_placement = 0;
   instant next_placement_check{};
+  // Evacuated zones to which this instance still had connections at the last check.
+  std::set<zone_id> emptying_zones;
   bool stopping = false;
   instant stop_began_at{};
 };
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -150,6 +150,25 @@
   }
 }
 
+// Guards against odd rows that take the wrong zone out of use or break log lines and datagrams.
+TEST_CASE("only rows with a valid zone evacuate one")
+{
+  const auto zone_of = [](const std::string& key, const std::string& value = "{}") {
+    return parse_evacuation({ "op", key, value, 1, false });
+  };
+  CHECK(zone_of("evacuate/z1").value() == zone_id("z1"));
+  CHECK(zone_of("evacuate/z1", "").value() == zone_id("z1"));
+  for (const std::string other : { "config", "evacuate", "evacuated/z1", "" }) {
+    CHECK(zone_of(other).value() == std::nullopt);
+  }
+  for (const std::string& bad : { std::string("evacuate/"),
+                                  std::string("evacuate/a b"),
+                                  std::string("evacuate/a\n"),
+                                  "evacuate/" + std::string(201, 'z') }) {
+    CHECK_FALSE(zone_of(bad));
+  }
+}
+
 // Guards against members that another writer invented: values of another type, outside the range
 // that the protocol allows, or that would break a line of the protocol or a datagram.
 TEST_CASE("a row of the members table with one odd field names no member")
@@ -349,8 +368,15 @@
   view.positions["g"] = { { term(3), log_position(4) },
                           std::chrono::milliseconds(30),
                           { member_id("m"), instance_id("b") } };
+  view.evacuated_zones = { zone_id("z1"), zone_id("z2") };
+  view.evacuations_revision = 12;
+  view.evacuations_age = std::chrono::milliseconds(40);
   const auto seen = decode_datagram(encode_view(view)).view;
   REQUIRE(seen);
+  CHECK(seen->evacuated_zones == view.evacuated_zones);
+  CHECK(seen->evacuations_revision == view.evacuations_revision);
+  CHECK(seen->evacuations_age == view.evacuations_age);
+  CHECK(decode_datagram(encode_view({})).view->evacuations_revision == 0);
   CHECK(seen->token == view.token);
   CHECK(seen->groups == view.groups);
   CHECK_FALSE(seen->shares);
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -3,6 +3,7 @@
 #include "Proxy/coordinator.h"
 #include "proxy_support.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -108,19 +109,23 @@
       done(true, revision);
     };
     failovers.send_command = [this](const member_id& id, const member_command& command, auto done) {
+      commanded.insert(id.get());
       done(answer(id.get(), command));
     };
     failovers.promote = [this](const std::string&, const member_id& id, auto done) {
       promoted.push_back(id.get());
-      auto& status = members[id.get()];
-      status.primary = true;
-      status.newest_term = term(status.newest_term.get() + 1);
+      auto newest = term(0);
+      for (const auto& [name, status] : members) {
+        newest = std::max(newest, status.newest_term);
+      }
+      members[id.get()].primary = true;
+      members[id.get()].newest_term = term(newest.get() + 1);
       done(promote_outcome::accepted);
     };
     subject = std::make_unique<coordinator>(instance_id("c"),
                                             "10.0.0.9:1",
                                             fencing_token(2),
-                                            true,
+                                            replaces,
                                             fleet,
                                             positions,
                                             std::move(callbacks));
@@ -167,6 +172,9 @@
   std::map<std::string, member_status> members;
   std::set<std::string> unreachable{ "m2" };
   std::vector<std::string> promoted;
+  // Members that were sent a command.
+  std::set<std::string> commanded;
+  bool replaces = true;
   std::unique_ptr<coordinator> subject;
 };
 
@@ -469,3 +477,135 @@
     CHECK((granted > 0) == (token == 1));
   }
 }
+
+namespace {
+
+// The group of replacement_bench with one member in each zone; m2 leads and answers.
+struct evacuation_replacement
+{
+  evacuation_replacement()
+  {
+    bench.unreachable.clear();
+    bench.members["m1"].primary = false;
+    list_members();
+    bench.fleet.update_evacuations({ {}, 1, bench.now });
+    bench.take_over();
+    bench.run(500);
+  }
+
+  void list_members()
+  {
+    bench.fleet.update_members({ make_member("m1", "z1", leads("m1")),
+                                 make_member("m2", "z2", leads("m2")),
+                                 make_member("m3", "z3", leads("m3")) },
+                               bench.now);
+  }
+
+  bool leads(const std::string& member) const { return bench.members.at(member).primary; }
+
+  void evacuate(const std::set<zone_id>& zones)
+  {
+    bench.fleet.update_evacuations({ zones, ++revision, bench.now });
+  }
+
+  void run(std::int64_t for_ms)
+  {
+    for (std::int64_t time = 0; time < for_ms; time += 100) {
+      bench.run(100);
+      list_members();
+    }
+  }
+
+  std::string primary() const { return bench.fleet.groups().at("g").primary.get(); }
+
+  replacement_bench bench;
+  std::uint64_t revision = 1;
+};
+
+}
+
+// Guards against a group that stays without writes while a member outside the evacuated zones could
+// lead, and against promotions into an evacuated zone.
+TEST_CASE("a primary in an evacuated zone is replaced by a member in another zone")
+{
+  const zone_id z1("z1");
+  const zone_id z2("z2");
+  const zone_id z3("z3");
+  evacuation_replacement group;
+  SUBCASE("the most advanced member elsewhere leads, and keeps the lead after the end")
+  {
+    group.evacuate({ z2 });
+    group.run(4000);
+    CHECK(group.bench.promoted == std::vector<std::string>{ "m3" });
+    group.evacuate({});
+    group.run(4000);
+    CHECK(group.primary() == "m3");
+  }
+  SUBCASE("the successor's zone is evacuated next")
+  {
+    group.evacuate({ z2 });
+    group.run(4000);
+    group.evacuate({ z2, z3 });
+    group.run(6000);
+    CHECK(group.bench.promoted == std::vector<std::string>{ "m3", "m1" });
+    CHECK(group.primary() == "m1");
+  }
+  SUBCASE("the successor's zone is evacuated while the fence is waited for")
+  {
+    group.bench.subject->set_registered_instances({ { instance_id("b"), incarnation_id(2) } });
+    group.evacuate({ z2 });
+    group.run(1000);
+    REQUIRE(group.bench.promoted.empty());
+    group.evacuate({ z2, z3 });
+    group.run(6000);
+    CHECK(group.bench.promoted == std::vector<std::string>{ "m1" });
+  }
+  SUBCASE("no replacement if all zones are evacuated, also of a lost primary")
+  {
+    group.evacuate({ z1, z2, z3 });
+    group.run(2000);
+    group.bench.unreachable = { "m2" };
+    group.run(4000);
+    CHECK(group.bench.promoted.empty());
+    CHECK_FALSE(group.bench.fleet.groups().at("g").changing);
+  }
+  SUBCASE("a lost primary is replaced by a member in an evacuated zone if nobody else answers")
+  {
+    group.evacuate({ z3 });
+    group.bench.unreachable = { "m1", "m2" };
+    group.run(4000);
+    CHECK(group.primary() == "m3");
+  }
+}
+
+// Guards against commands to a zone after the limit: a replacement that starts late does not ask
+// the old primary.
+TEST_CASE("a replacement sends no command to a zone after the limit if others may lead")
+{
+  evacuation_replacement group;
+  group.bench.replaces = false;
+  group.bench.take_over();
+  group.evacuate({ zone_id("z2") });
+  group.run(6000);
+  group.bench.replaces = true;
+  group.bench.take_over();
+  group.bench.commanded.clear();
+  group.run(6000);
+  CHECK(group.primary() == "m3");
+  CHECK_FALSE(group.bench.commanded.contains("m2"));
+}
+
+// Guards against views that end an evacuation: a coordinator without knowledge must not send an
+// empty set as if it were one that it read.
+TEST_CASE("views carry the evacuated zones with the age of the read")
+{
+  coordinator_bench bench;
+  bench.subject->handle_report(bench.report(100));
+  CHECK(bench.views.back().evacuations_revision == 0);
+  bench.fleet.update_evacuations({ { zone_id("z") }, 7, at(0) });
+  bench.now = at(300);
+  bench.subject->send_views();
+  CHECK(bench.views.back().evacuated_zones == std::set{ zone_id("z") });
+  CHECK(bench.views.back().evacuations_revision == 7);
+  CHECK(bench.views.back().evacuations_age == ms(300));
+}
--- a/Tests/Proxy/failover_test.cxx
+++ b/Tests/Proxy/failover_test.cxx
@@ -599,7 +599,8 @@
       detector.record_report(report, at(time));
     }
   }
-  CHECK(detector.assess(member_id("m1"), members, true, at(4000)) == replacement_reason::none);
-  CHECK(detector.assess(member_id("m1"), {}, false, at(4000)) == replacement_reason::none);
-  CHECK(detector.assess(member_id("m1"), {}, true, at(4000)) == replacement_reason::unreachable);
+  CHECK(detector.assess(member_id("m1"), members, {}, true, at(4000)) == replacement_reason::none);
+  CHECK(detector.assess(member_id("m1"), {}, {}, false, at(4000)) == replacement_reason::none);
+  CHECK(detector.assess(member_id("m1"), {}, {}, true, at(4000)) ==
+        replacement_reason::unreachable);
 }
--- a/Tests/Proxy/session_bench.h
+++ b/Tests/Proxy/session_bench.h
@@ -4,6 +4,7 @@
 #include "proxy_support.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,6 +29,7 @@
     , pool({ [this](const pooled_connection& connection, const listed_member&) {
               opening.push_back(connection.number);
               workspaces[connection.number] = connection.workspace;
+              zones[connection.number] = connection.zone;
             },
              [this](connection_number number) { closed.push_back(number); },
              [this](const std::string&) { return current_primary; } },
@@ -59,7 +61,11 @@
     };
     hooks.send = [this](connection_number number, member_command command, auto done) {
       commands.push_back({ number, std::move(command), std::move(done) });
+      if (on_send) {
+        on_send(zones.at(number));
+      }
     };
+    hooks.evacuation_of = [this](const zone_id& zone) { return evacuations.deadlines(zone); };
     hooks.close_connection = [this](connection_number number) {
       closed.push_back(number);
       pool.on_connection_closed(number, false, now);
@@ -171,6 +177,10 @@
   std::deque<admission::handler> admissions;
   std::deque<connection_number> opening;
   std::map<connection_number, workspace_id> workspaces;
+  std::map<connection_number, zone_id> zones;
+  // Called with the zone of the member for each command.
+  std::function<void(const zone_id&)> on_send;
+  evacuated_zones evacuations{ ms(1000) };
   std::vector<connection_number> closed;
   std::deque<sent_command> commands;
   // Positions that the session took for the primary's.
--- a/Utilities/check-dependencies.sh
+++ b/Utilities/check-dependencies.sh
@@ -9,8 +9,8 @@
   [Entry]="Base Group Session Entry"
   [Engine]="Base Wire Group Session Limits Home Control Account Entry Engine"
   [Net]="Base Net"
-  [Proxy]="Base Proxy" [FleetWire]="FleetWire"
-  [ProxyNode]="Base Net Proxy FleetWire ProxyNode"
+  [Places]="Base Places" [Proxy]="Base Places Proxy" [FleetWire]="FleetWire"
+  [ProxyNode]="Base Net Places Proxy FleetWire ProxyNode"
   [Adapters]="Base Wire Group Session Limits Home Control Account Entry Engine Net Adapters")
 status=0
 for module in "${!allowed[@]}"; do
@@ -26,15 +26,16 @@
 # Names of the platform's interfaces may appear only in the adapter.
 cd ..
 types="fleet_configuration|statement|member_command|member_status"
-if grep -n -E '^#include "(Proxy|ProxyNode|Net)/' platform/*.h platform/*.cxx |
+if grep -n -E '^#include "(Places|Proxy|ProxyNode|Net)/' platform/*.h platform/*.cxx |
   grep -v -E "#include \"Proxy/($types)\.h\""; then
   echo "check-dependencies: platform/ may include only Base and these types of Proxy: $types" >&2
   status=1
 fi
-names='rows-(tx|get|feed)|blob-|expected_rev"|"servers"|"op"|/promote|Lease-Holder|Fencing-Token'
+names='rows-(tx|get|feed)|blob-|expected_rev"|"servers"|"op"|evacuate/|/promote|Lease-Holder|Fencing-Token'
 names+='|db_role|api_keys|max_conns|sync_replicas"|warmup_left_ms"|max_staleness_ms|NODE_FILE'
 names+='|"(NODB|NOAUTH|LAGGING|READONLY|MISROUTED|TOOMANY|NOSTMT|QUERY|START|STATUS|DEMOTE|PAUSE)'
-if grep -n -E "$names" Source/Proxy/*.h Source/Proxy/*.cxx Source/ProxyNode/*.h Source/ProxyNode/*.cxx; then
+if grep -n -E "$names" Source/Proxy/*.h Source/Proxy/*.cxx Source/ProxyNode/*.h Source/ProxyNode/*.cxx \
+     Source/Places/*.h Source/Places/*.cxx; then
   echo "check-dependencies: names of the platform's interfaces may appear only in platform/" >&2
   status=1
 fi
