--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -28,7 +28,7 @@
   {
     coordinator::hooks callbacks;
     callbacks.now = [this] { return now; };
-    callbacks.holds_lease = [] { return true; };
+    callbacks.holds_lease = [this] { return lease_held; };
     callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
     callbacks.position_reported =
       [](const instance_id&, const std::string&, const timed_position&, auto) {};
@@ -62,6 +62,7 @@
   }
 
   instant now = at(0);
+  bool lease_held = true;
   std::map<instance_id, incarnation_id> registered{ { instance_id("a"), incarnation_id(1) } };
   fleet_state fleet;
   position_history positions;
@@ -469,3 +470,45 @@
     CHECK((granted > 0) == (token == 1));
   }
 }
+
+// The lease of the coordinator ends while the store is down. Guards against refusals at instances
+// that are all in contact with it, against granting the rate of an instance that may have another
+// coordinator, and against grants before the end of the lease was noticed.
+TEST_CASE("a coordinator without a lease serves the part that no other coordinator can grant")
+{
+  coordinator_bench bench;
+  const workspace_id workspace("w");
+  token_grant newest;
+  // Tokens that `a` gets in the second second, with 200 waiting operations at each report. It uses
+  // them at once.
+  const auto tokens_after = [&](std::int64_t begin, bool b_reports) {
+    double tokens = 0;
+    for (std::int64_t time = begin; time < begin + 2000; time += 250) {
+      bench.now = at(time);
+      auto report = bench.report(time);
+      report.view = applied_view{ fencing_token(1), 1, at(time), {} };
+      if (b_reports) {
+        auto other = report;
+        other.instance = instance_id("b");
+        bench.subject->handle_report(other);
+      }
+      report.grant_number = newest.number;
+      report.used = newest.tokens;
+      report.waiting[workspace] = 200;
+      bench.subject->handle_report(report);
+      newest = bench.views.back().grant;
+      tokens += time < begin + 1000 ? 0 : newest.tokens[workspace];
+    }
+    return tokens;
+  };
+  REQUIRE(tokens_after(0, true) > 80);
+  bench.lease_held = false;
+  const auto sent = bench.views.size();
+  auto request = bench.report(2000);
+  request.tokens_only = true;
+  bench.subject->handle_report(request);
+  CHECK(bench.views.size() == sent);
+  // One second at a rate of 100.
+  CHECK(tokens_after(2250, true) > 80);
+  CHECK(tokens_after(4250, false) < 50);
+}
