Proxy: Forecast tokens with what waits at other instances

An instance knew only how many tokens it took lately. If another one took the whole rate, the forecast of its operations was far too long, and they were refused although the pool kept tokens for them.

Each grant now states the requests that the pool could not serve at other instances, for the workspaces whose requests the report stated. The forecast counts those that are at least as urgent, at the whole rate. Without this statement, from an earlier build, the former forecast applies.

--- a/Source/Proxy/admission.cxx
+++ b/Source/Proxy/admission.cxx
@@ -25,20 +25,33 @@
 // Longest time that is forecast; longer ones count as never.
 constexpr duration max_forecast = std::chrono::hours(1);
 
-// Time until `tokens` tokens have arrived.
+// Time until `missing` tokens have arrived.
 duration
-time_until(double tokens, const rate_limiter::token_supply& supply)
+time_of_tokens(double missing, double per_s)
 {
-  const double missing = tokens - supply.tokens;
   if (missing <= 0) {
     return duration::zero();
   }
   const double limit_s = std::chrono::duration<double>(max_forecast).count();
-  if (supply.per_s * limit_s <= missing) {
+  if (per_s * limit_s <= missing) {
     return max_forecast;
   }
-  return std::chrono::duration_cast<duration>(
-    std::chrono::duration<double>(missing / supply.per_s));
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(missing / per_s));
+}
+
+// Time until an operation has its token that `ahead` operations precede here. If it is known what
+// waits at other instances, those that are at least as urgent precede it too, and all tokens of the
+// workspace count.
+duration
+time_until_token(double ahead, std::uint32_t priority, const rate_limiter::token_supply& supply)
+{
+  if (!supply.waiting_elsewhere) {
+    return time_of_tokens(ahead + 1 - supply.tokens, supply.per_s);
+  }
+  for (const auto& [urgency, count] : *supply.waiting_elsewhere) {
+    ahead += urgency <= priority ? count : 0;
+  }
+  return time_of_tokens(ahead + 1 - supply.tokens, supply.rate);
 }
 
 }
@@ -179,8 +192,8 @@
     return default_retry_delay;
   }
   const auto ahead = std::distance(found->second.begin(), found->second.lower_bound(at));
-  const auto interval = time_until(1, { 0, supply.per_s });
-  const auto room_in = time_until(static_cast<double>(ahead) + 1, supply);
+  const auto interval = time_of_tokens(1, supply.per_s);
+  const auto room_in = time_until_token(static_cast<double>(ahead), at.priority, supply);
   return retries_[workspace].next(at.priority, room_in, interval, now);
 }
 
@@ -229,8 +242,8 @@
   for (const auto& [at, operation] : found->second) {
     const bool awaits_answer =
       state == rate_limiter::verdict::wait_for_grant && now - operation.arrived < max_answer_wait;
-    const bool in_time =
-      now < operation.deadline && now + time_until(ahead + 1, supply) <= operation.deadline;
+    const bool in_time = now < operation.deadline &&
+                         now + time_until_token(ahead, at.priority, supply) <= operation.deadline;
     if (awaits_answer || in_time) {
       ahead += 1;
     } else {
@@ -257,7 +270,7 @@
   auto interval = max_request_interval;
   for (const auto& [workspace, waiting] : queues_) {
     const double per_s = limiter_.supply(workspace, now).per_s;
-    interval = std::min(interval, time_until(1, { 0, per_s }));
+    interval = std::min(interval, time_of_tokens(1, per_s));
   }
   next_request_at_ = now + std::max(interval, min_request_interval);
 }
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -126,6 +126,9 @@
   // confirms it, so this may be an earlier report than the one that a view answers.
   instant requested_at{};
   std::map<workspace_id, double> tokens;
+  // Requests of other instances that the pool could not serve, for each workspace whose requests
+  // the report stated by priority. Empty in views of earlier builds.
+  waiting_table waiting_elsewhere{};
 };
 
 // View of the fleet that the coordinator sends to one instance. Ages are counted from the reads of
--- a/Source/Proxy/rate_limiter.cxx
+++ b/Source/Proxy/rate_limiter.cxx
@@ -91,6 +91,9 @@
     if (found != grant.tokens.end()) {
       bucket.supplied_at = now;
     }
+    const auto elsewhere = grant.waiting_elsewhere.find(workspace);
+    bucket.waiting_elsewhere =
+      elsewhere == grant.waiting_elsewhere.end() ? std::nullopt : std::optional(elsewhere->second);
     bucket.used = used_since_report;
     bucket.filled_at = now;
     bucket.exhausted = bucket.waiting > 0 && bucket.tokens < bucket.waiting;
@@ -234,13 +237,13 @@
   const double own_part = bucket.rate * share_of(workspace);
   if (!uses_pool(now)) {
     const bool usable = now < shares_valid_until_;
-    return usable ? token_supply{ bucket.tokens, own_part } : token_supply{};
+    return usable ? token_supply{ bucket.tokens, own_part, bucket.rate } : token_supply{};
   }
   decay(bucket, now);
   const double per_s = std::min(bucket.rate, std::max(own_part, bucket.admitted));
   // The pool grants only whole tokens, so a part of the next one does not show in any grant.
   const double accrued = std::min(1.0, per_s * seconds_between(bucket.supplied_at, now));
-  return { bucket.tokens + accrued, per_s };
+  return { bucket.tokens + accrued, per_s, bucket.rate, bucket.waiting_elsewhere };
 }
 
 std::map<workspace_id, double>
--- a/Source/Proxy/rate_limiter.h
+++ b/Source/Proxy/rate_limiter.h
@@ -87,6 +87,10 @@
     // Expected tokens per second: while the pool answers, what this instance took lately, at least
     // its share and at most the whole rate; otherwise its share of the rate.
     double per_s = 0;
+    // Tokens of the workspace per second, over all instances.
+    double rate = 0;
+    // Requests that the pool could not serve at other instances, by priority; empty if unknown.
+    std::optional<std::map<std::uint32_t, double>> waiting_elsewhere{};
   };
   token_supply supply(const workspace_id& workspace, instant now);
 
@@ -123,6 +127,7 @@
     instant demand_updated_at{};
     // When the newest tokens of the pool arrived.
     instant supplied_at{};
+    std::optional<std::map<std::uint32_t, double>> waiting_elsewhere{};
     // True if the newest grant was too small for the waiting requests.
     bool exhausted = false;
     // Part of the tolerance that is left, and the time up to which it was refilled.
--- a/Source/Proxy/token_pool.cxx
+++ b/Source/Proxy/token_pool.cxx
@@ -93,7 +93,8 @@
   }
   // The tokens of any other grant count as used.
   granted.incarnation = report.incarnation;
-  granted.grant = { next_number, report.clock, allocate(report, weights, now) };
+  granted.grant = { next_number, report.clock, allocate(report, weights, now), {} };
+  granted.grant.waiting_elsewhere = waiting_elsewhere(report);
   granted.granted_at = now;
   granted.confirmed_token = report.grant_token;
   granted.confirmed_number = report.grant_number;
@@ -147,6 +148,28 @@
   return std::max(0.0, usable);
 }
 
+waiting_table
+token_pool::waiting_elsewhere(const instance_report& report) const
+{
+  waiting_table elsewhere;
+  for (const auto& [workspace, waiting] : report.waiting_by_priority) {
+    const auto found = pools_.find(workspace);
+    if (found == pools_.end()) {
+      continue;
+    }
+    auto& counts = elsewhere[workspace];
+    for (const auto& [instance, requests] : found->second.unmet) {
+      if (instance == report.instance) {
+        continue;
+      }
+      for (const auto& [priority, count] : requests.by_priority) {
+        counts[priority] += count;
+      }
+    }
+  }
+  return elsewhere;
+}
+
 double
 token_pool::grant_waiting(workspace_pool& from,
                           const instance_id& instance,
--- a/Source/Proxy/token_pool.h
+++ b/Source/Proxy/token_pool.h
@@ -73,6 +73,8 @@
                               const instance_id& instance,
                               const std::map<std::uint32_t, double>& waiting,
                               instant now);
+  // Unmet requests of other instances, for the workspaces whose requests the report states.
+  waiting_table waiting_elsewhere(const instance_report& report) const;
   // Tokens that requests of this priority may use; empty means tokens in advance of demand.
   static double usable_tokens(const workspace_pool& from, std::optional<std::uint32_t> priority);
   static void fill(workspace_pool& filled, instant now);
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -180,6 +180,17 @@
   return report;
 }
 
+void
+write_waiting_elsewhere(const std::map<std::uint32_t, double>& waiting, fleet_wire::token_grant& to)
+{
+  to.set_states_waiting(true);
+  for (const auto& [priority, count] : waiting) {
+    auto* entry = to.add_waiting_elsewhere();
+    entry->set_priority(priority);
+    entry->set_count(static_cast<float>(count));
+  }
+}
+
 fleet_view
 read_view(const fleet_wire::fleet_view& from)
 {
@@ -223,7 +234,16 @@
   view.grant.number = from.grant();
   view.grant.requested_at = instant(from_us(from.grant_clock_us()));
   for (const auto& entry : from.tokens()) {
-    view.grant.tokens[workspace_id(entry.workspace())] = entry.tokens();
+    const workspace_id workspace(entry.workspace());
+    if (entry.tokens() > 0) {
+      view.grant.tokens[workspace] = entry.tokens();
+    }
+    if (entry.states_waiting()) {
+      auto& elsewhere = view.grant.waiting_elsewhere[workspace];
+      for (const auto& waiting : entry.waiting_elsewhere()) {
+        elsewhere[waiting.priority()] = waiting.count();
+      }
+    }
   }
   view.instances = from.instances();
   view.registered = from.registered();
@@ -374,6 +394,17 @@
     auto* entry = to.add_tokens();
     entry->set_workspace(workspace.get());
     entry->set_tokens(static_cast<float>(tokens));
+    if (const auto found = view.grant.waiting_elsewhere.find(workspace);
+        found != view.grant.waiting_elsewhere.end()) {
+      write_waiting_elsewhere(found->second, *entry);
+    }
+  }
+  for (const auto& [workspace, waiting] : view.grant.waiting_elsewhere) {
+    if (!view.grant.tokens.contains(workspace)) {
+      auto* entry = to.add_tokens();
+      entry->set_workspace(workspace.get());
+      write_waiting_elsewhere(waiting, *entry);
+    }
   }
   to.set_instances(view.instances);
   to.set_registered(view.registered);
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -348,6 +348,8 @@
   view.configuration_age = std::chrono::milliseconds(20);
   view.groups.push_back({ "g", member_id("m"), true, false, term(3) });
   view.grant.tokens[workspace_id("w")] = 1.5;
+  view.grant.waiting_elsewhere[workspace_id("w")] = {};
+  view.grant.waiting_elsewhere[workspace_id("v")] = { { 0, 1 }, { 3, 2 } };
   view.positions["g"] = { { term(3), log_position(4) },
                           std::chrono::milliseconds(30),
                           { member_id("m"), instance_id("b") } };
@@ -361,6 +363,8 @@
   CHECK(seen->positions.at("g").source.observer == instance_id("b"));
   CHECK_FALSE(seen->groups_age);
   CHECK(seen->grant.tokens.at(workspace_id("w")) == doctest::Approx(1.5));
+  CHECK_FALSE(seen->grant.tokens.contains(workspace_id("v")));
+  CHECK(seen->grant.waiting_elsewhere == view.grant.waiting_elsewhere);
 }
 
 // A view of 90 workspaces and 20 groups. Guards against control traffic between zones that grows
--- a/Tests/Proxy/admission_test.cxx
+++ b/Tests/Proxy/admission_test.cxx
@@ -292,6 +292,33 @@
   }
 }
 
+// One instance takes the whole rate, another one runs an urgent operation now and then. Guards
+// against refusing these by a forecast that knows only how few tokens the instance took lately.
+TEST_CASE("urgent operations of an idle instance wait for the next tokens of the pool")
+{
+  admission_bench bench(20, 2);
+  int attempted = 0;
+  int served = 0;
+  for (std::int64_t time = 0; time < 20'000; time += 5) {
+    if (time >= 2000 && time % 15 == 0) {
+      bench.instances[0]->gate.admit(
+        workspace, [](std::optional<duration>) {}, at(time), { 2, ms(1000) });
+    }
+    // Two operations at once every second.
+    for (int i = 0; i < 2 && time >= 5000 && time % 1000 == 130; ++i) {
+      ++attempted;
+      bench.instances[1]->gate.admit(
+        workspace,
+        [&](std::optional<duration> refused) { served += refused ? 0 : 1; },
+        at(time),
+        { 0, ms(250) });
+    }
+    bench.step(time);
+  }
+  REQUIRE(attempted == 30);
+  CHECK(served >= 29);
+}
+
 // The coordinator answers no more. Guards against urgent operations that are refused while less
 // urgent ones use the share, and against operations that wait past their targets.
 TEST_CASE("without answers of the coordinator the most urgent operations use the share")
