Proxy: Let operations wait for a token by their measured time to run

Operations that waited for a token up to 20 ms before their target were then late: a transaction has several statements.

An admitted operation reports how long it ran, by the priority of its route, and others of that priority wait only while that time (mean and four mean deviations, as in TCP) is left of their target, at least for a third of it.

--- a/Source/Proxy/admission.cxx
+++ b/Source/Proxy/admission.cxx
@@ -13,9 +13,9 @@
 // How long an operation waits for one answer from the coordinator's token pool, whatever its
 // target: a few round trips between zones, and a small part of a response time.
 constexpr duration max_answer_wait = std::chrono::milliseconds(60);
-// Part of the target latency that is left to run the operation once it has its token: a few round
-// trips between zones, and a statement at a member without load. At most half of the target.
-constexpr duration run_margin = std::chrono::milliseconds(20);
+// Longest wait for a token that leaves no time to run the operation, as a part of the target: the
+// measured time is that of usual operations, and a short one still ends within its target.
+constexpr int min_wait_part = 3;
 // Retry delay that is told if no rate is known for the workspace here.
 constexpr duration default_retry_delay = std::chrono::milliseconds(500);
 // Bounds of the interval between requests for tokens that the pool did not have: the tick period,
@@ -93,9 +93,11 @@
   }
   const admission_number number(++last_number_);
   const place at{ urgency.priority, now + urgency.target_latency, number };
-  const auto margin = std::min(run_margin, urgency.target_latency / 2);
+  const auto longest_wait =
+    std::max(urgency.target_latency - run_times_.likely_run_time(urgency.priority),
+             urgency.target_latency / min_wait_part);
   auto& waiting = queues_[workspace];
-  waiting.emplace(at, waiting_operation{ std::move(done), now, at.target - margin });
+  waiting.emplace(at, waiting_operation{ std::move(done), now, now + longest_wait });
   places_.emplace(number, std::pair(workspace, at));
   if (places_.size() > max_waiting_operations) {
     refuse_least_urgent(now);
@@ -138,6 +140,12 @@
   return std::move(node.mapped());
 }
 
+void
+admission::record_run_time(std::uint32_t priority, duration elapsed)
+{
+  run_times_.record(priority, elapsed);
+}
+
 void
 admission::observe(const token_wait& wait) const
 {
--- a/Source/Proxy/admission.h
+++ b/Source/Proxy/admission.h
@@ -3,6 +3,7 @@
 #include "Base/strong.h"
 #include "Proxy/rate_limiter.h"
 #include "Proxy/retry_schedule.h"
+#include "Proxy/run_time_estimate.h"
 
 #include <compare>
 #include <cstddef>
@@ -79,6 +80,10 @@
   // Ends the wait of an operation. Its handler is not called, and it takes no token.
   void cancel(admission_number number, instant now);
 
+  // Records how long an admitted operation ran. An operation waits for a token only while enough of
+  // its target is left to run it.
+  void record_run_time(std::uint32_t priority, duration elapsed);
+
   // Call after a grant was applied to the rate limiter.
   void on_tokens_granted(instant now);
   void tick(instant now);
@@ -123,6 +128,7 @@
   std::map<workspace_id, queue> queues_;
   std::map<admission_number, std::pair<workspace_id, place>> places_;
   std::map<workspace_id, retry_schedule> retries_;
+  run_time_estimate run_times_;
   std::uint64_t last_number_ = 0;
   // Earliest time of the next request for operations whose last request was not met.
   instant next_request_at_{};
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -41,6 +41,8 @@
                                                 const operation_urgency&,
                                                 admission::handler)>
     admit;
+  // Reports how long an admitted operation ran, without the caller's pauses. May be unset.
+  std::function<void(std::uint32_t priority, duration elapsed)> operation_ran{};
   // Ends the wait of an operation for its admission. The handler is not called any more.
   std::function<void(admission_number)> cancel_admission;
   std::function<request_number(connection_request,
@@ -95,6 +97,8 @@
   bool admitted = false;
   proxy_route route;
   instant idle_since{};
+  // Time of its statements so far, from their admission to their answer.
+  duration run_time{};
   // True once it was rolled back because of an evacuation, until the caller's next statement.
   bool evacuated = false;
 };
@@ -185,6 +189,7 @@
   void reply_lost();
   void finish(const member_reply& reply);
   void log_if_late(const member_reply& reply) const;
+  void report_run_time(const member_reply& reply);
   std::string describe_position() const;
   void release_connection(duration elapsed);
   void close_connection();
--- a/Source/Proxy/caller_session_answers.cxx
+++ b/Source/Proxy/caller_session_answers.cxx
@@ -132,10 +132,24 @@
                 ", attempts " + std::to_string(active_->attempts + 1) + ", " + describe_position());
 }
 
+// Reports the time of the operation if the statement completes it.
+void
+caller_session::report_run_time(const member_reply& reply)
+{
+  auto elapsed = std::chrono::duration_cast<duration>(reply.received - active_->admitted_at);
+  if (transaction_) {
+    elapsed = transaction_->run_time += elapsed;
+  }
+  if (hooks_->operation_ran && !reply.answer.error && (!transaction_ || active_->commits)) {
+    hooks_->operation_ran(active_->route.priority, elapsed);
+  }
+}
+
 void
 caller_session::finish(const member_reply& reply)
 {
   log_if_late(reply);
+  report_run_time(reply);
   auto result = reply.answer;
   const bool succeeded = !result.error;
   if (succeeded && active_->min_position) {
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -43,6 +43,9 @@
                        admission::handler done) {
     return operations.admit(workspace, std::move(done), boot_now(), urgency);
   };
+  hooks.operation_ran = [this](std::uint32_t priority, duration elapsed) {
+    operations.record_run_time(priority, elapsed);
+  };
   hooks.cancel_admission = [this](admission_number number) {
     operations.cancel(number, boot_now());
   };
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -609,45 +609,46 @@
   CHECK(bench.views.back().evacuated_zones == std::set{ zone_id("z") });
   CHECK(bench.views.back().evacuations_revision == 7);
   CHECK(bench.views.back().evacuations_age == ms(300));
+}
 
-  // The lease of the coordinator ends while the store is down. Guards against refusals at instances
-  // that are all in contact with it, against granting the rate of an instance that may have another
-  // coordinator, and against grants before the end of the lease was noticed.
-  TEST_CASE("a coordinator without a lease serves the part that no other coordinator can grant")
-  {
-    coordinator_bench bench;
-    const workspace_id workspace("w");
-    token_grant newest;
-    // Tokens that `a` gets in the second second, with 200 waiting operations at each report. It
-    // uses them at once.
-    const auto tokens_after = [&](std::int64_t begin, bool b_reports) {
-      double tokens = 0;
-      for (std::int64_t time = begin; time < begin + 2000; time += 250) {
-        bench.now = at(time);
-        auto report = bench.report(time);
-        report.view = applied_view{ fencing_token(1), 1, at(time), {} };
-        if (b_reports) {
-          auto other = report;
-          other.instance = instance_id("b");
-          bench.subject->handle_report(other);
-        }
-        report.grant_number = newest.number;
-        report.used = newest.tokens;
-        report.waiting[workspace] = 200;
-        bench.subject->handle_report(report);
-        newest = bench.views.back().grant;
-        tokens += time < begin + 1000 ? 0 : newest.tokens[workspace];
+// The lease of the coordinator ends while the store is down. Guards against refusals at instances
+// that are all in contact with it, against granting the rate of an instance that may have another
+// coordinator, and against grants before the end of the lease was noticed.
+TEST_CASE("a coordinator without a lease serves the part that no other coordinator can grant")
+{
+  coordinator_bench bench;
+  const workspace_id workspace("w");
+  token_grant newest;
+  // Tokens that `a` gets in the second second, with 200 waiting operations at each report. It
+  // uses them at once.
+  const auto tokens_after = [&](std::int64_t begin, bool b_reports) {
+    double tokens = 0;
+    for (std::int64_t time = begin; time < begin + 2000; time += 250) {
+      bench.now = at(time);
+      auto report = bench.report(time);
+      report.view = applied_view{ fencing_token(1), 1, at(time), {} };
+      if (b_reports) {
+        auto other = report;
+        other.instance = instance_id("b");
+        bench.subject->handle_report(other);
       }
-      return tokens;
-    };
-    REQUIRE(tokens_after(0, true) > 80);
-    bench.lease_held = false;
-    const auto sent = bench.views.size();
-    auto request = bench.report(2000);
-    request.tokens_only = true;
-    bench.subject->handle_report(request);
-    CHECK(bench.views.size() == sent);
-    // One second at a rate of 100.
-    CHECK(tokens_after(2250, true) > 80);
-    CHECK(tokens_after(4250, false) < 50);
-  }
+      report.grant_number = newest.number;
+      report.used = newest.tokens;
+      report.waiting[workspace] = 200;
+      bench.subject->handle_report(report);
+      newest = bench.views.back().grant;
+      tokens += time < begin + 1000 ? 0 : newest.tokens[workspace];
+    }
+    return tokens;
+  };
+  REQUIRE(tokens_after(0, true) > 80);
+  bench.lease_held = false;
+  const auto sent = bench.views.size();
+  auto request = bench.report(2000);
+  request.tokens_only = true;
+  bench.subject->handle_report(request);
+  CHECK(bench.views.size() == sent);
+  // One second at a rate of 100.
+  CHECK(tokens_after(2250, true) > 80);
+  CHECK(tokens_after(4250, false) < 50);
+}
