Places, docs: Leave transactions 70% of the evacuation limit

Open transactions at an evacuated member ended soon after their instance learned of the evacuation: 0.65 s in a trial where 2.5 s of 5 s were meant for them. Cause: a long poll is dated by its start, so the evidence that a zone was still in use is up to two polls and a view old, 2.3 s, not 1.3 s.

Change: transactions may continue for 70% of the limit instead of half, and use ends at 90% as before, which leaves a statement in flight one second of the default limit.

--- a/Source/Places/evacuated_zones.cxx
+++ b/Source/Places/evacuated_zones.cxx
@@ -6,13 +6,13 @@
 
 namespace {
 
-// Part of the limit during which open transactions may continue. The evidence that starts it is up
-// to 1.3 s old when an instance learns of the evacuation (a poll of 1 s and a view), which leaves a
-// transaction more than a second of the default limit. The other half is for a statement in flight.
-constexpr int transaction_part = 2;
-// Part of the limit that is kept for messages on their way to a member and for the interval of 20
-// ms between two checks: 500 ms of the default limit.
-constexpr int margin_part = 10;
+// Parts of the limit, in per cent. Open transactions may continue for the first one. The evidence
+// that starts it is up to 2.3 s old when an instance learns of the evacuation (two polls of 1 s and
+// a view), which leaves a transaction more than a second of the default limit.
+constexpr int transaction_percent = 70;
+// A statement in flight may take until the end of the second one, a second later by default. The
+// rest, 500 ms, is for messages on their way to a member and for the 20 ms between two checks.
+constexpr int use_percent = 90;
 
 }
 
@@ -32,8 +32,8 @@
   for (const auto& zone : evidence.zones) {
     if (was_known && !contains(zone)) {
       const auto used_at = std::min(evidence_.confirmed_at, evidence.confirmed_at);
-      deadlines_[zone] = { used_at + limit_ / transaction_part,
-                           used_at + limit_ - limit_ / margin_part };
+      deadlines_[zone] = { used_at + limit_ * transaction_percent / 100,
+                           used_at + limit_ * use_percent / 100 };
     } else {
       // Keeps the deadlines of a zone that was evacuated before.
       deadlines_.try_emplace(zone);
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -82,12 +82,6 @@
   sync_replicas_ = sync_replicas;
 }
 
-void
-failover::set_evacuation(member_evacuation evacuation)
-{
-  evacuation_ = std::move(evacuation);
-}
-
 const listed_member*
 failover::find_member(const member_id& id) const
 {
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonshelf {
@@ -73,7 +74,7 @@
                    std::uint32_t sync_replicas,
                    std::map<member_id, std::string> possible_commit_holders);
 
-  void set_evacuation(member_evacuation evacuation);
+  void set_evacuation(member_evacuation evacuation) { evacuation_ = std::move(evacuation); }
 
   // Starts the replacement of the recorded primary, unless one is in progress.
   void start(const group_record& recorded, replacement_reason reason);
