Proxy: Send fewer commands to a zone whose use has ended

A replacement of a group with synchronous replicas asked the primary in an evacuated zone to step down also after the limit, and could promote it again although a member elsewhere was listed; it was then replaced every few seconds, with commands to the zone each time.

Change: after the limit no primary in the zone is asked to step down, since the fence ends its use and commits that only it received were not acknowledged. A member in the zone is promoted only if none elsewhere is listed that may lead. Other members in the zone are still asked where one of them may alone hold acknowledged commits; this cannot be avoided.

--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -200,8 +200,9 @@
 {
   const auto generation = generation_;
   const auto primary = record_.primary;
-  if (sync_replicas_ == 0 && evacuation_.left.contains(primary)) {
-    // Nothing may be sent to its zone any more, and the fence ends its use without its answer.
+  if (evacuation_.left.contains(primary)) {
+    // Nothing may be sent to its zone any more. The fence ends its use without its answer, and
+    // commits that only it received were not acknowledged.
     return;
   }
   step_down_pending_ = true;
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -120,7 +120,9 @@
   const listed_member* best_candidate(const std::map<member_id, member_status>& answers,
                                       bool include_evacuated) const;
   std::set<member_id> queried_members() const;
+  bool may_lead_elsewhere() const;
   bool choice_is_outdated() const;
+  bool excluded_by_zone(const member_id& id, bool include_evacuated) const;
   bool may_lead(const listed_member& member) const;
   int reluctance(const listed_member& member) const;
   void promote();
--- a/Source/Proxy/failover_selection.cxx
+++ b/Source/Proxy/failover_selection.cxx
@@ -208,7 +208,7 @@
   for (const auto& member : members_) {
     const auto found = answers.find(member.id);
     if (found == answers.end() || found->second.primary || excluded_members_.contains(member.id) ||
-        !may_lead(member) || (!include_evacuated && evacuation_.leaving.contains(member.id))) {
+        !may_lead(member) || excluded_by_zone(member.id, include_evacuated)) {
       continue;
     }
     const auto& received = found->second.received;
@@ -220,16 +220,33 @@
   return best;
 }
 
+// True if a member outside the evacuated zones is listed that may lead.
+bool
+failover::may_lead_elsewhere() const
+{
+  return std::any_of(members_.begin(), members_.end(), [&](const listed_member& member) {
+    return !evacuation_.leaving.contains(member.id) && !excluded_members_.contains(member.id) &&
+           may_lead(member);
+  });
+}
+
 // True if the zone of the chosen member was evacuated after the choice, and a member elsewhere may
 // lead instead.
 bool
 failover::choice_is_outdated() const
 {
-  return !chosen_as_last_resort_ && evacuation_.leaving.contains(*chosen_) &&
-         std::any_of(members_.begin(), members_.end(), [&](const listed_member& member) {
-           return !evacuation_.leaving.contains(member.id) &&
-                  !excluded_members_.contains(member.id) && may_lead(member);
-         });
+  return !chosen_as_last_resort_ && evacuation_.leaving.contains(*chosen_) && may_lead_elsewhere();
+}
+
+// True if the member's zone does not allow the choice. Once nothing may be sent to the zone, the
+// member would have to be replaced again without being asked.
+bool
+failover::excluded_by_zone(const member_id& id, bool include_evacuated) const
+{
+  if (!evacuation_.leaving.contains(id)) {
+    return false;
+  }
+  return !include_evacuated || (evacuation_.left.contains(id) && may_lead_elsewhere());
 }
 
 bool
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -582,17 +582,27 @@
 // the old primary.
 TEST_CASE("a replacement sends no command to a zone after the limit if others may lead")
 {
-  evacuation_replacement group;
-  group.bench.replaces = false;
-  group.bench.take_over();
-  group.evacuate({ zone_id("z2") });
-  group.run(6000);
-  group.bench.replaces = true;
-  group.bench.take_over();
-  group.bench.commanded.clear();
-  group.run(6000);
-  CHECK(group.primary() == "m3");
-  CHECK_FALSE(group.bench.commanded.contains("m2"));
+  for (const std::uint32_t sync_replicas : { 0U, 1U }) {
+    for (const bool other_has_commits : { true, false }) {
+      CAPTURE(sync_replicas);
+      CAPTURE(other_has_commits);
+      evacuation_replacement group;
+      group.bench.replaces = false;
+      group.bench.take_over();
+      auto configuration = make_configuration(2);
+      configuration.groups.front().sync_replicas = sync_replicas;
+      group.bench.fleet.update_configuration(configuration, group.bench.now);
+      group.bench.members["m3"].received = other_has_commits ? point(4, 60) : point(4, 59);
+      group.evacuate({ zone_id("z2") });
+      group.run(6000);
+      group.bench.replaces = true;
+      group.bench.take_over();
+      group.bench.commanded.clear();
+      group.run(6000);
+      CHECK(group.primary() == "m3");
+      CHECK_FALSE(group.bench.commanded.contains("m2"));
+    }
+  }
 }
 
 // Guards against views that end an evacuation: a coordinator without knowledge must not send an
