Proxy: Look up the primary only for requests that need it

The check for evacuated zones looked up the primary of the group for every waiting request in each pass, also where no zone is evacuated and for reads that any member may answer.

--- a/Source/Proxy/connection_pool.cxx
+++ b/Source/Proxy/connection_pool.cxx
@@ -102,13 +102,13 @@
 
 // The reason why only members in evacuated zones could serve the request; empty if others may.
 std::optional<std::string>
-connection_pool::evacuation_refusal(const connection_request& request,
-                                    const std::optional<group_primary>& primary) const
+connection_pool::evacuation_refusal(const connection_request& request) const
 {
   if (evacuated_zones_.empty()) {
     return std::nullopt;
   }
   if (request.needs_primary) {
+    const auto primary = hooks_.primary_of(request.group);
     const auto* member = primary ? find_member(primary->member) : nullptr;
     // A primary that is being replaced may have a successor soon.
     return member != nullptr && primary->usable && is_evacuated(*member)
@@ -201,13 +201,13 @@
   if (now >= waiting.request.expiry) {
     return "no connection to a member became free in time";
   }
-  const auto primary = hooks_.primary_of(waiting.request.group);
-  if (auto reason = evacuation_refusal(waiting.request, primary)) {
+  if (auto reason = evacuation_refusal(waiting.request)) {
     return reason;
   }
   if (!waiting.request.needs_primary) {
     return std::nullopt;
   }
+  const auto primary = hooks_.primary_of(waiting.request.group);
   if (!primary) {
     return "the primary is unknown";
   }
--- a/Source/Proxy/connection_pool.h
+++ b/Source/Proxy/connection_pool.h
@@ -150,8 +150,7 @@
                         const std::vector<const listed_member*>& ranked,
                         instant now) const;
   bool is_evacuated(const listed_member& member) const;
-  std::optional<std::string> evacuation_refusal(const connection_request& request,
-                                                const std::optional<group_primary>& primary) const;
+  std::optional<std::string> evacuation_refusal(const connection_request& request) const;
   std::optional<std::string> refusal_reason(const waiting_request& waiting, instant now) const;
   void close_connection(connection_number number);
   void close_excess_connections(const std::string& group);
