--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -82,12 +82,6 @@
   sync_replicas_ = sync_replicas;
 }
 
-void
-failover::set_evacuation(member_evacuation evacuation)
-{
-  evacuation_ = std::move(evacuation);
-}
-
 const listed_member*
 failover::find_member(const member_id& id) const
 {
@@ -206,8 +200,9 @@
 {
   const auto generation = generation_;
   const auto primary = record_.primary;
-  if (sync_replicas_ == 0 && evacuation_.left.contains(primary)) {
-    // Nothing may be sent to its zone any more, and the fence ends its use without its answer.
+  if (evacuation_.left.contains(primary)) {
+    // Nothing may be sent to its zone any more. The fence ends its use without its answer, and
+    // commits that only it received were not acknowledged.
     return;
   }
   step_down_pending_ = true;
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonshelf {
@@ -73,7 +74,7 @@
                    std::uint32_t sync_replicas,
                    std::map<member_id, std::string> possible_commit_holders);
 
-  void set_evacuation(member_evacuation evacuation);
+  void set_evacuation(member_evacuation evacuation) { evacuation_ = std::move(evacuation); }
 
   // Starts the replacement of the recorded primary, unless one is in progress.
   void start(const group_record& recorded, replacement_reason reason);
@@ -119,7 +120,9 @@
   const listed_member* best_candidate(const std::map<member_id, member_status>& answers,
                                       bool include_evacuated) const;
   std::set<member_id> queried_members() const;
+  bool may_lead_elsewhere() const;
   bool choice_is_outdated() const;
+  bool excluded_by_zone(const member_id& id, bool include_evacuated) const;
   bool may_lead(const listed_member& member) const;
   int reluctance(const listed_member& member) const;
   void promote();
