--- a/Utilities/check-dependencies.sh
+++ b/Utilities/check-dependencies.sh
@@ -10,7 +10,8 @@
   [Engine]="Base Wire Group Session Limits Home Control Account Entry Engine"
   [Net]="Base Net"
   [Proxy]="Base Proxy" [FleetWire]="FleetWire"
-  [ProxyNode]="Base Net Proxy FleetWire ProxyNode"
+  [Resources]="Base Resources"
+  [ProxyNode]="Base Net Resources Proxy FleetWire ProxyNode"
   [Adapters]="Base Wire Group Session Limits Home Control Account Entry Engine Net Adapters")
 status=0
 for module in "${!allowed[@]}"; do
