Proxy: Bound the values and prepared statements of a session

A session could keep any number of values of 1 MiB, and each connection to a member a copy of them. SET and PREPARE now get MALFORMED above 2 MiB, and the connection is reset before its next use if its last session left more than 16 KiB of values or 256 KiB of prepared statements.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -9,6 +9,20 @@
 
 // Statement time limit of routes that set none.
 constexpr duration default_statement_timeout = std::chrono::seconds(2);
+// Limit of a session's values and prepared statements, in bytes: twice the longest message.
+constexpr std::size_t max_kept_bytes = 2 << 20;
+// Values and prepared statements above these limits are not remembered for a member's connection
+// that no session uses, in bytes. There are many such connections, and few sessions come near.
+constexpr std::size_t max_idle_settings_bytes = 16 << 10;
+constexpr std::size_t max_idle_prepared_bytes = 256 << 10;
+// Limit of a caller's text that an error quotes, in bytes.
+constexpr std::size_t max_quoted_bytes = 100;
+
+std::string
+quote(const std::string& text)
+{
+  return text.size() <= max_quoted_bytes ? text : text.substr(0, max_quoted_bytes) + "...";
+}
 
 }
 
@@ -120,7 +134,8 @@
       break;
     case statement_kind::execute:
       if (!prepared_.contains(next.name)) {
-        answer_error(statement_error::unknown_statement, "no prepared statement " + next.name);
+        answer_error(statement_error::unknown_statement,
+                     "no prepared statement " + quote(next.name));
         return;
       }
       break;
@@ -176,13 +191,20 @@
       }
       break;
     case statement_kind::set:
-      settings_[request.name] = request.argument;
-      break;
     case statement_kind::prepare:
-      prepared_[request.name] = { request.argument, request.writes };
+      if (!keep(request)) {
+        hooks_->log("session_too_large", request.id, std::to_string(kept_bytes_) + " bytes");
+        answer_error(statement_error::malformed,
+                     "the values and prepared statements of the session would exceed " +
+                       std::to_string(max_kept_bytes) + " bytes");
+        return;
+      }
       break;
     case statement_kind::deallocate:
-      prepared_.erase(request.name);
+      if (const auto found = prepared_.find(request.name); found != prepared_.end()) {
+        kept_bytes_ -= found->first.size() + bytes_of(found->second);
+        prepared_.erase(found);
+      }
       break;
     default:
       answer_error(statement_error::malformed, "malformed statement");
@@ -191,6 +213,33 @@
   answer_success();
 }
 
+// Sets a value or a prepared statement of the session. Returns false, and changes nothing, if the
+// session would exceed its limit.
+bool
+caller_session::keep(const statement& request)
+{
+  const bool is_set = request.kind == statement_kind::set;
+  std::size_t former = 0;
+  if (const auto found = settings_.find(request.name); is_set && found != settings_.end()) {
+    former = found->first.size() + found->second.size() + entry_overhead_bytes;
+  }
+  if (const auto found = prepared_.find(request.name); !is_set && found != prepared_.end()) {
+    former = found->first.size() + bytes_of(found->second);
+  }
+  const auto next =
+    kept_bytes_ - former + request.name.size() + request.argument.size() + entry_overhead_bytes;
+  if (next > max_kept_bytes) {
+    return false;
+  }
+  kept_bytes_ = next;
+  if (is_set) {
+    settings_[request.name] = request.argument;
+  } else {
+    prepared_[request.name] = { request.argument, request.writes };
+  }
+  return true;
+}
+
 // The reason why the session may run nothing now. Sets `route` if the database has one, and the
 // workspace that holds the key now: a key may be withdrawn or given to another workspace.
 std::optional<std::string>
@@ -199,7 +248,7 @@
   const auto& configuration = hooks_->configuration();
   route = configuration.route_of(database_);
   if (route == nullptr) {
-    return "no route for database " + database_.get();
+    return "no route for database " + quote(database_.get());
   }
   const auto* workspace = configuration.workspace_of_key(key_);
   if (workspace == nullptr && !route->open_to_all) {
@@ -209,9 +258,9 @@
   return std::nullopt;
 }
 
-// The reason why this instance cannot know which workspace holds the key; empty if it can, or if the
-// caller needs no workspace. A route that is open to all still tells the members which workspace
-// holds the caller's key.
+// The reason why this instance cannot know which workspace holds the key; empty if it can, or if
+// the caller needs no workspace. A route that is open to all still tells the members which
+// workspace holds the caller's key.
 std::optional<std::string>
 caller_session::missing_evidence(const proxy_route& route) const
 {
@@ -315,10 +364,23 @@
   run();
 }
 
+// Bounds the copies of a session's state that stay with a member's connection.
+void
+caller_session::forget_large_state()
+{
+  if (bytes_of(connection_->settings) > max_idle_settings_bytes ||
+      bytes_of(connection_->prepared) > max_idle_prepared_bytes) {
+    connection_->settings.clear();
+    connection_->prepared.clear();
+    connection_->needs_reset = true;
+  }
+}
+
 void
 caller_session::release_connection(duration elapsed)
 {
   const auto number = connection_->number;
+  forget_large_state();
   connection_.reset();
   in_transaction_ = false;
   hooks_->release(number, elapsed);
@@ -348,6 +410,7 @@
     release_connection(duration::zero());
     return;
   }
+  forget_large_state();
   connection_.reset();
   in_transaction_ = false;
   // The session may be destroyed before the answer arrives, so the handler keeps the hooks.
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -7,6 +7,7 @@
 #include "Proxy/position_history.h"
 #include "Proxy/statement.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -140,6 +141,8 @@
   void disconnect();
 
   bool busy() const { return busy_; }
+  // Bytes of the session's values and prepared statements.
+  std::size_t kept_bytes() const { return kept_bytes_; }
   transaction_state state() const { return state_; }
   const workspace_id& workspace() const { return workspace_; }
 
@@ -149,6 +152,7 @@
   void answer_error(statement_error error, std::string text);
   void fail_statement(statement_error error, const std::string& text);
   void handle_local(const statement& request);
+  bool keep(const statement& request);
   bool is_write(const statement& request) const;
   void start_operation(const statement& request);
   void on_admission(std::optional<duration> refused_for);
@@ -172,6 +176,7 @@
   void finish(const member_reply& reply);
   void log_if_late(const member_reply& reply) const;
   std::string describe_position() const;
+  void forget_large_state();
   void release_connection(duration elapsed);
   void close_connection();
   void roll_back_connection();
@@ -186,6 +191,7 @@
   std::shared_ptr<caller_session*> self_;
   session_settings settings_;
   std::map<std::string, prepared_statement> prepared_;
+  std::size_t kept_bytes_ = 0;
   transaction_state state_ = transaction_state::idle;
   bool busy_ = false;
   std::optional<session_transaction> transaction_;
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -143,7 +143,7 @@
     std::any_of(connection_->settings.begin(), connection_->settings.end(), [&](const auto& entry) {
       return !settings_.contains(entry.first);
     });
-  if (has_other_settings) {
+  if (std::exchange(connection_->needs_reset, false) || has_other_settings) {
     commands.push_back({ .kind = member_command::command_kind::reset });
     connection_->settings.clear();
     connection_->prepared.clear();
