Net: Close HTTP connections without progress, and bound their number and memory

New options with the former behaviour as default. After a failed accept() the server waits 100 ms: it used to try again at once and took all of the processor while no descriptors were left.

--- a/Source/Net/http_server.cxx
+++ b/Source/Net/http_server.cxx
@@ -1,12 +1,16 @@
 #include "Net/http_server.h"
 
+#include "Base/progress_check.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -25,6 +29,12 @@
 
 constexpr std::chrono::seconds idle_check_interval{ 5 };
 constexpr std::uint32_t header_limit_bytes = 16 << 10;
+// Bytes that are read at once.
+constexpr std::size_t piece_bytes = 8 << 10;
+// Received bytes that the parser cannot use yet. A header has fewer.
+constexpr std::size_t unparsed_limit_bytes = 64 << 10;
+// Interval between two attempts to accept a connection while the system has no descriptors.
+constexpr std::chrono::milliseconds accept_retry_delay{ 100 };
 
 }
 
@@ -34,21 +44,29 @@
   state(asio::io_context& context, http_server_options options_in)
     : acceptor(context)
     , idle_check_timer(context)
+    , accept_timer(context)
     , options(std::move(options_in))
   {
   }
 
   void accept();
   void close_idle_connections();
+  void close_for_limit(const std::shared_ptr<server_connection>& connection,
+                       std::string_view cause);
+  bool close_inactive(std::string_view cause);
+  void limit_received();
   void close_all();
 
   tcp::acceptor acceptor;
   asio::steady_timer idle_check_timer;
+  asio::steady_timer accept_timer;
   http_server_options options;
   request_handler on_request;
   close_handler on_close;
   std::unordered_map<accepted_number, std::shared_ptr<server_connection>> connections;
   accepted_number next_number = 1;
+  // Bytes of all requests that are being received.
+  std::size_t received_bytes = 0;
   bool draining = false;
   bool stopped = false;
 };
@@ -61,6 +79,7 @@
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
   http::response<http::string_body> response;
+  std::optional<http::response_serializer<http::string_body>> serializer;
 };
 
 class server_connection : public std::enable_shared_from_this<server_connection>
@@ -81,6 +100,8 @@
     std::function<void(accepted_number, http_request, http_server::responder)> request;
     std::function<void(accepted_number)> closed;
     std::function<bool()> draining;
+    // The number of bytes of requests that are being received changed.
+    std::function<void(std::size_t added, std::size_t removed)> received;
     std::size_t body_limit_bytes = 0;
   };
 
@@ -96,6 +117,7 @@
       return;
     }
     closed_ = true;
+    clear_received();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
@@ -105,8 +127,28 @@
   bool idle() const { return !exchange_; }
   std::chrono::steady_clock::time_point last_activity() const { return last_activity_; }
   bool awaiting_response() const { return awaiting_response_; }
+  bool has_complete_request() const { return has_complete_request_; }
+  std::size_t received_bytes() const { return received_bytes_; }
+
+  // True if a request that has begun, or a response, made too little progress.
+  bool is_too_slow(instant now)
+  {
+    if (!exchange_ || awaiting_response_) {
+      progress_.reset();
+      return false;
+    }
+    return progress_.is_too_slow(now);
+  }
 
 private:
+  void note_progress(std::size_t bytes)
+  {
+    last_activity_ = std::chrono::steady_clock::now();
+    progress_.add(bytes);
+  }
+
+  void clear_received() { hooks_->received(0, std::exchange(received_bytes_, 0)); }
+
   void wait_for_request()
   {
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code failure) {
@@ -127,12 +169,55 @@
     auto& parser = exchange_->parser.emplace();
     parser.body_limit(hooks_->body_limit_bytes);
     parser.header_limit(header_limit_bytes);
-    http::async_read(socket_,
-                     exchange_->buffer,
-                     parser,
-                     [self = shared_from_this()](error_code failure, std::size_t) {
-                       self->request_read(failure);
-                     });
+    parser.eager(true);
+    progress_.reset();
+    parse();
+  }
+
+  // Passes what was received to the parser, and reads more until the request is complete.
+  void parse()
+  {
+    auto& buffer = exchange_->buffer;
+    auto& parser = *exchange_->parser;
+    while (buffer.size() > 0 && !parser.is_done()) {
+      error_code failure;
+      buffer.consume(parser.put(buffer.data(), failure));
+      if (failure == http::error::need_more) {
+        break;
+      }
+      if (failure) {
+        request_read(failure);
+        return;
+      }
+    }
+    if (parser.is_done()) {
+      request_read({});
+    } else if (buffer.size() > unparsed_limit_bytes) {
+      request_read(http::error::buffer_overflow);
+    } else {
+      read_piece();
+    }
+  }
+
+  void read_piece()
+  {
+    socket_.async_read_some(exchange_->buffer.prepare(piece_bytes),
+                            [self = shared_from_this()](error_code failure, std::size_t length) {
+                              if (self->closed_) {
+                                return;
+                              }
+                              if (failure) {
+                                self->request_read(failure);
+                                return;
+                              }
+                              self->exchange_->buffer.commit(length);
+                              self->note_progress(length);
+                              self->received_bytes_ += length;
+                              self->hooks_->received(length, 0);
+                              if (!self->closed_) {
+                                self->parse();
+                              }
+                            });
   }
 
   void request_read(error_code failure)
@@ -148,6 +233,8 @@
       close();
       return;
     }
+    has_complete_request_ = true;
+    clear_received();
     auto message = exchange_->parser->release();
     exchange_->parser.reset();
     http_request request;
@@ -198,10 +285,27 @@
     message.body() = std::move(response.body);
     message.keep_alive(keep_alive_ && !response.close && !hooks_->draining());
     message.prepare_payload();
-    http::async_write(
-      socket_, message, [self = shared_from_this()](error_code failure, std::size_t) {
-        self->response_written(failure);
-      });
+    exchange_->serializer.emplace(message);
+    progress_.reset();
+    write_piece();
+  }
+
+  void write_piece()
+  {
+    http::async_write_some(socket_,
+                           *exchange_->serializer,
+                           [self = shared_from_this()](error_code failure, std::size_t length) {
+                             if (self->closed_) {
+                               return;
+                             }
+                             self->note_progress(length);
+                             if (failure || self->exchange_->serializer->is_done()) {
+                               self->exchange_->serializer.reset();
+                               self->response_written(failure);
+                             } else {
+                               self->write_piece();
+                             }
+                           });
   }
 
   void response_written(error_code failure)
@@ -224,7 +328,10 @@
   std::shared_ptr<hooks> hooks_;
   std::unique_ptr<exchange> exchange_;
   std::chrono::steady_clock::time_point last_activity_;
+  progress_check progress_;
+  std::size_t received_bytes_ = 0;
   bool closed_ = false;
+  bool has_complete_request_ = false;
   bool awaiting_response_ = false;
   bool keep_alive_ = true;
 };
@@ -247,6 +354,15 @@
       self->on_request(number, std::move(request), std::move(respond));
     }
   };
+  shared_hooks->received = [weak](std::size_t added, std::size_t removed) {
+    if (const auto self = weak.lock()) {
+      self->received_bytes += added;
+      self->received_bytes -= removed;
+      if (added > 0) {
+        self->limit_received();
+      }
+    }
+  };
   shared_hooks->closed = [weak](accepted_number number) {
     const auto self = weak.lock();
     if (!self) {
@@ -265,7 +381,19 @@
         if (!self || failure == asio::error::operation_aborted || !self->acceptor.is_open()) {
           return;
         }
-        if (!failure && self->connections.size() < self->options.connection_limit) {
+        if (failure) {
+          // The system has no descriptors. An immediate attempt would fail as well.
+          self->close_inactive("accept_failed");
+          self->accept_timer.expires_after(accept_retry_delay);
+          self->accept_timer.async_wait([weak, next](error_code cancelled) {
+            if (const auto owner = weak.lock(); !cancelled && owner && !owner->stopped) {
+              (*next)();
+            }
+          });
+          return;
+        }
+        if (self->connections.size() < self->options.connection_limit ||
+            self->close_inactive("too_many_connections")) {
           error_code ignored;
           socket.set_option(tcp::no_delay(true), ignored);
           socket.set_option(asio::socket_base::keep_alive(true), ignored);
@@ -289,20 +417,78 @@
     if (failure || !self || self->stopped) {
       return;
     }
-    const auto limit = std::chrono::steady_clock::now() - self->options.idle_timeout;
+    const auto now = std::chrono::steady_clock::now();
+    const auto limit = now - self->options.idle_timeout;
+    const instant checked_at(std::chrono::duration_cast<duration>(now.time_since_epoch()));
     std::vector<std::shared_ptr<server_connection>> idle_too_long;
+    std::vector<std::shared_ptr<server_connection>> too_slow;
     for (const auto& [number, open] : self->connections) {
-      if (!open->awaiting_response() && open->last_activity() < limit) {
+      if (self->options.requires_progress && open->is_too_slow(checked_at)) {
+        too_slow.push_back(open);
+      } else if (!open->awaiting_response() && open->last_activity() < limit) {
         idle_too_long.push_back(open);
       }
     }
     for (const auto& open : idle_too_long) {
       open->close();
     }
+    for (const auto& open : too_slow) {
+      self->close_for_limit(open, "no_progress");
+    }
     self->close_idle_connections();
   });
 }
 
+// The reference may be to an entry of `connections`, which closing removes.
+void
+http_server::state::close_for_limit(const std::shared_ptr<server_connection>& connection,
+                                    std::string_view cause)
+{
+  const auto kept = connection;
+  if (options.on_limited) {
+    options.on_limited(cause);
+  }
+  kept->close();
+}
+
+// Returns false if no connection may be closed in favour of another one.
+bool
+http_server::state::close_inactive(std::string_view cause)
+{
+  if (!options.replaces_inactive || connections.empty()) {
+    if (options.on_limited) {
+      options.on_limited(cause);
+    }
+    return false;
+  }
+  const auto order = [](const auto& entry) {
+    return std::tuple(entry.second->awaiting_response(),
+                      entry.second->has_complete_request(),
+                      entry.second->last_activity());
+  };
+  const auto found =
+    std::min_element(connections.begin(), connections.end(), [&](const auto& a, const auto& b) {
+      return order(a) < order(b);
+    });
+  close_for_limit(found->second, cause);
+  return true;
+}
+
+void
+http_server::state::limit_received()
+{
+  while (options.received_limit_bytes > 0 && received_bytes > options.received_limit_bytes) {
+    const auto largest =
+      std::max_element(connections.begin(), connections.end(), [](const auto& a, const auto& b) {
+        return a.second->received_bytes() < b.second->received_bytes();
+      });
+    if (largest == connections.end() || largest->second->received_bytes() == 0) {
+      return;
+    }
+    close_for_limit(largest->second, "memory");
+  }
+}
+
 void
 http_server::state::close_all()
 {
@@ -343,6 +529,12 @@
   if (!failure) {
     shared->acceptor.set_option(asio::socket_base::reuse_address(true), failure);
   }
+  if (!failure && options.socket_buffer_bytes > 0) {
+    shared->acceptor.set_option(asio::socket_base::receive_buffer_size(options.socket_buffer_bytes),
+                                failure);
+    shared->acceptor.set_option(asio::socket_base::send_buffer_size(options.socket_buffer_bytes),
+                                failure);
+  }
   if (!failure) {
     shared->acceptor.bind(endpoint, failure);
   }
@@ -394,6 +586,7 @@
   error_code ignored;
   state_->acceptor.close(ignored);
   state_->idle_check_timer.cancel();
+  state_->accept_timer.cancel();
   state_->close_all();
 }
 
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace persimmonshelf {
 
@@ -26,6 +27,22 @@
   // that disappeared without closing them.
   std::chrono::seconds idle_timeout{ 120 };
   std::size_t connection_limit = 100000;
+  // Closes a connection that makes too little progress with a request that has begun, or with
+  // reading a response; see progress_check.
+  bool requires_progress = false;
+  // If the limit of connections is reached or the system has no descriptors, closes the connection
+  // that is longest without activity, first of those without a complete request. Otherwise a new
+  // connection is refused.
+  bool replaces_inactive = false;
+  // Limit of the bytes of all requests that are being received; the largest is closed above it. 0
+  // sets no limit.
+  std::size_t received_limit_bytes = 0;
+  // Size of the kernel's buffers of a connection in each direction, in bytes. 0 leaves it to the
+  // system.
+  int socket_buffer_bytes = 0;
+  // Called with the name of the limit when a connection is closed or refused because of one.
+  // Optional.
+  std::function<void(std::string_view cause)> on_limited = {};
 };
 
 // HTTP/1.1 server on one io_context that handles one request at a time on each connection. An idle
