ProxyNode: Bound what clients may hold

A few clients used up the memory and the descriptors of an instance: by legal messages sent ahead, by messages without an end, by answers that they do not read, and by connections without START.

A caller's requests reach its session one at a time, so it may send any number ahead. The sessions of a relay connection have queues of their own, and the backlog of one no longer ends all.

--- a/Source/Programs/persimmonshelf-proxy.cxx
+++ b/Source/Programs/persimmonshelf-proxy.cxx
@@ -4,6 +4,8 @@
 
 #include <docopt/docopt.h>
 
+#include <malloc.h>
+
 #include <cstdlib>
 #include <iostream>
 
@@ -36,6 +38,10 @@
   4  an unexpected error left the state of the instance unknown
 )";
 
+// Buffers from this size on, in bytes, are returned to the system when they are released. By
+// default the allocator raises this size up to 32 MB, and keeps the memory of messages that are
+// long gone.
+constexpr int returned_buffer_bytes = 128 << 10;
 constexpr int exit_invalid = 2;
 constexpr int exit_address = 3;
 constexpr int exit_internal = 4;
@@ -59,6 +65,8 @@
     std::cout << "settings are valid\n";
     return EXIT_SUCCESS;
   }
+  mallopt(M_MMAP_THRESHOLD, returned_buffer_bytes);
+  mallopt(M_TRIM_THRESHOLD, returned_buffer_bytes);
   auto node = proxy_node::create(settings.value());
   if (!node) {
     std::cerr << "persimmonshelf-proxy: cannot listen on " << node.error().message << "\n";
--- a/Source/ProxyNode/caller_connection.cxx
+++ b/Source/ProxyNode/caller_connection.cxx
@@ -4,6 +4,7 @@
 #include "ProxyNode/boot_clock.h"
 #include "platform/line_protocol.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace persimmonshelf {
@@ -14,8 +15,12 @@
 constexpr duration keepalive_idle_time = std::chrono::seconds(10);
 // Shorter than the two seconds after which a caller gives up.
 constexpr duration begin_timeout = std::chrono::milliseconds(1500);
-// Number of messages that a caller may send before its session begins.
-constexpr std::size_t queued_line_limit = 16;
+// A session gets its next request when fewer bytes of answers than this wait to be sent.
+constexpr std::size_t unsent_limit_bytes = 64 << 10;
+// Number of copies of the first message: this connection, the session, and its relay have one each.
+constexpr std::size_t kept_copies = 3;
+// Interval between two updates of the connection's state in the budget of connections.
+constexpr duration place_update_period = std::chrono::seconds(1);
 
 }
 
@@ -37,6 +42,19 @@
 {
   stream_->set_timeouts(unacknowledged_timeout, keepalive_idle_time);
   std::weak_ptr<caller_connection> weak = weak_from_this();
+  const auto end = [weak](std::string_view cause) {
+    return [weak, cause] {
+      if (const auto self = weak.lock()) {
+        self->end_for_limit(cause);
+      }
+    };
+  };
+  if (handlers_.open_account) {
+    stream_->set_account(handlers_.open_account(end("memory")));
+  }
+  if (handlers_.open_place) {
+    place_ = handlers_.open_place(end("connections"));
+  }
   stream_->start({ [weak](std::string_view line) {
                     if (const auto self = weak.lock()) {
                       self->receive_line(line);
@@ -46,17 +64,30 @@
                      if (const auto self = weak.lock()) {
                        self->handle_closed();
                      }
-                   } });
+                   },
+                   {},
+                   [weak] {
+                     if (const auto self = weak.lock()) {
+                       self->release_next_request();
+                     }
+                   },
+                   handlers_.limited });
 }
 
 void
 caller_connection::receive_line(std::string_view line)
 {
   const auto self = shared_from_this();
+  stream_->hold();
   if (platform::ends_session(line)) {
     ended_by_caller_ = true;
   } else if (first_line_) {
     ++unanswered_;
+    if (!local()) {
+      // The message waits for the connection to the carrier. A session that runs here has its own
+      // account.
+      stream_->set_owner_bytes(kept_copies * first_line_->capacity() + line.size());
+    }
   }
   if (const auto failure = guarded_call([&] { handle_line(line); })) {
     handlers_.session_failed(line, *failure);
@@ -73,15 +104,17 @@
     session.handle_line(line);
     return;
   }
-  if (first_line_) {
-    if (queued_lines_.size() >= queued_line_limit) {
-      close();
-      return;
+  if (line.size() > max_start_bytes) {
+    if (handlers_.limited) {
+      handlers_.limited("start_too_long");
     }
-    queued_lines_.emplace_back(line);
+    refuse_start(statement_error::malformed,
+                 "the first message is longer than " + std::to_string(max_start_bytes) + " bytes");
     return;
   }
   first_line_ = std::string(line);
+  // The session, and its relay if there is one, have copies.
+  stream_->set_owner_bytes(kept_copies * first_line_->capacity());
   first_line_received_at_ = boot_now();
   begin_session();
 }
@@ -104,12 +137,17 @@
   if (session_) {
     const auto session = *session_;
     session.handle_line(*first_line_);
-    for (const auto& line : std::exchange(queued_lines_, {})) {
-      session.handle_line(line);
-    }
+    release_next_request();
   }
 }
 
+void
+caller_connection::refuse_start(statement_error error, std::string_view text)
+{
+  write(platform::encode_error(error, text));
+  close();
+}
+
 void
 caller_connection::write(std::string_view text)
 {
@@ -124,15 +162,59 @@
   } else if (ready && unanswered_ > 0) {
     --unanswered_;
   }
+  release_next_request();
+}
+
+void
+caller_connection::release_next_request()
+{
+  if (first_line_ && session_ && !refused_ && unanswered_ == 0 && !closing_ && !closed_ &&
+      stream_->unsent_bytes() < unsent_limit_bytes) {
+    stream_->set_owner_bytes(kept_copies * first_line_->capacity());
+    stream_->release();
+  }
+}
+
+void
+caller_connection::end_for_limit(std::string_view cause)
+{
+  stream_->close_for_limit(cause, "ended by a limit");
+}
+
+// Reports to the budget of connections whether the caller owes something, and enforces the time
+// limits of the connection.
+void
+caller_connection::check_limits(instant now)
+{
+  if (!accepted_at_) {
+    accepted_at_ = now;
+  }
+  stream_->tick(now);
+  if (closed_ || now < next_place_update_) {
+    return;
+  }
+  next_place_update_ = now + place_update_period;
+  if (!first_line_ || stream_->peer_owes_progress()) {
+    place_.set_incomplete(std::max(*accepted_at_, stream_->last_progress_at()));
+  } else {
+    place_.set_complete();
+  }
+  if (!first_line_ && !closing_ && now - *accepted_at_ > start_timeout) {
+    end_for_limit("start_missing");
+  }
 }
 
 void
 caller_connection::tick(instant now)
 {
-  if (closing_ || closed_) {
+  if (closed_) {
     return;
   }
   const auto self = shared_from_this();
+  check_limits(now);
+  if (closing_ || closed_) {
+    return;
+  }
   if (const auto failure = guarded_call([&] { tick_session(now); })) {
     handlers_.session_failed({}, *failure);
     close();
@@ -149,9 +231,7 @@
       close_if_inactive(false);
     }
   } else if (first_line_ && now - first_line_received_at_ > begin_timeout) {
-    write(platform::encode_error(statement_error::busy,
-                                 "the fleet has not assigned sessions to instances yet"));
-    close();
+    refuse_start(statement_error::busy, "the fleet has not assigned sessions to instances yet");
   } else if (first_line_) {
     begin_session();
   }
@@ -186,6 +266,7 @@
     return;
   }
   const auto self = shared_from_this();
+  giving_up_ = true;
   if (session_ && session_->give_up) {
     const auto session = *session_;
     if (const auto failure = guarded_call(session.give_up)) {
@@ -206,7 +287,9 @@
     write(platform::encode_error(statement_error::busy, "the session cannot begin here now"));
     return;
   }
-  const auto abandoned = unanswered_ + (ended_by_caller_ ? 0 : stream_->undelivered_lines());
+  stream_->read_undelivered();
+  const auto undelivered = count_undelivered();
+  const auto abandoned = unanswered_ + (giving_up_ ? 0 : undelivered);
   if (abandoned > 0 && handlers_.requests_abandoned) {
     handlers_.requests_abandoned(abandoned);
   }
@@ -215,6 +298,25 @@
                                  "the session ended before the answer"));
     write(platform::encode_ready(transaction_state::idle, std::nullopt));
   }
+  for (std::uint64_t i = 0; giving_up_ && i < undelivered; ++i) {
+    write(platform::encode_error(statement_error::busy, "this instance is stopping"));
+    write(platform::encode_ready(transaction_state::idle, std::nullopt));
+  }
+}
+
+// Number of requests that were read and not passed to the session.
+std::uint64_t
+caller_connection::count_undelivered() const
+{
+  std::uint64_t count = 0;
+  if (!ended_by_caller_) {
+    stream_->for_each_undelivered([&count](std::string_view line) {
+      const bool ends = platform::ends_session(line);
+      count += ends ? 0 : 1;
+      return !ends;
+    });
+  }
+  return count;
 }
 
 void
--- a/Source/ProxyNode/carrier_connection.cxx
+++ b/Source/ProxyNode/carrier_connection.cxx
@@ -92,7 +92,14 @@
                      if (const auto self = weak.lock()) {
                        self->handle_failure(reason);
                      }
+                   },
+                   {},
+                   [weak] {
+                     if (const auto self = weak.lock(); self && self->queue_) {
+                       self->queue_->pump();
+                     }
                    } });
+  queue_.emplace(stream_);
   send_version(hooks_.highest_version());
   hooks_.state_changed(true, "connected");
 }
@@ -119,6 +126,10 @@
     }
     return;
   }
+  stream_->tick(now);
+  if (!up_) {
+    return;
+  }
   const auto silent_since = std::max(last_activity_at_, in_use_since_);
   if (now - silent_since > (sessions_.empty() ? unused_silence_timeout : silence_timeout)) {
     handle_failure("the carrier sent nothing within the time limit");
@@ -184,7 +195,7 @@
     in_use_since_ = boot_now();
   }
   sessions_.emplace(number, std::move(callbacks));
-  write(without_redirect ? message_kind::open_without_redirect : message_kind::open,
+  queue(without_redirect ? message_kind::open_without_redirect : message_kind::open,
         number,
         first_line);
   return number;
@@ -193,14 +204,17 @@
 void
 carrier_connection::send(std::uint64_t stream, std::string_view line)
 {
-  write(message_kind::data, stream, line);
+  queue(message_kind::data, stream, line);
 }
 
 void
 carrier_connection::close(std::uint64_t stream)
 {
   if (sessions_.erase(stream) > 0) {
-    write(message_kind::close, stream, {});
+    if (queue_) {
+      queue_->discard(stream);
+    }
+    queue(message_kind::close, stream, {});
   }
 }
 
@@ -218,6 +232,14 @@
   }
 }
 
+void
+carrier_connection::queue(message_kind kind, std::uint64_t session, std::string_view text)
+{
+  if (up_ && queue_) {
+    queue_->push(session, encode_relay_message({ kind, session, std::string(text) }));
+  }
+}
+
 void
 carrier_connection::drain()
 {
@@ -230,6 +252,7 @@
   const auto self = shared_from_this();
   const bool was_up = std::exchange(up_, false);
   connecting_ = false;
+  queue_.reset();
   retry_at_ = boot_now() + reconnect_delay;
   if (stream_) {
     stream_->close(true);
--- a/Source/ProxyNode/carrier_connection.h
+++ b/Source/ProxyNode/carrier_connection.h
@@ -3,12 +3,14 @@
 #include "Proxy/carriers.h"
 #include "ProxyNode/line_stream.h"
 #include "ProxyNode/relay_message.h"
+#include "ProxyNode/relay_send_queue.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace persimmonshelf {
@@ -77,11 +79,14 @@
   void handle_line(std::string_view line);
   void handle_failure(const std::string& reason);
   void write(relay_message::message_kind kind, std::uint64_t number, std::string_view text);
+  void queue(relay_message::message_kind kind, std::uint64_t session, std::string_view text);
 
   boost::asio::io_context& context_;
   std::string address_;
   hooks hooks_;
   std::shared_ptr<line_stream> stream_;
+  // Messages of sessions that wait for the connection; empty while it is not up.
+  std::optional<relay_send_queue> queue_;
   std::map<std::uint64_t, stream_handlers> sessions_;
   std::uint64_t last_stream_number_ = 0;
   std::uint64_t last_ping_number_ = 0;
--- a/Source/ProxyNode/decision_log.cxx
+++ b/Source/ProxyNode/decision_log.cxx
@@ -17,10 +17,18 @@
 constexpr std::size_t queue_capacity_lines = 1024;
 // Covers every refusal of a busy instance at a small share of its processor time.
 constexpr std::uint32_t max_lines_per_second = 200;
+// Texts of callers may have up to 1 MiB. The longest text of the proxy itself has fewer bytes.
+constexpr std::size_t max_field_bytes = 512;
 // Bounds the delay of a line, or of the shutdown, after a missed notification: the writer is
 // notified without holding the mutex.
 constexpr auto max_writer_wait = std::chrono::milliseconds(500);
 
+std::string_view
+cut(std::string_view value)
+{
+  return value.substr(0, max_field_bytes);
+}
+
 void
 write_all(const std::string& line)
 {
@@ -83,7 +91,7 @@
   object["instance"] = instance_;
   object["event"] = event;
   for (const auto& [name, value] : fields) {
-    object[name] = value;
+    object[name] = cut(value);
   }
   if (dropped_ != reported_drops_) {
     object["lines_dropped"] = dropped_;
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -141,7 +141,7 @@
 }
 
 result<void>
-fleet_participant::start()
+fleet_participant::start(const http_server_options& peer_options)
 {
   boost::system::error_code failure;
   const boost::asio::ip::udp::endpoint endpoint(
@@ -151,14 +151,11 @@
   if (failure) {
     return fail(result_code::address_unavailable, address_ + ": " + failure.message());
   }
-  http_server_options options;
-  options.address = settings_.peers.address;
-  options.port = settings_.peers.port;
   BOOST_OUTCOME_TRY(
     peer_server_,
     http_server::create(
       context_,
-      options,
+      peer_options,
       [this](accepted_number, const http_request& request, const http_server::responder& respond) {
         serve_peer_request(request, respond);
       }));
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -82,7 +82,8 @@
                     hooks callbacks);
 
   // Fails with address_unavailable if the address for peers cannot be bound.
-  result<void> start();
+  // `peer_options` are the address and the limits of the listener for peers.
+  result<void> start(const http_server_options& peer_options);
   void tick(instant now);
   // Requests tokens from the coordinator for operations that wait for them.
   void request_tokens();
--- a/Source/ProxyNode/node_metrics.cxx
+++ b/Source/ProxyNode/node_metrics.cxx
@@ -35,6 +35,7 @@
   prometheus::Family<prometheus::Histogram>* answers = nullptr;
   prometheus::Family<prometheus::Counter>* log_events = nullptr;
   prometheus::Family<prometheus::Counter>* positions = nullptr;
+  prometheus::Family<prometheus::Counter>* limits = nullptr;
   prometheus::Family<prometheus::Gauge>* gauges = nullptr;
   std::function<sample()> read;
   std::unique_ptr<http_server> server;
@@ -54,7 +55,7 @@
 
 result<std::unique_ptr<node_metrics>>
 node_metrics::create(boost::asio::io_context& context,
-                     const tcp_address& address,
+                     const http_server_options& options,
                      std::function<sample()> read)
 {
   auto owned = std::make_unique<state>();
@@ -71,14 +72,15 @@
                         .Name("persimmonshelf_positions_total")
                         .Help("Observed log positions by origin and outcome.")
                         .Register(owned->registry);
+  owned->limits = &prometheus::BuildCounter()
+                     .Name("persimmonshelf_limits_total")
+                     .Help("Clients that were refused or closed, by kind and by limit.")
+                     .Register(owned->registry);
   owned->gauges = &prometheus::BuildGauge()
                      .Name("persimmonshelf_state")
                      .Help("Figures of the instance's present state.")
                      .Register(owned->registry);
   std::unique_ptr<node_metrics> created(new node_metrics(std::move(owned)));
-  http_server_options options;
-  options.address = address.address;
-  options.port = address.port;
   auto* page = created.get();
   BOOST_OUTCOME_TRY(
     created->state_->server,
@@ -119,6 +121,13 @@
     .Increment();
 }
 
+void
+node_metrics::count_limit(std::string_view kind, std::string_view cause)
+{
+  state_->limits->Add({ { "kind", std::string(kind) }, { "cause", std::string(cause) } })
+    .Increment();
+}
+
 std::string
 node_metrics::text() const
 {
@@ -134,6 +143,9 @@
   state_->set_gauge("unusable_member_rows", now.unusable_member_rows);
   state_->set_gauge("store_calls", now.store_calls);
   state_->set_gauge("log_lines_dropped", now.log_lines_dropped);
+  state_->set_gauge("held_bytes", now.held_bytes);
+  state_->set_gauge("held_bytes_limit", now.held_bytes_limit);
+  state_->set_gauge("caller_limit", now.caller_limit);
   return prometheus::TextSerializer().Serialize(state_->registry.Collect());
 }
 
--- a/Source/ProxyNode/node_metrics.h
+++ b/Source/ProxyNode/node_metrics.h
@@ -2,7 +2,6 @@
 
 #include "Base/error.h"
 #include "Base/instant.h"
-#include "Net/http_connection.h"
 #include "Net/http_server.h"
 #include "Proxy/position_history.h"
 #include "Proxy/statement.h"
@@ -36,11 +35,16 @@
     double unusable_member_rows = 0;
     double store_calls = 0;
     double log_lines_dropped = 0;
+    // Bytes that all clients hold together, and their limit.
+    double held_bytes = 0;
+    double held_bytes_limit = 0;
+    // Number of callers that may be connected.
+    double caller_limit = 0;
   };
 
   // Fails with address_unavailable if the address cannot be bound.
   static result<std::unique_ptr<node_metrics>> create(boost::asio::io_context& context,
-                                                      const tcp_address& address,
+                                                      const http_server_options& options,
                                                       std::function<sample()> read);
   ~node_metrics();
   node_metrics(const node_metrics&) = delete;
@@ -56,6 +60,9 @@
   // Counts one observed log position. `origin` is how it reached this instance.
   void count_position(std::string_view origin, observation_outcome outcome);
 
+  // Counts a client of this kind that was refused or closed because of a limit.
+  void count_limit(std::string_view kind, std::string_view cause);
+
   // All metrics in the Prometheus text format.
   std::string text() const;
 
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -181,6 +181,12 @@
     [this](const statement_answer& reply, duration elapsed) {
       metrics->record_answer(reply, elapsed);
     },
+    [this](std::function<void()> end) {
+      return open_account([this, end = std::move(end)] {
+        record_limit("session", "memory");
+        end();
+      });
+    },
   });
   return { true,
            [driver, token = session_reference](std::string_view line) {
--- a/Source/ProxyNode/proxy_node_state.h
+++ b/Source/ProxyNode/proxy_node_state.h
@@ -17,6 +17,10 @@
 #include "ProxyNode/relay_router.h"
 #include "ProxyNode/relay_server.h"
 #include "ProxyNode/session_driver.h"
+#include "Resources/connection_budget.h"
+#include "Resources/memory_budget.h"
+#include "Resources/resource_plan.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -33,6 +37,13 @@
   result<void> listen();
   void start();
   void accept();
+  void accept_later();
+  void add_caller(boost::asio::ip::tcp::socket socket);
+  http_server_options http_options(std::string_view kind,
+                                   const tcp_address& address,
+                                   std::size_t connection_limit);
+  void record_limit(std::string_view kind, std::string_view cause);
+  memory_budget::account open_account(std::function<void()> end);
   void tick();
   void serve_readiness();
   bool ready() const;
@@ -69,8 +80,19 @@
   void log_read_positions(instant now);
 
   node_settings settings;
+  resource_plan resources;
   boost::asio::io_context context;
   decision_log log;
+  // Lines about limits: the number of clients since the last line, and the time of the next one.
+  struct limit_line
+  {
+    std::uint64_t count = 0;
+    instant next_at{};
+  };
+  // By kind of client and name of the limit.
+  std::map<std::pair<std::string, std::string>, limit_line> limit_lines;
+  memory_budget memory;
+  connection_budget caller_places;
   fleet_state known_state;
   position_history positions;
   read_position_summary read_positions;
@@ -93,6 +115,7 @@
   std::unique_ptr<http_server> readiness;
   std::unique_ptr<node_metrics> metrics;
   boost::asio::steady_timer timer;
+  boost::asio::steady_timer accept_timer;
   boost::asio::signal_set signals;
   // Versions of the carrier plan and the configuration for which connection limits were set.
   std::pair<std::uint64_t, config_version> limited_for;
--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -17,6 +17,13 @@
 constexpr unsigned redirect_limit = 2;
 // Limit of cached routing keys. Carriers send dropped ones again.
 constexpr std::size_t redirect_key_limit = 4096;
+// Limit of the first messages and keys in the cache, in bytes. Usual ones have less than 100.
+constexpr std::size_t redirect_bytes_limit = 1 << 20;
+// Part of a message that is kept for the log, in bytes: the request's id is near its begin.
+constexpr std::size_t kept_line_bytes = 256;
+// Longest answer that is collected for a caller, in bytes. The caller's connection takes no longer
+// ones either.
+constexpr std::size_t answer_limit_bytes = 4 << 20;
 // Number of messages that a caller may send before the carrier answers its first one.
 constexpr std::size_t queued_line_limit = 16;
 // Sessions move back to their assigned carrier this long after the last change: most restarts come
@@ -58,7 +65,7 @@
     }
     if (!platform::ends_session(line)) {
       ++unanswered_;
-      last_line_ = std::string(line);
+      last_line_ = std::string(line.substr(0, kept_line_bytes));
     }
     connection_->send(stream_, line);
   }
@@ -157,6 +164,13 @@
         unanswered_ -= unanswered_ > 0 ? 1 : 0;
       }
     }
+    if (answer_.size() + line.size() > answer_limit_bytes) {
+      router_.log_.write("answer_too_long",
+                         { { "detail", std::to_string(answer_limit_bytes) + " bytes" } });
+      std::string().swap(answer_);
+      finish();
+      return;
+    }
     answer_ += line;
     answer_ += "\r\n";
     // An answer is passed on as a whole. If the carrier fails before its end, the caller gets
@@ -173,10 +187,14 @@
 
   void handle_redirect(const std::string& key)
   {
-    if (router_.redirect_keys_.size() >= redirect_key_limit) {
+    const auto bytes = first_line_.size() + key.size();
+    if (router_.redirect_keys_.size() >= redirect_key_limit ||
+        router_.redirect_key_bytes_ + bytes > redirect_bytes_limit) {
       router_.redirect_keys_.clear();
+      router_.redirect_key_bytes_ = 0;
     }
     router_.redirect_keys_[first_line_] = decode_routing_key(key);
+    router_.redirect_key_bytes_ += bytes;
     ++redirect_count_;
     connection_.reset();
     open();
@@ -248,7 +266,7 @@
   std::uint64_t unanswered_ = 0;
   // Part of the present answer that has arrived.
   std::string answer_;
-  // Most recent statement, for the log.
+  // Begin of the most recent statement, for the log.
   std::string last_line_;
   transaction_state state_ = transaction_state::idle;
   std::vector<std::string> queued_lines_;
--- a/Source/ProxyNode/relay_router.h
+++ b/Source/ProxyNode/relay_router.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -90,6 +91,7 @@
   std::vector<std::shared_ptr<carrier_connection>> draining_connections_;
   // Routing keys received from carriers, by first message.
   std::map<std::string, routing_key> redirect_keys_;
+  std::size_t redirect_key_bytes_ = 0;
   std::uint64_t placement_revision_ = 0;
   instant placement_changed_at_{};
   bool stopping_ = false;
--- a/Source/ProxyNode/relay_server.cxx
+++ b/Source/ProxyNode/relay_server.cxx
@@ -1,9 +1,13 @@
 #include "ProxyNode/relay_server.h"
 
 #include "Base/guarded_call.h"
+#include "ProxyNode/boot_clock.h"
 #include "ProxyNode/relay_message.h"
+#include "ProxyNode/relay_send_queue.h"
 #include "platform/line_protocol.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -21,6 +25,11 @@
 // Kind, number and space before a caller's message.
 constexpr std::size_t header_bytes = 32;
 constexpr std::string_view line_end = "\r\n";
+// Answers of one session that may wait for the connection, in bytes. Longer answers are not passed
+// to callers either.
+constexpr std::size_t session_queue_limit_bytes = 4 << 20;
+// Interval between two attempts to accept a connection while the system has no descriptors.
+constexpr duration accept_retry_delay = std::chrono::milliseconds(100);
 
 }
 
@@ -31,6 +40,7 @@
   peer(relay_server& server, tcp::socket socket)
     : server_(server)
     , stream_(line_stream::create(std::move(socket), platform::line_limit_bytes + header_bytes))
+    , queue_(stream_)
   {
   }
 
@@ -38,6 +48,21 @@
   {
     stream_->set_timeouts(unacknowledged_timeout, keepalive_idle_time);
     std::weak_ptr<peer> weak = weak_from_this();
+    const auto end = [weak](std::string_view cause) {
+      return [weak, cause] {
+        if (const auto self = weak.lock()) {
+          self->stream_->close_for_limit(cause, "ended by a limit");
+        }
+      };
+    };
+    place_ = server_.places_.open(end("connections"), boot_now());
+    if (server_.hooks_.open_account) {
+      stream_->set_account(server_.hooks_.open_account(end("memory")));
+      queue_ = relay_send_queue(stream_, [weak](std::uint64_t number) {
+        const auto self = weak.lock();
+        return self ? self->open_session_account(number) : memory_budget::account();
+      });
+    }
     stream_->start({ [weak](std::string_view line) {
                       if (const auto self = weak.lock()) {
                         self->handle_line(line);
@@ -47,7 +72,14 @@
                        if (const auto self = weak.lock()) {
                          self->handle_closed();
                        }
-                     } });
+                     },
+                     {},
+                     [weak] {
+                       if (const auto self = weak.lock()) {
+                         self->queue_.pump();
+                       }
+                     },
+                     server_.hooks_.limited });
     send(message_kind::version, server_.hooks_.known_version(), {});
     if (!server_.coordinator_address_.empty()) {
       send(message_kind::coordinator, server_.coordinator_token_, server_.coordinator_address_);
@@ -64,6 +96,15 @@
 
   void tick(instant now)
   {
+    stream_->tick(now);
+    if (!stream_->is_open()) {
+      return;
+    }
+    if (!is_instance_ || stream_->peer_owes_progress()) {
+      place_.set_incomplete(stream_->last_progress_at());
+    } else {
+      place_.set_complete();
+    }
     for (const auto& number : session_numbers()) {
       if (const auto found = sessions_.find(number); found != sessions_.end()) {
         const auto session = found->second;
@@ -99,7 +140,7 @@
     }
   }
 
-  bool flushed() const { return stream_->flushed(); }
+  bool flushed() const { return stream_->flushed() && queue_.empty(); }
   std::size_t session_count() const { return sessions_.size(); }
 
 private:
@@ -122,6 +163,10 @@
       handle_closed();
       return;
     }
+    if (!std::exchange(is_instance_, true)) {
+      // What an instance holds belongs to its sessions, which have their own accounts.
+      stream_->set_account({});
+    }
     const auto& message = parsed.value();
     switch (message.kind) {
       case message_kind::version:
@@ -144,6 +189,7 @@
         if (const auto found = sessions_.find(message.number); found != sessions_.end()) {
           const auto session = std::move(found->second);
           sessions_.erase(found);
+          queue_.discard(message.number);
           session.disconnect();
         }
         return;
@@ -160,7 +206,7 @@
   {
     if (message.kind == message_kind::open) {
       if (const auto routing_key = server_.hooks_.redirect_key(message.text)) {
-        send(message_kind::redirect, message.number, *routing_key);
+        queue(message_kind::redirect, message.number, *routing_key);
         return;
       }
     }
@@ -199,16 +245,52 @@
   {
     while (!text.empty()) {
       const auto end = text.find(line_end);
-      send(message_kind::data, number, text.substr(0, end));
+      queue(message_kind::data, number, text.substr(0, end));
       text.remove_prefix(end == std::string_view::npos ? text.size() : end + line_end.size());
     }
+    if (queue_.bytes_of(number) > session_queue_limit_bytes) {
+      end_session_for_limit(number, "send_queue_full");
+    }
+  }
+
+  void queue(message_kind kind, std::uint64_t number, std::string_view text)
+  {
+    queue_.push(number, encode_relay_message({ kind, number, std::string(text) }));
+  }
+
+  memory_budget::account open_session_account(std::uint64_t number)
+  {
+    return server_.hooks_.open_account([weak = weak_from_this(), number] {
+      if (const auto self = weak.lock()) {
+        self->end_session_for_limit(number, "memory");
+      }
+    });
+  }
+
+  // Ends one session, whose answers are not sent completely. Others go on.
+  void end_session_for_limit(std::uint64_t number, std::string_view cause)
+  {
+    const auto self = shared_from_this();
+    server_.record_limit(cause);
+    queue_.discard(number);
+    const auto found = sessions_.find(number);
+    if (found == sessions_.end()) {
+      // The session has ended. Its last messages are replaced by the end.
+      queue(message_kind::close, number, {});
+      return;
+    }
+    const auto session = found->second;
+    end_session(number, false);
+    session.disconnect();
+    // The session may be in the middle of its answer, so it is released after the present handler.
+    boost::asio::post(stream_->socket().get_executor(), [session] {});
   }
 
   // `all_answered` is true if every message that this carrier handled has its answer.
   void end_session(std::uint64_t number, bool all_answered)
   {
     if (sessions_.erase(number) > 0) {
-      send(message_kind::close, number, all_answered ? all_answered_text : std::string_view());
+      queue(message_kind::close, number, all_answered ? all_answered_text : std::string_view());
     }
   }
 
@@ -224,12 +306,18 @@
 
   relay_server& server_;
   std::shared_ptr<line_stream> stream_;
+  relay_send_queue queue_;
+  connection_budget::place place_;
+  // True once the peer sent a valid message.
+  bool is_instance_ = false;
   std::map<std::uint64_t, session_handle> sessions_;
 };
 
 relay_server::relay_server(boost::asio::io_context& context, hooks callbacks)
   : acceptor_(context)
+  , accept_timer_(context)
   , hooks_(std::move(callbacks))
+  , places_(hooks_.connection_limit)
 {
 }
 
@@ -264,15 +352,44 @@
     if (failure == boost::asio::error::operation_aborted) {
       return;
     }
-    if (!failure) {
+    if (failure) {
+      record_limit("accept_failed");
+      static_cast<void>(places_.close_incomplete());
+      accept_later();
+      return;
+    }
+    if (places_.make_room()) {
       const auto created = std::make_shared<peer>(*this, std::move(socket));
       peers_.insert(created);
       created->start();
+    } else {
+      record_limit("too_many_connections");
+      socket.close();
     }
     accept();
   });
 }
 
+// The system has no descriptors now. An immediate attempt would fail as well and use the processor.
+void
+relay_server::accept_later()
+{
+  accept_timer_.expires_after(accept_retry_delay);
+  accept_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) {
+      accept();
+    }
+  });
+}
+
+void
+relay_server::record_limit(std::string_view cause) const
+{
+  if (hooks_.limited) {
+    hooks_.limited(cause);
+  }
+}
+
 void
 relay_server::tick(instant now)
 {
--- a/Source/ProxyNode/relay_server.h
+++ b/Source/ProxyNode/relay_server.h
@@ -4,9 +4,12 @@
 #include "Net/http_connection.h"
 #include "ProxyNode/line_stream.h"
 #include "ProxyNode/session_handle.h"
+#include "Resources/connection_budget.h"
+#include "Resources/memory_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -36,6 +39,12 @@
     // An unexpected error ended a session while it handled this message of the caller. The message
     // is empty if the session's timer failed.
     std::function<void(std::string_view line, const std::string& what)> session_failed;
+    // Opens the account for the bytes that a session or a new connection holds. Optional.
+    std::function<memory_budget::account(std::function<void()> end)> open_account = {};
+    // A connection or a session is closed because of a limit. Optional.
+    std::function<void(std::string_view cause)> limited = {};
+    // Number of instances that may be connected. The default is for fleets of any size.
+    std::size_t connection_limit = 4096;
   };
 
   // Fails with address_unavailable if the address cannot be bound.
@@ -65,9 +74,13 @@
   class peer;
   relay_server(boost::asio::io_context& context, hooks callbacks);
   void accept();
+  void accept_later();
+  void record_limit(std::string_view cause) const;
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
   hooks hooks_;
+  connection_budget places_;
   std::set<std::shared_ptr<peer>> peers_;
   bool leaving_ = false;
   // Token and address of the coordinator. The address is empty if no coordinator is known.
--- a/Source/ProxyNode/session_driver.cxx
+++ b/Source/ProxyNode/session_driver.cxx
@@ -16,7 +16,11 @@
 // longer is refused.
 constexpr duration configuration_wait_timeout = std::chrono::milliseconds(100);
 // Number of messages that a caller may send ahead of the answers.
+// Other instances of this version send one at a time.
 constexpr std::size_t queued_line_limit = 16;
+// Copies of a message and of the session's values while a statement runs: parsed, encoded for the
+// member, and in the queue of the member's connection.
+constexpr std::size_t copies_while_running = 3;
 
 }
 
@@ -25,6 +29,13 @@
 {
   std::shared_ptr<session_driver> created(new session_driver(std::move(callbacks)));
   created->self_ = created;
+  if (created->handlers_.open_account) {
+    created->account_ = created->handlers_.open_account([weak = created->self_] {
+      if (const auto self = weak.lock()) {
+        self->finish();
+      }
+    });
+  }
   return created;
 }
 
@@ -51,7 +62,18 @@
     return;
   }
   queued_lines_.emplace_back(line);
+  queued_bytes_ += line.size();
   run_next_statement();
+  update_account();
+}
+
+void
+session_driver::update_account()
+{
+  const bool running = session_ && session_->busy();
+  const auto kept = session_ ? session_->kept_bytes() : 0;
+  const auto bytes = running ? copies_while_running * (active_bytes_ + kept) : kept;
+  account_.set(closed_ ? 0 : queued_bytes_ + bytes);
 }
 
 void
@@ -97,6 +119,7 @@
     configuration_wait_since_ = now;
   }
   if (now - *configuration_wait_since_ >= configuration_wait_timeout) {
+    queued_bytes_ -= queued_lines_.front().size();
     queued_lines_.pop_front();
     configuration_wait_since_.reset();
     handlers_.write(platform::encode_error(
@@ -118,6 +141,8 @@
   while (!closed_ && !session_->busy() && !queued_lines_.empty() && !wait_for_configuration()) {
     const auto line = std::move(queued_lines_.front());
     queued_lines_.pop_front();
+    queued_bytes_ -= line.size();
+    active_bytes_ = line.size();
     auto message = platform::parse_caller_message(line);
     if (!message) {
       handlers_.write(platform::encode_error(statement_error::malformed, message.error().message));
@@ -137,9 +162,12 @@
 void
 session_driver::answer(const statement_answer& reply)
 {
+  const auto self = self_.lock();
   handlers_.statement_answered(reply, boot_now() - statement_began_at_);
+  active_bytes_ = 0;
   handlers_.write(platform::encode_answer(reply));
   run_next_statement();
+  update_account();
 }
 
 void
@@ -187,6 +215,7 @@
   }
   const auto self = self_.lock();
   const auto waiting = std::exchange(queued_lines_, {});
+  queued_bytes_ = 0;
   if (!session_) {
     if (first_line_) {
       handlers_.write(platform::encode_error(statement_error::busy, "this instance is stopping"));
@@ -214,6 +243,7 @@
   if (!std::exchange(closed_, true) && session_) {
     session_->disconnect();
   }
+  account_.set(0);
 }
 
 }
--- a/Source/ProxyNode/session_driver.h
+++ b/Source/ProxyNode/session_driver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Proxy/caller_session.h"
+#include "Resources/memory_budget.h"
 
 #include <deque>
 #include <functional>
@@ -31,6 +32,8 @@
     std::function<void()> finish;
     // Reports each answered statement and the time it took.
     std::function<void(const statement_answer&, duration)> statement_answered;
+    // Opens the account for the bytes that the session holds. Optional.
+    std::function<memory_budget::account(std::function<void()> end)> open_account = {};
   };
 
   static std::shared_ptr<session_driver> create(handlers callbacks);
@@ -57,6 +60,7 @@
   bool wait_for_configuration();
   void answer(const statement_answer& reply);
   void finish();
+  void update_account();
 
   handlers handlers_;
   // The session's answer hook holds a weak pointer to this object.
@@ -66,6 +70,10 @@
   std::optional<std::string> first_line_;
   instant first_line_received_at_{};
   std::deque<std::string> queued_lines_;
+  memory_budget::account account_;
+  std::size_t queued_bytes_ = 0;
+  // Size of the message in progress.
+  std::size_t active_bytes_ = 0;
   // When the next statement began to wait for a newer configuration.
   std::optional<instant> configuration_wait_since_;
   instant statement_began_at_{};
