--- /dev/null
+++ b/Utilities/StandIns/standin_line_group.cxx
@@ -0,0 +1,260 @@
+#include "StandIns/standin_line_group.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace persimmonshelf {
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+namespace {
+
+constexpr std::string_view line_end = "\r\n";
+// The only term of the group.
+constexpr std::string_view term_prefix = "1.";
+
+// Removes and returns the text up to the next space.
+std::string_view
+take_word(std::string_view& rest)
+{
+  const auto end = rest.find(' ');
+  const auto word = rest.substr(0, end);
+  rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+  return word;
+}
+
+std::string
+error_line(std::string_view code, const std::string& member)
+{
+  return "ERROR " + std::string(code) + " " + member + "\r\n";
+}
+
+// Result line of a statement that ran.
+std::string
+done_line()
+{
+  return "DONE -\r\n";
+}
+
+}
+
+result<std::unique_ptr<standin_line_group>>
+standin_line_group::create(asio::io_context& context, options group)
+{
+  std::unique_ptr<standin_line_group> created(new standin_line_group(context, std::move(group)));
+  for (const auto& entry : created->options_.members) {
+    BOOST_OUTCOME_TRYV(created->listen(entry));
+  }
+  return created;
+}
+
+standin_line_group::standin_line_group(asio::io_context& context, options group)
+  : context_(context)
+  , options_(std::move(group))
+{
+}
+
+result<void>
+standin_line_group::listen(const member& entry)
+{
+  error_code failure;
+  const tcp::endpoint endpoint(asio::ip::make_address(entry.address.address, failure),
+                               entry.address.port);
+  auto acceptor = std::make_unique<tcp::acceptor>(context_);
+  acceptor->open(endpoint.protocol(), failure);
+  acceptor->set_option(tcp::acceptor::reuse_address(true), failure);
+  acceptor->bind(endpoint, failure);
+  if (!failure) {
+    acceptor->listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return fail(result_code::address_unavailable,
+                format_address(entry.address) + ": " + failure.message());
+  }
+  asio::co_spawn(context_, accept(*acceptor, entry), asio::detached);
+  acceptors_.push_back(std::move(acceptor));
+  return success();
+}
+
+asio::awaitable<void>
+standin_line_group::accept(tcp::acceptor& acceptor, const member& entry)
+{
+  for (;;) {
+    error_code failure;
+    auto socket =
+      co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return;
+    }
+    socket.set_option(tcp::no_delay(true), failure);
+    asio::co_spawn(context_, serve(std::move(socket), entry), asio::detached);
+  }
+}
+
+asio::awaitable<void>
+standin_line_group::serve(tcp::socket socket, const member& entry)
+{
+  error_code failure;
+  std::string buffer;
+  session current;
+  current.serving = &entry;
+  bool started = false;
+  asio::steady_timer timer(context_);
+  for (;;) {
+    const auto length =
+      co_await asio::async_read_until(socket,
+                                      asio::dynamic_buffer(buffer),
+                                      line_end,
+                                      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return;
+    }
+    const std::string line = buffer.substr(0, length - line_end.size());
+    buffer.erase(0, length);
+    std::string_view rest = line;
+    const auto word = take_word(rest);
+    std::string answer;
+    if (!started) {
+      // The group's name, the workspace and the member's id follow.
+      started = word == "START" && take_word(rest) == options_.name;
+      answer = started ? ready(current) : error_line("MISROUTED", entry.id);
+    } else if (word == "QUERY") {
+      // The id of the statement.
+      take_word(rest);
+      timer.expires_after(options_.statement_time);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+      answer = execute(current, rest);
+      answer += ready(current);
+    } else {
+      co_return;
+    }
+    co_await asio::async_write(
+      socket, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, failure));
+    if (failure || !started) {
+      co_return;
+    }
+  }
+}
+
+std::string
+standin_line_group::ready(const session& current) const
+{
+  std::string line = "READY ";
+  line += current.state;
+  line += ' ';
+  line += term_prefix;
+  line += std::to_string(position_) + "\r\n";
+  return line;
+}
+
+// Role, term, received position, and the term above which the member is paused.
+std::string
+standin_line_group::status_row(const member& entry) const
+{
+  return "ROW " + std::string(entry.primary ? "primary" : "replica") + " 1 " +
+         std::string(term_prefix) + std::to_string(position_) + " 0\r\n";
+}
+
+std::string
+standin_line_group::execute(session& current, std::string_view text)
+{
+  std::string_view rest = text;
+  auto word = take_word(rest);
+  if (word == "AFTER") {
+    // Every member has every position.
+    take_word(rest);
+    word = take_word(rest);
+  }
+  if (word == "READ") {
+    return read(current, std::string(rest));
+  }
+  if (word == "WRITE") {
+    const auto item = take_word(rest);
+    return write(current, std::string(item), rest);
+  }
+  if (word == "EXECUTE") {
+    return execute_prepared(current, rest);
+  }
+  if (word == "COMMIT" || word == "ROLLBACK") {
+    return end_transaction(current, word == "COMMIT");
+  }
+  if (word == "STATUS" || word == "PAUSE" || word == "DEMOTE") {
+    return status_row(*current.serving) + done_line();
+  }
+  if (word == "BEGIN") {
+    current.state = 'T';
+  } else if (word == "PREPARE") {
+    const auto name = take_word(rest);
+    current.prepared[std::string(name)] = take_word(rest) == "WRITE";
+  } else if (word == "DEALLOC") {
+    current.prepared.erase(std::string(rest));
+  } else if (word == "RESET") {
+    current = { .serving = current.serving, .state = 'I', .writes = {}, .prepared = {} };
+  } else if (word != "SET") {
+    return error_line("MALFORMED", current.serving->id);
+  }
+  return done_line();
+}
+
+std::string
+standin_line_group::read(const session& current, const std::string& item) const
+{
+  const auto written = current.writes.find(item);
+  if (written != current.writes.end()) {
+    return "ROW " + written->second + "\r\n" + done_line();
+  }
+  const auto found = items_.find(item);
+  return found == items_.end() ? done_line() : "ROW " + found->second + "\r\n" + done_line();
+}
+
+std::string
+standin_line_group::write(session& current, const std::string& item, std::string_view data)
+{
+  if (!current.serving->primary) {
+    return error_line("READONLY", current.serving->id);
+  }
+  if (current.state == 'T') {
+    current.writes[item] = data;
+  } else {
+    items_[item] = data;
+    ++position_;
+  }
+  return done_line();
+}
+
+std::string
+standin_line_group::execute_prepared(session& current, std::string_view rest)
+{
+  const auto name = take_word(rest);
+  const auto prepared = current.prepared.find(std::string(name));
+  if (prepared == current.prepared.end()) {
+    return error_line("NOSTMT", current.serving->id);
+  }
+  const auto item = take_word(rest);
+  return prepared->second ? write(current, std::string(item), rest)
+                          : read(current, std::string(item));
+}
+
+std::string
+standin_line_group::end_transaction(session& current, bool commit)
+{
+  if (commit && !current.writes.empty()) {
+    for (auto& [item, data] : current.writes) {
+      items_[item] = std::move(data);
+    }
+    ++position_;
+  }
+  current.writes.clear();
+  current.state = 'I';
+  return done_line();
+}
+
+}
--- /dev/null
+++ b/Utilities/StandIns/standin_line_group.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Base/error.h"
+#include "Net/http_connection.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmonshelf {
+
+// Simulates one replicated group of database members that speak the line protocol. All members
+// share one set of items, so a replica is never behind. Members are neither replaced nor paused.
+class standin_line_group
+{
+public:
+  struct member
+  {
+    std::string id;
+    tcp_address address;
+    bool primary = false;
+  };
+  struct options
+  {
+    std::string name;
+    std::vector<member> members;
+    // Time that a member takes for each statement.
+    std::chrono::milliseconds statement_time{ 0 };
+  };
+
+  // Fails with address_unavailable if the address of a member cannot be bound.
+  static result<std::unique_ptr<standin_line_group>> create(boost::asio::io_context& context,
+                                                            options group);
+
+private:
+  using tcp = boost::asio::ip::tcp;
+  // State of one connection.
+  struct session
+  {
+    const member* serving = nullptr;
+    // State letter of READY: I (idle), T (open transaction) or E (failed transaction).
+    char state = 'I';
+    // Writes of the open transaction.
+    std::map<std::string, std::string> writes;
+    // Names of prepared statements; true for those that write.
+    std::map<std::string, bool> prepared;
+  };
+
+  standin_line_group(boost::asio::io_context& context, options group);
+  result<void> listen(const member& entry);
+  boost::asio::awaitable<void> accept(tcp::acceptor& acceptor, const member& entry);
+  boost::asio::awaitable<void> serve(tcp::socket socket, const member& entry);
+  std::string ready(const session& current) const;
+  std::string status_row(const member& entry) const;
+  // Runs one statement and returns the lines of its answer, without READY.
+  std::string execute(session& current, std::string_view text);
+  std::string read(const session& current, const std::string& item) const;
+  std::string write(session& current, const std::string& item, std::string_view data);
+  std::string execute_prepared(session& current, std::string_view rest);
+  std::string end_transaction(session& current, bool commit);
+
+  boost::asio::io_context& context_;
+  options options_;
+  std::vector<std::unique_ptr<tcp::acceptor>> acceptors_;
+  std::map<std::string, std::string> items_;
+  // Number of committed transactions, which is the position in the only term.
+  std::uint64_t position_ = 1;
+};
+
+}
