--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -9,12 +9,6 @@
 
 // Statement time limit of routes that set none.
 constexpr duration default_statement_timeout = std::chrono::seconds(2);
-// Limit of a session's values and prepared statements, in bytes: twice the longest message.
-constexpr std::size_t max_kept_bytes = 2 << 20;
-// Values and prepared statements above these limits are not remembered for a member's connection
-// that no session uses, in bytes. There are many such connections, and few sessions come near.
-constexpr std::size_t max_idle_settings_bytes = 16 << 10;
-constexpr std::size_t max_idle_prepared_bytes = 256 << 10;
 // Limit of a caller's text that an error quotes, in bytes.
 constexpr std::size_t max_quoted_bytes = 100;
 
@@ -213,33 +207,6 @@
   answer_success();
 }
 
-// Sets a value or a prepared statement of the session. Returns false, and changes nothing, if the
-// session would exceed its limit.
-bool
-caller_session::keep(const statement& request)
-{
-  const bool is_set = request.kind == statement_kind::set;
-  std::size_t former = 0;
-  if (const auto found = settings_.find(request.name); is_set && found != settings_.end()) {
-    former = found->first.size() + found->second.size() + entry_overhead_bytes;
-  }
-  if (const auto found = prepared_.find(request.name); !is_set && found != prepared_.end()) {
-    former = found->first.size() + bytes_of(found->second);
-  }
-  const auto next =
-    kept_bytes_ - former + request.name.size() + request.argument.size() + entry_overhead_bytes;
-  if (next > max_kept_bytes) {
-    return false;
-  }
-  kept_bytes_ = next;
-  if (is_set) {
-    settings_[request.name] = request.argument;
-  } else {
-    prepared_[request.name] = { request.argument, request.writes };
-  }
-  return true;
-}
-
 // The reason why the session may run nothing now. Sets `route` if the database has one, and the
 // workspace that holds the key now: a key may be withdrawn or given to another workspace.
 std::optional<std::string>
@@ -364,18 +331,6 @@
   run();
 }
 
-// Bounds the copies of a session's state that stay with a member's connection.
-void
-caller_session::forget_large_state()
-{
-  if (bytes_of(connection_->settings) > max_idle_settings_bytes ||
-      bytes_of(connection_->prepared) > max_idle_prepared_bytes) {
-    connection_->settings.clear();
-    connection_->prepared.clear();
-    connection_->needs_reset = true;
-  }
-}
-
 void
 caller_session::release_connection(duration elapsed)
 {
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -140,6 +140,9 @@
   // further answers.
   void disconnect();
 
+  // Limit of a session's values and prepared statements, in bytes: twice the longest message.
+  static constexpr std::size_t max_kept_bytes = 2 << 20;
+
   bool busy() const { return busy_; }
   // Bytes of the session's values and prepared statements.
   std::size_t kept_bytes() const { return kept_bytes_; }
--- a/Source/ProxyNode/caller_connection.cxx
+++ b/Source/ProxyNode/caller_connection.cxx
@@ -254,7 +254,8 @@
   }
   const auto self = shared_from_this();
   stream_->receive_available();
-  if (!closed_ && inactive(include_transactions)) {
+  // A request that waits until the caller reads its answers is served as well.
+  if (!closed_ && inactive(include_transactions) && count_undelivered() == 0) {
     close();
   }
 }
--- a/Source/Resources/resource_plan.cxx
+++ b/Source/Resources/resource_plan.cxx
@@ -23,11 +23,11 @@
 // One probe a second and one reader of the metrics need a few connections.
 constexpr std::uint32_t min_probe_connections = 8;
 // With less, a message of 1 MiB waits for the kernel's timers between its pieces.
-constexpr std::uint64_t min_socket_buffer_bytes = 8U << 10U;
+constexpr std::uint64_t min_receive_buffer_bytes = 8U << 10U;
 // With more, a link of 10 Mbit/s and 50 ms is not used better.
-constexpr std::uint64_t max_socket_buffer_bytes = 64U << 10U;
-// The buffers of all callers together may hold this part of the budget.
-constexpr std::uint64_t socket_buffer_divisor = 4;
+constexpr std::uint64_t max_receive_buffer_bytes = 64U << 10U;
+// The receive buffers of all callers together may hold this part of the budget.
+constexpr std::uint64_t receive_buffer_divisor = 4;
 
 }
 
@@ -45,10 +45,10 @@
   plan.metrics = std::max(share(metrics_percent), min_probe_connections);
   plan.callers =
     usable - plan.relays - plan.peers - plan.readiness - plan.metrics - share(outgoing_percent);
-  plan.socket_buffer_bytes = static_cast<std::size_t>(
-    std::clamp(plan.memory_bytes / socket_buffer_divisor / std::max<std::size_t>(1, plan.callers),
-               min_socket_buffer_bytes,
-               max_socket_buffer_bytes));
+  plan.receive_buffer_bytes = static_cast<std::size_t>(
+    std::clamp(plan.memory_bytes / receive_buffer_divisor / std::max<std::size_t>(1, plan.callers),
+               min_receive_buffer_bytes,
+               max_receive_buffer_bytes));
   return plan;
 }
 
--- a/Source/Resources/resource_plan.h
+++ b/Source/Resources/resource_plan.h
@@ -10,8 +10,8 @@
 {
   // Bytes that all connections and sessions may hold together.
   std::size_t memory_bytes = 0;
-  // Kernel buffer of a caller's connection in each direction, in bytes.
-  std::size_t socket_buffer_bytes = 0;
+  // Kernel buffer for what a caller sends and the process has not read, in bytes.
+  std::size_t receive_buffer_bytes = 0;
   // Numbers of accepted connections.
   std::size_t callers = 0;
   std::size_t relays = 0;
--- a/Tests/ProxyNode/limits_test.cxx
+++ b/Tests/ProxyNode/limits_test.cxx
@@ -233,8 +233,8 @@
 // A caller whose session answers its first message, and leaves the rest to the test.
 struct limited_caller
 {
-  limited_caller()
-    : sockets(context)
+  explicit limited_caller(int buffer_bytes = 0)
+    : sockets(context, buffer_bytes)
   {
     connection = caller_connection::create(std::move(sockets.near),
                                            { [this](const std::string&, caller_output created) {
@@ -247,7 +247,7 @@
                                                 }
                                               };
                                               session.tick = [](instant) {};
-                                              session.idle = [] { return false; };
+                                              session.idle = [this] { return idle; };
                                               session.between_statements = session.idle;
                                               session.disconnect = [] {};
                                               return session;
@@ -286,6 +286,7 @@
   std::shared_ptr<caller_connection> connection;
   std::vector<std::string> lines;
   std::string cause;
+  bool idle = false;
   bool closed = false;
 };
 
@@ -346,3 +347,31 @@
   CHECK(longer.cause == "start_too_long");
   CHECK(longer.received() == "ERROR MALFORMED the first message is longer than 16384 bytes\r\n");
 }
+
+// Guards against requests that are read and dropped by a planned stop while the caller has not read
+// the answers to earlier ones.
+TEST_CASE("a request that waits for the caller to read is not dropped by a planned stop")
+{
+  limited_caller caller(4096);
+  caller.idle = true;
+  boost::asio::write(
+    caller.sockets.far,
+    boost::asio::buffer(std::string("START d k\r\nQUERY 1 READ a\r\nQUERY 2 READ a\r\n")));
+  caller.run();
+  REQUIRE(caller.lines.size() == 2);
+  std::string rows;
+  while (rows.size() < 300'000) {
+    rows += "ROW abcdefghijklmnopqrstuvwxyz\r\n";
+  }
+  caller.output.write(rows + "DONE -\r\nREADY I -\r\n");
+  caller.connection->close_if_inactive(false);
+  caller.run();
+  CHECK(caller.lines.size() == 2);
+  std::string text;
+  for (int i = 0; i < 2000 && caller.lines.size() < 3; ++i) {
+    text += caller.received();
+    caller.run();
+  }
+  CHECK(caller.lines.back() == "QUERY 2 READ a");
+  CHECK_FALSE(caller.closed);
+}
