ProxyLimits: Add slow clients, unread bytes and sessions of other callers

Cause: the first cases do not show clients that make progress slowly, bytes that an instance leaves in its sockets (they count as its memory), and the sessions of others on the same relay connection.

Change: five cases. Answers that are read slowly; large messages that are sent slowly; VmRSS with the receive queues in /proc/net/tcp for callers that send ahead; and two cases in which an idle relayed session must outlive a crowd on the same relay connection. The earlier cases are unchanged.

--- a/Tests/ProxyLimits/caller_crowd_test.cxx
+++ b/Tests/ProxyLimits/caller_crowd_test.cxx
@@ -90,6 +90,54 @@
                 .reads = false });
 }
 
+// 60 callers that request 12 MiB each and read at most 0.7 MB/s each, slower than answers come.
+TEST_CASE("callers that request large answers and read them slowly")
+{
+  const auto fleet = proxy_fleet::create_single();
+  REQUIRE(fleet->request("WRITE large " + std::string(message_limit - 1000, 'x')));
+  check_crowd(*fleet,
+              { listener::callers },
+              60,
+              { .head = start_session,
+                .awaits_ready = true,
+                .text = repeated("QUERY q1 READ large\r\n", 12),
+                .piece = std::string_view("QUERY q1 READ large\r\n").size(),
+                .pause = std::chrono::milliseconds(300),
+                .read_pause = std::chrono::milliseconds(100) });
+}
+
+// 200 callers that need about 3 s for a message of 1 MiB, and always make progress.
+TEST_CASE("callers that send large messages slowly")
+{
+  const auto fleet = proxy_fleet::create_single();
+  check_crowd(*fleet,
+              { listener::callers },
+              200,
+              { .head = start_session,
+                .awaits_ready = true,
+                .text = longest_messages("WRITE item", 1),
+                .piece = 20'000,
+                .pause = std::chrono::milliseconds(60) });
+}
+
+// 40 callers with 24 MiB each. An instance that stops reading leaves the bytes in the buffers of
+// its sockets, which count as its memory.
+TEST_CASE("bytes that callers send ahead and that are not read")
+{
+  const auto fleet = proxy_fleet::create_single();
+  client_crowd crowd(*fleet,
+                     { listener::callers },
+                     40,
+                     { .head = start_session,
+                       .awaits_ready = true,
+                       .text = longest_messages("SET name", 24),
+                       .reads = false });
+  fleet->run_until([&] { return crowd.is_settled(); });
+  const auto held_mb = fleet->peak_held_bytes() >> 20;
+  MESSAGE("memory with unread bytes " << held_mb << " MB");
+  CHECK(held_mb < memory_limit_mb);
+}
+
 // 300 callers that need seconds for one short message.
 TEST_CASE("callers that send single bytes")
 {
--- a/Tests/ProxyLimits/child_process.cxx
+++ b/Tests/ProxyLimits/child_process.cxx
@@ -57,10 +57,21 @@
 
 std::optional<std::size_t>
 child_process::peak_memory() const
+{
+  return status_field("VmHWM:");
+}
+
+std::optional<std::size_t>
+child_process::resident_memory() const
+{
+  return status_field("VmRSS:");
+}
+
+std::optional<std::size_t>
+child_process::status_field(std::string_view name) const
 {
   std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
   for (std::string line; std::getline(status, line);) {
-    constexpr std::string_view name = "VmHWM:";
     if (line.starts_with(name)) {
       return std::stoull(line.substr(name.size())) * 1024;
     }
--- a/Tests/ProxyLimits/child_process.h
+++ b/Tests/ProxyLimits/child_process.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace persimmonshelf {
@@ -25,10 +26,16 @@
   // Largest resident memory so far in bytes (VmHWM). Empty if the process has ended.
   std::optional<std::size_t> peak_memory() const;
 
+  // Present resident memory in bytes (VmRSS). Empty if the process has ended.
+  std::optional<std::size_t> resident_memory() const;
+
   // Number of open descriptors. Empty if the process has ended.
   std::optional<std::size_t> open_descriptors() const;
 
 private:
+  // Value of a field of /proc/PID/status that is in kB, in bytes.
+  std::optional<std::size_t> status_field(std::string_view name) const;
+
   pid_t pid_ = 0;
   bool running_ = true;
 };
--- a/Tests/ProxyLimits/client_crowd.cxx
+++ b/Tests/ProxyLimits/client_crowd.cxx
@@ -27,6 +27,8 @@
 constexpr std::size_t read_size = 64 << 10;
 // Receive buffer of clients that do not read, so that answers wait in the proxy.
 constexpr int small_receive_buffer = 4096;
+// Receive buffer of clients that read slowly, so that each read finds about its full size.
+constexpr int slow_receive_buffer = 64 << 10;
 
 }
 
@@ -44,11 +46,16 @@
                                     std::shared_ptr<tcp::socket> socket)
   {
     std::vector<char> chunk(read_size);
+    asio::steady_timer timer(socket->get_executor());
     error_code failure;
     while (!failure && !self->closed) {
       co_await socket->async_read_some(asio::buffer(chunk),
                                        asio::redirect_error(asio::use_awaitable, failure));
       self->progress();
+      if (self->behaviour.read_pause.count() > 0) {
+        timer.expires_after(self->behaviour.read_pause);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+      }
     }
   }
 
@@ -60,8 +67,9 @@
     const auto& behaviour = self->behaviour;
     error_code failure;
     socket->open(endpoint.protocol(), failure);
-    if (!behaviour.reads) {
-      socket->set_option(asio::socket_base::receive_buffer_size(small_receive_buffer), failure);
+    if (!behaviour.reads || behaviour.read_pause.count() > 0) {
+      const int size = behaviour.reads ? slow_receive_buffer : small_receive_buffer;
+      socket->set_option(asio::socket_base::receive_buffer_size(size), failure);
     }
     co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
     self->progress();
--- a/Tests/ProxyLimits/client_crowd.h
+++ b/Tests/ProxyLimits/client_crowd.h
@@ -30,6 +30,8 @@
   std::chrono::milliseconds pause{ 0 };
   // If false, nothing more is read, and the system's receive buffer is small.
   bool reads = true;
+  // Time between two reads of at most 64 KiB. Above zero, the receive buffer is small, too.
+  std::chrono::milliseconds read_pause{ 0 };
 };
 
 // Clients with the same behaviour, which all connect at once and stay connected.
--- a/Tests/ProxyLimits/proxy_fleet.cxx
+++ b/Tests/ProxyLimits/proxy_fleet.cxx
@@ -1,15 +1,9 @@
 #include "proxy_fleet.h"
 
-#include "platform/line_protocol.h"
+#include "unread_bytes.h"
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
 #include <unistd.h>
@@ -40,11 +34,9 @@
 constexpr unsigned first_port = 20000;
 constexpr unsigned end_port = 32000;
 constexpr unsigned port_step = 37;
-// One attempt of an ordinary caller, longer than the limits of the proxy.
-constexpr std::chrono::seconds attempt_limit{ 5 };
-constexpr std::chrono::milliseconds attempt_interval{ 100 };
 constexpr std::chrono::milliseconds sample_interval{ 20 };
-constexpr std::size_t read_size = 64 << 10;
+// The list of connections is long, so it is read less often.
+constexpr std::chrono::milliseconds held_sample_interval{ 100 };
 constexpr double carrier_cores = 2;
 constexpr double relaying_cores = 0.084;
 
@@ -244,81 +236,31 @@
     }
     context.restart();
     context.run_for(sample_interval);
-    sample_descriptors();
+    sample();
   }
   return true;
 }
 
 void
-proxy_fleet::sample_descriptors()
+proxy_fleet::sample()
 {
   for (std::size_t i = 0; i < instances_.size(); ++i) {
     peak_descriptors_[i] =
       std::max(peak_descriptors_[i], instances_[i]->open_descriptors().value_or(0));
   }
-}
-
-// Sets the answer, which is empty if the session was refused or closed.
-asio::awaitable<void>
-proxy_fleet::attempt(std::string text, std::shared_ptr<std::optional<std::string>> answer)
-{
-  error_code failure;
-  const auto shared_socket = std::make_shared<tcp::socket>(context);
-  auto& socket = *shared_socket;
-  asio::steady_timer limit(context, attempt_limit);
-  limit.async_wait([shared_socket](const error_code& cancelled) {
-    if (!cancelled) {
-      error_code ignored;
-      shared_socket->close(ignored);
-    }
-  });
-  co_await socket.async_connect(endpoint(listener::callers),
-                                asio::redirect_error(asio::use_awaitable, failure));
-  const std::string query = "QUERY ordinary " + text + "\r\n";
-  std::string received;
-  std::vector<char> chunk(read_size);
-  for (const auto* message : { &start_line, &query }) {
-    received.clear();
-    if (!failure) {
-      co_await asio::async_write(
-        socket, asio::buffer(*message), asio::redirect_error(asio::use_awaitable, failure));
-    }
-    while (!failure && !platform::ends_with_ready(received)) {
-      const auto length = co_await socket.async_read_some(
-        asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, failure));
-      received.append(chunk.data(), length);
-    }
+  const auto now = std::chrono::steady_clock::now();
+  if (now >= next_held_sample_) {
+    next_held_sample_ = now + held_sample_interval;
+    peak_held_bytes_ = std::max(peak_held_bytes_,
+                                instances_.back()->resident_memory().value_or(0) +
+                                  unread_bytes(endpoint(listener::callers)));
   }
-  limit.cancel();
-  *answer = failure ? std::string() : received;
-}
-
-std::optional<std::string>
-proxy_fleet::request(const std::string& text)
-{
-  auto answer = std::make_shared<std::optional<std::string>>("");
-  auto next = std::chrono::steady_clock::now();
-  const bool answered = run_until([&] {
-    if (!*answer) {
-      return false;
-    }
-    if ((*answer)->find("DONE ") != std::string::npos) {
-      return true;
-    }
-    if (std::chrono::steady_clock::now() >= next) {
-      next = std::chrono::steady_clock::now() + attempt_interval;
-      answer = std::make_shared<std::optional<std::string>>();
-      asio::co_spawn(context, attempt(text, answer), asio::detached);
-    }
-    return false;
-  });
-  return answered ? *answer : std::nullopt;
 }
 
 void
 proxy_fleet::check_bounds()
 {
-  sample_descriptors();
+  sample();
   for (std::size_t i = 0; i < instances_.size(); ++i) {
     const auto memory_mb = instances_[i]->peak_memory().value_or(0) / bytes_per_megabyte;
     CAPTURE(i);
--- a/Tests/ProxyLimits/proxy_fleet.h
+++ b/Tests/ProxyLimits/proxy_fleet.h
@@ -60,6 +60,20 @@
   // retry, so that sessions are begun until one is answered with DONE. Empty after `wait_limit`.
   std::optional<std::string> request(const std::string& text);
 
+  // Begins a session with the caller's instance and returns its connection. Empty after
+  // `wait_limit`.
+  std::shared_ptr<boost::asio::ip::tcp::socket> begin_session();
+
+  // Sends `request` on the session and returns the answer with its READY. Empty if the connection
+  // ends first, and after `wait_limit`.
+  std::optional<std::string> request_on(
+    const std::shared_ptr<boost::asio::ip::tcp::socket>& session,
+    const std::string& text);
+
+  // Most memory that the caller's instance had resident together with the bytes that callers sent
+  // and that it had not read, in bytes.
+  std::size_t peak_held_bytes() const { return peak_held_bytes_; }
+
   // Checks with doctest that the instances run and have stayed below the bounds, and prints the
   // figures.
   void check_bounds();
@@ -73,9 +87,21 @@
   boost::asio::ip::tcp::endpoint endpoint_of(std::size_t instance, listener kind) const;
   void start_platform();
   void start_instance(double processor_cores);
-  void sample_descriptors();
-  boost::asio::awaitable<void> attempt(std::string text,
-                                       std::shared_ptr<std::optional<std::string>> answer);
+  void sample();
+  // Sends the message and returns what arrives until READY, empty if the connection ends first.
+  static boost::asio::awaitable<std::string> exchange(
+    std::shared_ptr<boost::asio::ip::tcp::socket> socket,
+    std::string message);
+  // One attempt to begin a session and to send the query on it. Sets the answer, which is empty if
+  // the session was refused or closed.
+  static boost::asio::awaitable<void> attempt(std::shared_ptr<boost::asio::ip::tcp::socket> socket,
+                                              boost::asio::ip::tcp::endpoint endpoint,
+                                              std::string query,
+                                              std::shared_ptr<std::optional<std::string>> answer);
+  // Repeats the attempt until its answer contains `expected`.
+  std::shared_ptr<boost::asio::ip::tcp::socket> repeat_attempts(const std::string& query,
+                                                                const std::string& expected,
+                                                                std::string& answer);
 
   std::size_t instance_count_;
   std::string folder_;
@@ -84,6 +110,8 @@
   std::vector<std::unique_ptr<child_process>> instances_;
   // Most descriptors that each instance had open.
   std::vector<std::size_t> peak_descriptors_;
+  std::size_t peak_held_bytes_ = 0;
+  std::chrono::steady_clock::time_point next_held_sample_{};
 };
 
 }
--- a/Tests/ProxyLimits/relayed_crowd_test.cxx
+++ b/Tests/ProxyLimits/relayed_crowd_test.cxx
@@ -12,6 +12,19 @@
 
 using listener = proxy_fleet::listener;
 
+// Checks that a session that began before the crowd and did nothing meanwhile still answers.
+void
+check_other_session(client_behaviour behaviour)
+{
+  const auto fleet = proxy_fleet::create_relayed();
+  REQUIRE(fleet->request("WRITE large " + std::string(message_limit - 1000, 'x')));
+  const auto session = fleet->begin_session();
+  REQUIRE(session);
+  client_crowd crowd(*fleet, { listener::callers }, 60, std::move(behaviour));
+  fleet->run_until([&] { return crowd.is_settled(); });
+  CHECK_MESSAGE(fleet->request_on(session, "READ first"), "the session of another caller ended");
+}
+
 }
 
 // 250 callers with 4 MiB each.
@@ -78,3 +91,24 @@
               { .head = [](std::size_t number) { return "START db1 k" + std::to_string(number); },
                 .text = std::string(1'000'000, 'x') + "\r\n" });
 }
+
+// 60 callers with 12 MiB each. Sessions share the connection to the carrier, and if it ends because
+// too many bytes wait to be sent, all of them end.
+TEST_CASE("relayed callers that send ahead do not end the sessions of others")
+{
+  check_other_session({ .head = start_session,
+                        .awaits_ready = true,
+                        .text = longest_messages("SET name", 12),
+                        .reads = false });
+}
+
+// 60 callers that request 12 MiB each, in the other direction of the shared connection.
+TEST_CASE("relayed callers that do not read do not end the sessions of others")
+{
+  check_other_session({ .head = start_session,
+                        .awaits_ready = true,
+                        .text = repeated("QUERY q1 READ large\r\n", 12),
+                        .piece = std::string_view("QUERY q1 READ large\r\n").size(),
+                        .pause = std::chrono::milliseconds(300),
+                        .reads = false });
+}
