--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -9,6 +9,14 @@
 
 // Statement time limit of routes that set none.
 constexpr duration default_statement_timeout = std::chrono::seconds(2);
+// Limit of a caller's text that an error quotes, in bytes.
+constexpr std::size_t max_quoted_bytes = 100;
+
+std::string
+quote(const std::string& text)
+{
+  return text.size() <= max_quoted_bytes ? text : text.substr(0, max_quoted_bytes) + "...";
+}
 
 }
 
@@ -118,7 +126,8 @@
       break;
     case statement_kind::execute:
       if (!prepared_.contains(next.name)) {
-        answer_error(statement_error::unknown_statement, "no prepared statement " + next.name);
+        answer_error(statement_error::unknown_statement,
+                     "no prepared statement " + quote(next.name));
         return;
       }
       break;
@@ -174,13 +183,21 @@
       }
       break;
     case statement_kind::set:
-      settings_[request.name] = request.argument;
-      break;
     case statement_kind::prepare:
-      prepared_[request.name] = { request.argument, request.writes };
+      if (!keep(request)) {
+        hooks_->log("session_too_large", request.id, std::to_string(kept_bytes_) + " bytes");
+        answer_error(statement_error::malformed,
+                     "the values and prepared statements of the session would exceed " +
+                       std::to_string(max_kept_bytes) + " bytes or " +
+                       std::to_string(max_settings) + " values");
+        return;
+      }
       break;
     case statement_kind::deallocate:
-      prepared_.erase(request.name);
+      if (const auto found = prepared_.find(request.name); found != prepared_.end()) {
+        kept_bytes_ -= found->first.size() + bytes_of(found->second);
+        prepared_.erase(found);
+      }
       break;
     default:
       answer_error(statement_error::malformed, "malformed statement");
@@ -197,7 +214,7 @@
   const auto& configuration = hooks_->configuration();
   route = configuration.route_of(database_);
   if (route == nullptr) {
-    return "no route for database " + database_.get();
+    return "no route for database " + quote(database_.get());
   }
   const auto* workspace = configuration.workspace_of_key(key_);
   if (workspace == nullptr && !route->open_to_all) {
@@ -344,6 +361,7 @@
 caller_session::release_connection(duration elapsed)
 {
   const auto number = connection_->number;
+  forget_large_state();
   connection_.reset();
   in_transaction_ = false;
   hooks_->release(number, elapsed);
@@ -377,6 +395,7 @@
     close_connection();
     return;
   }
+  forget_large_state();
   connection_.reset();
   in_transaction_ = false;
   // The session may be destroyed before the answer arrives, so the handler keeps the hooks.
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -8,6 +8,7 @@
 #include "Proxy/position_history.h"
 #include "Proxy/statement.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -156,7 +157,15 @@
   // further answers.
   void disconnect();
 
+  // Limit of a session's values and prepared statements, in bytes: twice the longest message.
+  static constexpr std::size_t max_kept_bytes = 2 << 20;
+  // Limit of a session's values. They are compared and copied for each statement, which takes 0.1
+  // ms with as many values.
+  static constexpr std::size_t max_settings = 1000;
+
   bool busy() const { return busy_; }
+  // Bytes of the session's values and prepared statements.
+  std::size_t kept_bytes() const { return kept_bytes_; }
   transaction_state state() const { return state_; }
   const workspace_id& workspace() const { return workspace_; }
 
@@ -166,6 +175,7 @@
   void answer_error(statement_error error, std::string text);
   void fail_statement(statement_error error, const std::string& text);
   void handle_local(const statement& request);
+  bool keep(const statement& request);
   bool is_write(const statement& request) const;
   void start_operation(const statement& request);
   void on_admission(std::optional<duration> refused_for);
@@ -191,6 +201,7 @@
   void log_if_late(const member_reply& reply) const;
   void report_run_time(const member_reply& reply);
   std::string describe_position() const;
+  void forget_large_state();
   void release_connection(duration elapsed);
   void close_connection();
   void roll_back_connection();
@@ -210,6 +221,7 @@
   std::shared_ptr<caller_session*> self_;
   session_settings settings_;
   std::map<std::string, prepared_statement> prepared_;
+  std::size_t kept_bytes_ = 0;
   transaction_state state_ = transaction_state::idle;
   bool busy_ = false;
   std::optional<session_transaction> transaction_;
--- a/Utilities/check-dependencies.sh
+++ b/Utilities/check-dependencies.sh
@@ -10,7 +10,8 @@
   [Engine]="Base Wire Group Session Limits Home Control Account Entry Engine"
   [Net]="Base Net"
   [Places]="Base Places" [Proxy]="Base Places Proxy" [FleetWire]="FleetWire"
-  [ProxyNode]="Base Net Places Proxy FleetWire ProxyNode"
+  [Resources]="Base Resources"
+  [ProxyNode]="Base Net Places Resources Proxy FleetWire ProxyNode"
   [Adapters]="Base Wire Group Session Limits Home Control Account Entry Engine Net Adapters")
 status=0
 for module in "${!allowed[@]}"; do
