Proxy: Replace primaries that stepped down without a record

Each failover asked its primary to step down and then wrote the group's record, but a record was refused while another write of the lease was in flight, and the failover then ended. Once the members' list showed the old primary as a replica, a group without a record had no primary, and the coordinator replaces only primaries that it knows.

- A failover whose primary stepped down writes the record again after the usual pause until it is written or the lease is lost.
- Records wait for the lease write in flight and are written one after the other: at most one for each group, the newest wins.
They are reported as not written when the lease is lost.
- A group with members but neither a record nor a listed primary for role_mismatch_timeout (3 s), while the list is reliable, gets a new primary.
The last listed primary is recorded as the one that is replaced.
A group in which this instance never saw a primary is left alone, because its first one may not have registered yet.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -12,7 +12,8 @@
 // Registered instances without a report for this long are removed from the register.
 constexpr duration registration_timeout = std::chrono::seconds(8);
 // A recorded primary that lists itself as a replica for this long has lost the primary role by
-// other means.
+// other means. So has the last primary of a group without a record in which nobody is listed as
+// primary for as long.
 constexpr duration role_mismatch_timeout = std::chrono::seconds(3);
 // Delay before the first check of the primaries, to receive reports of all instances.
 constexpr duration startup_delay = std::chrono::milliseconds(400);
@@ -418,6 +419,25 @@
   return evacuation;
 }
 
+// A group whose former primary this instance does not know is left alone: its first primary may not
+// have registered yet. With a former primary the replacement knows which member has to step down,
+// and its record names a member.
+std::optional<member_id>
+coordinator::lost_unrecorded_primary(const std::string& group,
+                                     bool has_members,
+                                     bool list_is_reliable)
+{
+  const auto now = hooks_.now();
+  const auto former = fleet_state_.last_listed_primary(group);
+  // A revision of zero means that the records have not been read yet.
+  if (!former || !has_members || !list_is_reliable || fleet_state_.groups_revision() == 0) {
+    primary_unknown_since_.erase(group);
+    return std::nullopt;
+  }
+  const auto since = primary_unknown_since_.try_emplace(group, now).first->second;
+  return now - since > role_mismatch_timeout ? former : std::nullopt;
+}
+
 void
 coordinator::check_groups(bool list_is_reliable)
 {
@@ -453,8 +473,19 @@
       group_failover->resume(record->second, fleet_state_.groups_revision());
     }
     const auto primary = fleet_state_.primary_of(group.name, now);
-    if (!primary || group_failover->in_progress()) {
+    const bool all_evacuated = !members.empty() && evacuation.leaving.size() == members.size();
+    if (primary || group_failover->in_progress()) {
+      primary_unknown_since_.erase(group.name);
+    }
+    if (group_failover->in_progress()) {
+      last_consistent_at_[group.name] = now;
+    } else if (!primary) {
       last_consistent_at_[group.name] = now;
+      const auto former = lost_unrecorded_primary(group.name, !members.empty(), list_is_reliable);
+      if (former && !all_evacuated) {
+        group_failover->start(fleet_state_.record_of(group.name, *former),
+                              replacement_reason::unreachable);
+      }
     } else if (primary->usable) {
       auto reason = failure_detector_.assess(
         primary->member, members, evacuation.leaving, list_is_reliable, now);
@@ -467,7 +498,7 @@
                  now - last_consistent_at_[group.name] > role_mismatch_timeout) {
         reason = replacement_reason::unreachable;
       }
-      if (!members.empty() && evacuation.leaving.size() == members.size()) {
+      if (all_evacuated) {
         // No member may serve, so a replacement would only stop the group.
         reason = replacement_reason::none;
       }
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -99,6 +99,11 @@
   void grant_tokens(const instance_report& report, fleet_view& view);
   member_evacuation evacuation_of(const std::vector<listed_member>& members, instant now) const;
   void check_groups(bool list_is_reliable);
+  // The former primary of a group that has members but for long neither a record nor a member that
+  // lists itself as primary. Empty while that is not established.
+  std::optional<member_id> lost_unrecorded_primary(const std::string& group,
+                                                   bool has_members,
+                                                   bool list_is_reliable);
   observation_outcome record_position(const std::string& group, const timed_position& position);
 
   instance_id own_;
@@ -119,6 +124,8 @@
   // Time when a group was last in the middle of a replacement, or its recorded primary was last
   // listed as primary.
   std::map<std::string, instant> last_consistent_at_;
+  // Since when no primary of a group is recorded or listed.
+  std::map<std::string, instant> primary_unknown_since_;
   std::map<std::string, timed_position> positions_;
   // Digest of the members' list that was confirmed at `digested_at_`.
   std::uint64_t members_digest_ = 0;
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -46,6 +46,8 @@
            { "choose", [this] { query_candidates(); } },
            { "choose_later", [this] { retry_choice(); } },
            { "publish_later", [this] { retry_later(); } },
+           // The old primary stepped down, so nobody leads until the replacement is finished.
+           { "record_later", [this] { retry_later(); } },
            { "await_fence", [this] { await_fence(); } },
            { "exclude", [this] { excluded_members_.insert(*chosen_); } },
            { "promote", [this] { promote(); } },
@@ -382,7 +384,9 @@
     return;
   }
   retry_pending_ = false;
-  if (chart_->state() == "choosing") {
+  if (chart_->state() == "recording_step") {
+    record_change();
+  } else if (chart_->state() == "choosing") {
     query_candidates();
   } else if (chart_->state() == "awaiting_fence") {
     check_choice();
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -69,6 +69,9 @@
   }
   for (const auto& member : members) {
     removed_members_.erase(member.id);
+    if (member.claims_primary) {
+      last_listed_primaries_[member.group] = member.id;
+    }
   }
   std::erase_if(removed_members_, [&](const auto& entry) {
     return confirmed_at - entry.second.removed_at > removed_member_retention;
@@ -138,6 +141,14 @@
   return std::nullopt;
 }
 
+std::optional<member_id>
+fleet_state::last_listed_primary(const std::string& group) const
+{
+  const auto found = last_listed_primaries_.find(group);
+  return found == last_listed_primaries_.end() ? std::nullopt
+                                               : std::optional<member_id>(found->second);
+}
+
 group_record
 fleet_state::record_of(const std::string& group, const member_id& primary) const
 {
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -92,6 +92,9 @@
   const std::map<std::string, group_record>& groups() const { return groups_; }
   // The group's record; one that names `primary` in an unknown term if there is none.
   group_record record_of(const std::string& group, const member_id& primary) const;
+  // The member that most recently listed itself as the group's primary, also if it no longer does.
+  // Empty if this instance has not read a list with one.
+  std::optional<member_id> last_listed_primary(const std::string& group) const;
   std::uint64_t groups_revision() const { return groups_revision_; }
   std::optional<instant> configuration_confirmed_at() const { return configuration_confirmed_at_; }
   std::optional<instant> groups_confirmed_at() const { return groups_confirmed_at_; }
@@ -121,6 +124,7 @@
     instant removed_at{};
   };
   std::map<member_id, removed_member> removed_members_;
+  std::map<std::string, member_id> last_listed_primaries_;
   std::map<std::string, group_record> groups_;
   std::uint64_t groups_revision_ = 0;
   std::optional<instant> configuration_confirmed_at_;
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -9,6 +9,7 @@
 #include "Proxy/fleet_state.h"
 #include "Proxy/position_history.h"
 #include "Proxy/rate_limiter.h"
+#include "Proxy/record_write_queue.h"
 #include "Proxy/store_contact_tracker.h"
 #include "Proxy/token_request_pacer.h"
 #include "ProxyNode/api_client.h"
@@ -143,8 +144,14 @@
   void register_self(instant now);
   void unregister_expired(instant now);
   void write_lease(const coordinator_row& row, std::uint64_t expected);
+  // Writes the record together with the lease. It waits while another write of the lease is in
+  // flight, and is not written if the lease is lost meanwhile.
   void write_group_record(const group_record& record,
                           std::function<void(bool written, std::uint64_t revision)> done);
+  void start_record_write(record_write_queue::entry entry);
+  void write_next_record();
+  void report_unwritten(record_write_queue::entry entry);
+  void drop_waiting_records();
   coordinator_lease::write_outcome lease_outcome(const api_reply& reply,
                                                  std::uint64_t& revision) const;
   void promote(const std::string& group,
@@ -176,6 +183,7 @@
   boost::asio::ip::udp::endpoint datagram_sender_;
   std::vector<char> datagram_buffer_;
   coordinator_lease lease_;
+  record_write_queue waiting_records_;
   std::unique_ptr<coordinator> coordinator_;
   // Former coordinator objects whose calls may still be answered, each with the time from which no
   // answer can arrive.
--- a/Source/ProxyNode/fleet_participant_coordinator.cxx
+++ b/Source/ProxyNode/fleet_participant_coordinator.cxx
@@ -57,19 +57,61 @@
                 if (outcome != coordinator_lease::write_outcome::written) {
                   fleet_watcher_.poll_now();
                 }
+                write_next_record();
               });
 }
 
+void
+fleet_participant::report_unwritten(record_write_queue::entry entry)
+{
+  log_.write("record_not_written", { { "group", entry.record.group } });
+  boost::asio::post(context_, [done = std::move(entry.done)] { done(false, 0); });
+}
+
+void
+fleet_participant::drop_waiting_records()
+{
+  while (auto waiting = waiting_records_.take()) {
+    report_unwritten(std::move(*waiting));
+  }
+}
+
+void
+fleet_participant::write_next_record()
+{
+  while (!lease_.write_in_flight()) {
+    auto waiting = waiting_records_.take();
+    if (!waiting) {
+      return;
+    }
+    start_record_write(std::move(*waiting));
+  }
+}
+
 void
 fleet_participant::write_group_record(
   const group_record& record,
   std::function<void(bool written, std::uint64_t revision)> done)
+{
+  record_write_queue::entry entry{ record, std::move(done) };
+  if (!lease_.holds(boot_now())) {
+    report_unwritten(std::move(entry));
+    return;
+  }
+  if (auto replaced = waiting_records_.add(std::move(entry))) {
+    report_unwritten(std::move(*replaced));
+  }
+  write_next_record();
+}
+
+void
+fleet_participant::start_record_write(record_write_queue::entry entry)
 {
   const auto now = boot_now();
   const auto expected = lease_.revision();
   const auto row = lease_.holds(now) ? lease_.begin_renewal(now) : std::nullopt;
   if (!row) {
-    boost::asio::post(context_, [done = std::move(done)] { done(false, 0); });
+    report_unwritten(std::move(entry));
     return;
   }
   platform::store_write lease;
@@ -79,22 +121,23 @@
   lease.value = encode_coordinator(*row);
   platform::store_write group;
   group.table = fleet_table;
-  group.key = std::string(group_key_prefix) + record.group;
-  group.value = encode_group(record);
+  group.key = std::string(group_key_prefix) + entry.record.group;
+  group.value = encode_group(entry.record);
   group.conditional = false;
   store_.post(platform::write_target,
               platform::encode_write({ lease, group }),
               write_timeout,
-              [this, record, now, done = std::move(done)](const api_reply& reply) {
+              [this, now, entry = std::move(entry)](const api_reply& reply) {
                 std::uint64_t revision = 0;
                 const auto outcome = lease_outcome(reply, revision);
                 lease_.write_done(outcome, revision, boot_now());
                 const bool written = outcome == coordinator_lease::write_outcome::written;
                 if (written) {
-                  fleet_state_.update_groups({ record }, revision, now);
+                  fleet_state_.update_groups({ entry.record }, revision, now);
                   hooks_.changed();
                 }
-                done(written, revision);
+                entry.done(written, revision);
+                write_next_record();
                 if (written && coordinator_) {
                   coordinator_->send_views();
                   // This instance confirms the record too.
@@ -135,6 +178,7 @@
                 if (outcome == coordinator_lease::write_outcome::written) {
                   update_plan(plan, "decided by this instance");
                 }
+                write_next_record();
               });
 }
 
@@ -168,6 +212,7 @@
   log_.write(holding ? "duty_taken" : "duty_lost",
              { { "token", std::to_string(lease_.token().get()) }, { "reason", reason } });
   if (!holding) {
+    drop_waiting_records();
     // This instance continues to answer reports until another one takes the coordinator role. Its
     // views then carry no lease, but still carry tokens and the state it has.
     if (coordinator_) {
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -606,6 +606,63 @@
   }
 }
 
+// Guards against a group that stays without a primary: its primary stepped down without a record,
+// and was then listed as a replica like all others.
+TEST_CASE("a group whose primary stepped down unrecorded gets a new one")
+{
+  replacement_bench bench;
+  bench.unreachable.clear();
+  bench.members["m1"].primary = false;
+  bench.members["m2"].primary = false;
+  bench.fleet = fleet_state({ ms(4750), primary_use_limit, commit_answer_limit });
+  bench.fleet.update_configuration(make_configuration(), bench.now);
+  const auto list = [&](bool m2_leads) {
+    bench.fleet.update_members({ make_member("m1", "z1", false),
+                                 make_member("m2", "z2", m2_leads),
+                                 make_member("m3", "z3", false) },
+                               bench.now);
+  };
+  const auto records = [&] { return bench.fleet.groups().size(); };
+  bench.take_over();
+  SUBCASE("after a while, the most advanced member leads")
+  {
+    bench.members["m1"].received = point(4, 59);
+    list(true);
+    bench.run(1000);
+    list(false);
+    bench.run(2800);
+    CHECK(records() == 0);
+    bench.run(2000);
+    CHECK(bench.promoted == std::vector<std::string>{ "m3" });
+    CHECK(bench.fleet.groups().at("g").primary == member_id("m3"));
+  }
+  SUBCASE("a member that leads already is recorded")
+  {
+    list(true);
+    list(false);
+    bench.members["m3"] = { true, term(5), point(5, 60), term(0) };
+    bench.run(6000);
+    CHECK(bench.promoted.empty());
+    CHECK(bench.fleet.groups().at("g").primary == member_id("m3"));
+  }
+  SUBCASE("not while the fleet starts and the first primary is not listed yet")
+  {
+    list(false);
+    bench.run(8000);
+    CHECK(records() == 0);
+    CHECK(bench.commanded.empty());
+  }
+  SUBCASE("not while all members are in evacuated zones")
+  {
+    list(true);
+    list(false);
+    bench.fleet.update_evacuations(
+      { { zone_id("z1"), zone_id("z2"), zone_id("z3") }, 2, bench.now });
+    bench.run(8000);
+    CHECK(records() == 0);
+  }
+}
+
 // Guards against views that end an evacuation: a coordinator without knowledge must not send an
 // empty set as if it were one that it read.
 TEST_CASE("views carry the evacuated zones with the age of the read")
--- a/Tests/Proxy/failover_test.cxx
+++ b/Tests/Proxy/failover_test.cxx
@@ -526,6 +526,30 @@
   CHECK_FALSE(down.group_failover->in_progress());
 }
 
+// Guards against a group without a primary: the record of a primary that had stepped down was
+// refused because another write of the lease was in flight, and the replacement was given up.
+TEST_CASE("the record of a primary that stepped down is written again until the lease is lost")
+{
+  for (const bool lease_lost : { false, true }) {
+    CAPTURE(lease_lost);
+    failover_bench bench;
+    bench.fenced = true;
+    bench.store_answers = false;
+    bench.start(replacement_reason::leaving);
+    bench.run(500);
+    REQUIRE_FALSE(bench.members["m1"].primary);
+    CHECK(bench.group_failover->in_progress());
+    if (lease_lost) {
+      bench.group_failover->duty_lost();
+      CHECK_FALSE(bench.group_failover->in_progress());
+    }
+    bench.store_answers = true;
+    bench.run(500);
+    CHECK(bench.promoted.size() == (lease_lost ? 0 : 1));
+    CHECK(bench.records.size() == (lease_lost ? 0 : 2));
+  }
+}
+
 // Guards against a promotion while an instance that did not report may still pass on commits.
 TEST_CASE("the fence waits for every registered instance or until its evidence expires")
 {
