Resources, Net: Drop unused aliases and includes, state the progress window clearly

A last reading of the change found two aliases that http_server_connection does not use, includes of the budgets' headers that only their sources need, and a comment that mixed the reasons for the window and for its bytes. No behaviour changes.

--- a/Source/Base/progress_check.h
+++ b/Source/Base/progress_check.h
@@ -38,7 +38,8 @@
     return too_slow;
   }
 
-  // 100 bytes/s are below the slowest link that callers use, and longer than any retransmission.
+  // The window is longer than any retransmission takes, and 100 bytes/s are below the slowest link
+  // that callers use.
   static constexpr duration window = std::chrono::seconds(10);
   static constexpr std::size_t min_window_bytes = 1024;
 
--- a/Source/Net/http_server_connection.h
+++ b/Source/Net/http_server_connection.h
@@ -37,9 +37,6 @@
 class http_server_connection : public std::enable_shared_from_this<http_server_connection>
 {
 public:
-  using server_state = std::weak_ptr<void>;
-  using finish = std::function<void(accepted_number)>;
-
   http_server_connection(tcp::socket socket, accepted_number number)
     : socket_(std::move(socket))
     , number_(number)
--- a/Source/Resources/connection_budget.cxx
+++ b/Source/Resources/connection_budget.cxx
@@ -1,6 +1,7 @@
 #include "Resources/connection_budget.h"
 
 #include <optional>
+#include <unordered_map>
 #include <utility>
 
 namespace persimmonshelf {
--- a/Source/Resources/connection_budget.h
+++ b/Source/Resources/connection_budget.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <unordered_map>
 
 namespace persimmonshelf {
 
--- a/Source/Resources/memory_budget.cxx
+++ b/Source/Resources/memory_budget.cxx
@@ -1,5 +1,6 @@
 #include "Resources/memory_budget.h"
 
+#include <unordered_map>
 #include <utility>
 
 namespace persimmonshelf {
--- a/Source/Resources/memory_budget.h
+++ b/Source/Resources/memory_budget.h
@@ -4,8 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <string_view>
-#include <unordered_map>
 
 namespace persimmonshelf {
 
