Proxy: Log prepared statements and refused preparations, count members' answers

A refused RESET, SET or PREPARE ended as "no member could be reached", like a member that is down, and no line told under which name a connection was given a shape. No decision changes.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -9,15 +9,6 @@
 
 // Statement time limit of routes that set none.
 constexpr duration default_statement_timeout = std::chrono::seconds(2);
-// Limit of a caller's text that an error quotes, in bytes.
-constexpr std::size_t max_quoted_bytes = 100;
-
-std::string
-quote(const std::string& text)
-{
-  return text.size() <= max_quoted_bytes ? text : text.substr(0, max_quoted_bytes) + "...";
-}
-
 }
 
 caller_session::caller_session(database_id database, std::string key, session_hooks hooks)
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -15,6 +15,33 @@
   return (prepared.writes ? "w." : "r.") + prepared.shape;
 }
 
+// The command that prepares a connection, as the log shows it. Values are left out.
+std::string
+describe(const member_command& command)
+{
+  using command_kind = member_command::command_kind;
+  std::string text(name_of(command.kind));
+  if (command.kind == command_kind::set || command.kind == command_kind::prepare) {
+    text += " " + quote(command.name);
+  }
+  if (command.kind == command_kind::prepare) {
+    text += (command.writes ? " as write \"" : " as read \"") + quote(command.argument) + "\"";
+  }
+  return text;
+}
+
+void
+log_refused_preparation(const session_hooks& hooks,
+                        const std::string& id,
+                        const std::string& command,
+                        const statement_answer& answer)
+{
+  hooks.log("preparation_refused",
+            id,
+            command + ", answered " + std::string(name_of(*answer.error)) + " " +
+              quote(answer.error_text));
+}
+
 }
 
 // Decides whether the statement, or the transaction that it starts, needs the primary, and which
@@ -174,10 +201,20 @@
   const auto number = connection_->number;
   std::weak_ptr<caller_session*> weak = self_;
   const auto failed = std::make_shared<bool>(false);
+  const auto hooks = hooks_;
+  const auto id = active_->request.id;
   for (std::size_t i = 0; i < commands.size(); ++i) {
     const bool last = i + 1 == commands.size();
-    hooks_->send(number, std::move(commands[i]), [weak, last, failed](const member_reply& reply) {
+    const auto description = connection_->member.get() + " connection " +
+                             std::to_string(number.get()) + ": " + describe(commands[i]);
+    if (commands[i].kind == member_command::command_kind::prepare) {
+      hooks_->log("statement_prepared", active_->request.id, description);
+    }
+    hooks_->send(number, std::move(commands[i]), [=](const member_reply& reply) {
       *failed = *failed || reply.lost || reply.answer.error.has_value();
+      if (reply.answer.error) {
+        log_refused_preparation(*hooks, id, description, reply.answer);
+      }
       const auto self = weak.lock();
       if (!last || !self || !(*self)->active_) {
         return;
--- a/Source/Proxy/member_command.h
+++ b/Source/Proxy/member_command.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace persimmonshelf {
 
@@ -44,4 +45,8 @@
   term above_term{};
 };
 
+// Name of the kind in logs and metrics.
+std::string_view
+name_of(member_command::command_kind kind);
+
 }
--- a/Source/Proxy/statement.cxx
+++ b/Source/Proxy/statement.cxx
@@ -2,6 +2,18 @@
 
 namespace persimmonshelf {
 
+namespace {
+
+constexpr std::size_t max_quoted_bytes = 100;
+
+}
+
+std::string
+quote(const std::string& text)
+{
+  return text.size() <= max_quoted_bytes ? text : text.substr(0, max_quoted_bytes) + "...";
+}
+
 std::string_view
 name_of(statement_error error)
 {
--- a/Source/Proxy/statement.h
+++ b/Source/Proxy/statement.h
@@ -84,6 +84,10 @@
 bool
 has_not_run(statement_error error);
 
+// The start of a text, for errors and logs. Limits how much of a caller's text they repeat.
+std::string
+quote(const std::string& text);
+
 // Complete answer to one statement, from a member or from the proxy itself.
 struct statement_answer
 {
--- a/Source/ProxyNode/node_metrics.cxx
+++ b/Source/ProxyNode/node_metrics.cxx
@@ -46,6 +46,7 @@
   prometheus::Family<prometheus::Histogram>* token_waits = nullptr;
   prometheus::Family<prometheus::Counter>* log_events = nullptr;
   prometheus::Family<prometheus::Counter>* positions = nullptr;
+  prometheus::Family<prometheus::Counter>* member_answers = nullptr;
   prometheus::Family<prometheus::Counter>* limits = nullptr;
   prometheus::Family<prometheus::Gauge>* gauges = nullptr;
   prometheus::Family<prometheus::Gauge>* waiting = nullptr;
@@ -115,6 +116,10 @@
                         .Name("persimmonshelf_positions_total")
                         .Help("Observed log positions by origin and outcome.")
                         .Register(owned->registry);
+  owned->member_answers = &prometheus::BuildCounter()
+                             .Name("persimmonshelf_member_answers_total")
+                             .Help("Answers of members by command and result.")
+                             .Register(owned->registry);
   owned->limits = &prometheus::BuildCounter()
                      .Name("persimmonshelf_limits_total")
                      .Help("Clients that were refused or closed, by kind and by limit.")
@@ -182,6 +187,17 @@
     .Increment();
 }
 
+void
+node_metrics::count_member_answer(member_command::command_kind kind, const member_reply& reply)
+{
+  const std::string answered =
+    reply.answer.error ? std::string(name_of(*reply.answer.error)) : "done";
+  state_->member_answers
+    ->Add(
+      { { "command", std::string(name_of(kind)) }, { "result", reply.lost ? "lost" : answered } })
+    .Increment();
+}
+
 void
 node_metrics::count_limit(std::string_view kind, std::string_view cause)
 {
--- a/Source/ProxyNode/node_metrics.h
+++ b/Source/ProxyNode/node_metrics.h
@@ -4,6 +4,8 @@
 #include "Base/instant.h"
 #include "Net/http_server.h"
 #include "Proxy/admission.h"
+#include "Proxy/caller_session.h"
+#include "Proxy/member_command.h"
 #include "Proxy/position_history.h"
 #include "Proxy/statement.h"
 
@@ -73,6 +75,9 @@
   // Counts one observed log position. `origin` is how it reached this instance.
   void count_position(std::string_view origin, observation_outcome outcome);
 
+  // Counts a member's answer to a command, or that none will come.
+  void count_member_answer(member_command::command_kind kind, const member_reply& reply);
+
   // Counts a client of this kind that was refused or closed because of a limit.
   void count_limit(std::string_view kind, std::string_view cause);
 
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -67,8 +67,11 @@
       return;
     }
     found->second->send(command,
-                        [this, member = member_id(found->second->member()), done = std::move(done)](
-                          member_reply reply) {
+                        [this,
+                         member = member_id(found->second->member()),
+                         kind = command.kind,
+                         done = std::move(done)](member_reply reply) {
+                          metrics->count_member_answer(kind, reply);
                           if (!reply.lost) {
                             last_answers[member] = reply.received;
                           }
