--- a/Utilities/StandIns/standin_line_group.cxx
+++ b/Utilities/StandIns/standin_line_group.cxx
@@ -127,11 +127,9 @@
       started = word == "START" && take_word(rest) == options_.name;
       answer = started ? ready(current) : error_line("MISROUTED", entry.id);
     } else if (word == "QUERY") {
-      // The id of the statement.
-      take_word(rest);
       timer.expires_after(options_.statement_time);
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
-      answer = execute(current, rest);
+      answer = execute(current, line);
       answer += ready(current);
     } else {
       co_return;
@@ -148,7 +146,7 @@
 standin_line_group::ready(const session& current) const
 {
   std::string line = "READY ";
-  line += current.state;
+  line += current.line.state();
   line += ' ';
   line += term_prefix;
   line += std::to_string(position_) + "\r\n";
@@ -164,42 +162,26 @@
 }
 
 std::string
-standin_line_group::execute(session& current, std::string_view text)
+standin_line_group::execute(session& current, std::string_view line)
 {
-  std::string_view rest = text;
-  auto word = take_word(rest);
-  if (word == "AFTER") {
-    // Every member has every position.
-    take_word(rest);
-    word = take_word(rest);
-  }
-  if (word == "READ") {
-    return read(current, std::string(rest));
-  }
-  if (word == "WRITE") {
-    const auto item = take_word(rest);
-    return write(current, std::string(item), rest);
-  }
-  if (word == "EXECUTE") {
-    return execute_prepared(current, rest);
-  }
-  if (word == "COMMIT" || word == "ROLLBACK") {
-    return end_transaction(current, word == "COMMIT");
-  }
-  if (word == "STATUS" || word == "PAUSE" || word == "DEMOTE") {
-    return status_row(*current.serving) + done_line();
-  }
-  if (word == "BEGIN") {
-    current.state = 'T';
-  } else if (word == "PREPARE") {
-    const auto name = take_word(rest);
-    current.prepared[std::string(name)] = take_word(rest) == "WRITE";
-  } else if (word == "DEALLOC") {
-    current.prepared.erase(std::string(rest));
-  } else if (word == "RESET") {
-    current = { .serving = current.serving, .state = 'I', .writes = {}, .prepared = {} };
-  } else if (word != "SET") {
-    return error_line("MALFORMED", current.serving->id);
+  using operation = standin_line_statement::operation;
+  const auto applied = current.line.apply(line);
+  if (!applied) {
+    return error_line(applied.error().message, current.serving->id);
+  }
+  const auto& statement = applied.value();
+  switch (statement.kind) {
+    case operation::read:
+      return read(current, statement.item);
+    case operation::write:
+      return write(current, statement);
+    case operation::commit:
+    case operation::rollback:
+      return end_transaction(current, statement.kind == operation::commit);
+    case operation::status:
+      return status_row(*current.serving) + done_line();
+    case operation::session:
+      break;
   }
   return done_line();
 }
@@ -216,33 +198,20 @@
 }
 
 std::string
-standin_line_group::write(session& current, const std::string& item, std::string_view data)
+standin_line_group::write(session& current, const standin_line_statement& statement)
 {
   if (!current.serving->primary) {
     return error_line("READONLY", current.serving->id);
   }
-  if (current.state == 'T') {
-    current.writes[item] = data;
+  if (current.line.state() == 'T') {
+    current.writes[statement.item] = statement.data;
   } else {
-    items_[item] = data;
+    items_[statement.item] = statement.data;
     ++position_;
   }
   return done_line();
 }
 
-std::string
-standin_line_group::execute_prepared(session& current, std::string_view rest)
-{
-  const auto name = take_word(rest);
-  const auto prepared = current.prepared.find(std::string(name));
-  if (prepared == current.prepared.end()) {
-    return error_line("NOSTMT", current.serving->id);
-  }
-  const auto item = take_word(rest);
-  return prepared->second ? write(current, std::string(item), rest)
-                          : read(current, std::string(item));
-}
-
 std::string
 standin_line_group::end_transaction(session& current, bool commit)
 {
@@ -253,7 +222,7 @@
     ++position_;
   }
   current.writes.clear();
-  current.state = 'I';
+  current.line.end_transaction();
   return done_line();
 }
 
--- a/Utilities/StandIns/standin_line_group.h
+++ b/Utilities/StandIns/standin_line_group.h
@@ -2,6 +2,7 @@
 
 #include "Base/error.h"
 #include "Net/http_connection.h"
+#include "StandIns/standin_line_session.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -46,12 +47,9 @@
   struct session
   {
     const member* serving = nullptr;
-    // State letter of READY: I (idle), T (open transaction) or E (failed transaction).
-    char state = 'I';
+    standin_line_session line;
     // Writes of the open transaction.
     std::map<std::string, std::string> writes;
-    // Names of prepared statements; true for those that write.
-    std::map<std::string, bool> prepared;
   };
 
   standin_line_group(boost::asio::io_context& context, options group);
@@ -60,11 +58,10 @@
   boost::asio::awaitable<void> serve(tcp::socket socket, const member& entry);
   std::string ready(const session& current) const;
   std::string status_row(const member& entry) const;
-  // Runs one statement and returns the lines of its answer, without READY.
-  std::string execute(session& current, std::string_view text);
+  // Runs the statement of one message and returns the lines of its answer, without READY.
+  std::string execute(session& current, std::string_view line);
   std::string read(const session& current, const std::string& item) const;
-  std::string write(session& current, const std::string& item, std::string_view data);
-  std::string execute_prepared(session& current, std::string_view rest);
+  std::string write(session& current, const standin_line_statement& statement);
   std::string end_transaction(session& current, bool commit);
 
   boost::asio::io_context& context_;
