Proxy: Number prepared statements at members instead of naming them by their text

What callers saw: executions of a shape with blanks ran with other fields than were sent (UNASKED), executions of a shape without blanks ran in another session's shape (PINNED), and shapes whose second word is neither READ nor WRITE were refused with "no member could be reached", after three connections were closed for each attempt.

Cause: the name of a prepared statement at a member was the shape's text. A name is a field in the middle of a line, so the member ended it at the first blank: "q12 READ zd" was prepared as r.q12 with the shape "zd READ q12 READ zd", which replaced the statement of the shape q12 on that connection.

session_test expected the name r.q, which is the fault; it now expects the number under which the statement was prepared just before.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -473,25 +473,23 @@
   // A BEGIN that was sent but not answered may still take effect.
   const bool must_close =
     !may_send() || in_transaction_ || active_->step == execution_step::beginning;
-  connection_->settings.clear();
-  connection_->prepared.clear();
-  connection_.reset();
+  const auto connection = std::exchange(connection_, nullptr);
   if (must_close) {
     hooks->close_connection(number);
     return;
   }
-  hooks->send(number,
-              { .kind = member_command::command_kind::reset },
-              [hooks, number](const member_reply& reply) {
-                if (reply.lost) {
-                  return;
-                }
-                if (reply.answer.state != transaction_state::idle) {
-                  hooks->close_connection(number);
-                  return;
-                }
-                hooks->release(number, duration::zero());
-              });
+  hooks->send(
+    number, connection->kept.reset(), [hooks, number, connection](const member_reply& reply) {
+      if (reply.lost) {
+        return;
+      }
+      connection->kept.confirm();
+      if (reply.answer.state != transaction_state::idle) {
+        hooks->close_connection(number);
+        return;
+      }
+      hooks->release(number, duration::zero());
+    });
 }
 
 }
--- a/Source/Proxy/caller_session_answers.cxx
+++ b/Source/Proxy/caller_session_answers.cxx
@@ -50,7 +50,7 @@
               active_->request.id,
               connection_->member.get() + ", " + describe_position());
   if (error == statement_error::unknown_statement) {
-    connection_->prepared.clear();
+    connection_->kept.forget();
   }
   const auto member = connection_->member;
   if (error == statement_error::misrouted || state != transaction_state::idle) {
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -7,24 +7,17 @@
 
 namespace {
 
-// Name of a prepared statement on member connections. Sessions share connections and their names
-// may collide, so the name is derived from the content of the statement.
-std::string
-member_name_of(const prepared_statement& prepared)
-{
-  return (prepared.writes ? "w." : "r.") + prepared.shape;
-}
-
 // The command that prepares a connection, as the log shows it. Values are left out.
 std::string
 describe(const member_command& command)
 {
   using command_kind = member_command::command_kind;
   std::string text(name_of(command.kind));
-  if (command.kind == command_kind::set || command.kind == command_kind::prepare) {
+  if (command.kind == command_kind::set) {
     text += " " + quote(command.name);
   }
   if (command.kind == command_kind::prepare) {
+    text += " " + std::to_string(command.prepared.get());
     text += (command.writes ? " as write \"" : " as read \"") + quote(command.argument) + "\"";
   }
   return text;
@@ -167,33 +160,11 @@
 caller_session::prepare_connection()
 {
   active_->step = execution_step::preparing_connection;
-  std::vector<member_command> commands;
-  const bool has_other_settings =
-    std::any_of(connection_->settings.begin(), connection_->settings.end(), [&](const auto& entry) {
-      return !settings_.contains(entry.first);
-    });
-  if (std::exchange(connection_->needs_reset, false) || has_other_settings) {
-    commands.push_back({ .kind = member_command::command_kind::reset });
-    connection_->settings.clear();
-    connection_->prepared.clear();
-  }
-  for (const auto& [name, value] : settings_) {
-    const auto found = connection_->settings.find(name);
-    if (found == connection_->settings.end() || found->second != value) {
-      commands.push_back(
-        { .kind = member_command::command_kind::set, .name = name, .argument = value });
-    }
-  }
-  connection_->settings = settings_;
+  std::optional<prepared_statement> statement;
   if (active_->request.kind == statement_kind::execute) {
-    const auto& prepared = prepared_.at(active_->request.name);
-    if (connection_->prepared.insert(prepared).second) {
-      commands.push_back({ .kind = member_command::command_kind::prepare,
-                           .name = member_name_of(prepared),
-                           .argument = prepared.shape,
-                           .writes = prepared.writes });
-    }
+    statement = prepared_.at(active_->request.name);
   }
+  auto commands = connection_->kept.prepare(settings_, statement);
   if (commands.empty()) {
     send_begin();
     return;
@@ -220,6 +191,7 @@
         return;
       }
       if (!*failed) {
+        (*self)->connection_->kept.confirm();
         (*self)->send_begin();
         return;
       }
@@ -301,7 +273,7 @@
   command.id = request.id;
   if (request.kind == statement_kind::execute) {
     command.kind = member_command::command_kind::execute;
-    command.name = member_name_of(prepared_.at(request.name));
+    command.prepared = *connection_->kept.number_of(prepared_.at(request.name));
     command.argument = request.argument;
   } else {
     command.text = request.text;
--- a/Source/Proxy/caller_session_kept.cxx
+++ b/Source/Proxy/caller_session_kept.cxx
@@ -2,15 +2,6 @@
 
 namespace persimmonshelf {
 
-namespace {
-
-// Values and prepared statements above these limits are not remembered for a member's connection
-// that no session uses, in bytes. There are many such connections, and few sessions come near.
-constexpr std::size_t max_idle_settings_bytes = 16 << 10;
-constexpr std::size_t max_idle_prepared_bytes = 256 << 10;
-
-}
-
 // Sets a value or a prepared statement of the session. Returns false, and changes nothing, if the
 // session would exceed its limit.
 bool
@@ -44,11 +35,8 @@
 void
 caller_session::forget_large_state()
 {
-  if (bytes_of(connection_->settings) > max_idle_settings_bytes ||
-      bytes_of(connection_->prepared) > max_idle_prepared_bytes) {
-    connection_->settings.clear();
-    connection_->prepared.clear();
-    connection_->needs_reset = true;
+  if (connection_->kept.is_large()) {
+    connection_->kept.forget();
   }
 }
 
--- a/Source/Proxy/connection_pool_selection.cxx
+++ b/Source/Proxy/connection_pool_selection.cxx
@@ -108,7 +108,7 @@
         connection->workspace != request.workspace) {
       continue;
     }
-    if (connection->settings == request.settings) {
+    if (connection->kept.has_settings(request.settings)) {
       return connection;
     }
     best = connection;
--- a/Source/Proxy/member_command.cxx
+++ b/Source/Proxy/member_command.cxx
@@ -21,6 +21,8 @@
       return "set";
     case command_kind::prepare:
       return "prepare";
+    case command_kind::deallocate:
+      return "deallocate";
     case command_kind::reset:
       return "reset";
     case command_kind::status:
--- a/Source/Proxy/member_command.h
+++ b/Source/Proxy/member_command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/ids.h"
+#include "Base/strong.h"
 
 #include <cstdint>
 #include <optional>
@@ -9,6 +10,9 @@
 
 namespace persimmonshelf {
 
+// Number of a prepared statement on one connection to a member.
+using prepared_number = strong<struct prepared_number_tag, std::uint32_t>;
+
 // One message from the proxy to a member, before it is encoded.
 struct member_command
 {
@@ -16,13 +20,14 @@
   {
     // A caller's statement, with its text unchanged.
     verbatim,
-    // A caller's execution of a prepared statement, under the name that it has at the member.
+    // A caller's execution of a prepared statement, under its number at the member.
     execute,
     begin,
     begin_read,
     rollback,
     set,
     prepare,
+    deallocate,
     // Clears all settings and prepared statements of the connection.
     reset,
     // Requests the role, term and position.
@@ -36,7 +41,11 @@
   // The caller's statement id; empty for the proxy's own commands.
   std::string id{};
   std::string text{};
+  // Name of a setting.
   std::string name{};
+  // The prepared statement that is prepared, executed or removed.
+  prepared_number prepared{};
+  // Value of a setting, shape of a prepared statement, or arguments of an execution.
   std::string argument{};
   bool writes = false;
   // The member refuses a read or BEGIN if its log does not contain this position.
--- a/Tests/Proxy/session_test.cxx
+++ b/Tests/Proxy/session_test.cxx
@@ -185,11 +185,13 @@
   REQUIRE(bench.commands.size() == 2);
   CHECK(bench.commands[0].command.kind == command_kind::set);
   CHECK(bench.commands[1].command.kind == command_kind::prepare);
+  CHECK(bench.commands[1].command.argument == "q");
+  const auto number = bench.commands[1].command.prepared;
   bench.reply(std::nullopt, transaction_state::idle);
   bench.reply(std::nullopt, transaction_state::idle);
   REQUIRE(bench.command().kind == command_kind::execute);
-  // The name at the member is derived from the statement, not from the session's name for it.
-  CHECK(bench.command().name == "r.q");
+  CHECK(bench.command().prepared == number);
+  CHECK(bench.command().name.empty());
   CHECK(bench.command().argument == "k");
   bench.reply(std::nullopt, transaction_state::idle);
 }
