Proxy: Close a connection whose reset was refused when its caller disconnected

What callers saw: a statement ran with the values of another session (PINNED).

Cause: a caller that disconnects during a statement leaves a RESET behind it on the connection. Its answer was looked at for the state of the transaction only, so a connection whose RESET had been refused went back to the pool as one without values.

Change: the member's state counts as known only after a RESET without error; otherwise the connection is closed.

Evidence: the check fails without the change (no connection is closed).

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -483,11 +483,11 @@
       if (reply.lost) {
         return;
       }
-      connection->kept.confirm();
-      if (reply.answer.state != transaction_state::idle) {
+      if (reply.answer.error || reply.answer.state != transaction_state::idle) {
         hooks->close_connection(number);
         return;
       }
+      connection->kept.confirm();
       hooks->release(number, duration::zero());
     });
 }
--- a/Tests/Proxy/session_test.cxx
+++ b/Tests/Proxy/session_test.cxx
@@ -393,6 +393,22 @@
   CHECK(bench.pool.connection_count() == 1);
 }
 
+// Guards against a statement that runs with the values of an earlier session (PINNED): its caller
+// disconnected, and the member refused to reset the connection.
+TEST_CASE("a connection whose reset is refused is closed when its caller disconnects")
+{
+  session_bench bench("writes");
+  bench.submit(statement_kind::set, "SET a 1", "a", "1");
+  bench.submit(statement_kind::write, "WRITE a x");
+  bench.reply(std::nullopt, transaction_state::idle);
+  bench.session->disconnect();
+  bench.reply(std::nullopt, transaction_state::idle);
+  REQUIRE(bench.command().kind == command_kind::reset);
+  bench.reply(statement_error::failed, transaction_state::idle);
+  CHECK(bench.closed.size() == 1);
+  CHECK(bench.pool.connection_count() == 0);
+}
+
 // Guards against a statement that runs inside another session's transaction: a caller disconnected
 // while its BEGIN was in progress, and the next session got the connection.
 TEST_CASE(
