Proxy: Tell a refused preparation as such and keep its connection

What callers saw: "busy: no member could be reached" for statements whose preparation a member had answered with an error, as in both cases of the users' record. Each attempt closed its connection, and opening another takes a slot of the member. NOSTMT for an acknowledged prepared statement in a transaction reached the caller, and the connection kept the wrong list.

Change: an error that says that nothing ran is retried like that of a statement. Any other ends the statement with its cause, as MALFORMED or else ABORTED. The connection stays, with unknown state until its next reset. After NOSTMT the connection is reset too, and the caller gets ABORTED.

MALFORMED from PREPARE closed the connection and the statement went on to another one, BUSY from SET closed it too, NOSTMT in a transaction reached the caller, and no reset followed.

--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -187,6 +187,7 @@
   void select_target();
   void acquire();
   void connection_granted(std::shared_ptr<pooled_connection> connection);
+  void preparation_refused(const statement_answer& refusal, transaction_state state);
   void connection_refused(statement_error error, const std::string& reason);
   void prepare_connection();
   void run();
--- a/Source/Proxy/caller_session_answers.cxx
+++ b/Source/Proxy/caller_session_answers.cxx
@@ -27,6 +27,9 @@
     hooks_->observe_position(
       connection_->group, connection_->member, *reply.answer.position, reply.sent);
   }
+  if (reply.answer.error == statement_error::unknown_statement) {
+    connection_->kept.forget();
+  }
   if (reply.answer.error && !transaction_ &&
       retry_on_another_member(*reply.answer.error, reply.answer.state)) {
     return;
@@ -49,9 +52,6 @@
   hooks_->log("not_run_by_member",
               active_->request.id,
               connection_->member.get() + ", " + describe_position());
-  if (error == statement_error::unknown_statement) {
-    connection_->kept.forget();
-  }
   const auto member = connection_->member;
   if (error == statement_error::misrouted || state != transaction_state::idle) {
     close_connection();
@@ -174,6 +174,11 @@
     hooks_->log("member_error",
                 active_->request.id,
                 connection_->member.get() + " " + result.error_text + ", " + describe_position());
+    // The caller's statement is prepared; only the member's connection has lost it.
+    if (result.error == statement_error::unknown_statement) {
+      result.error = statement_error::aborted;
+      result.error_text = "the member lost the prepared statement";
+    }
   }
   const auto elapsed = std::chrono::duration_cast<duration>(reply.received - reply.sent);
   if (!transaction_) {
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -171,7 +171,8 @@
   }
   const auto number = connection_->number;
   std::weak_ptr<caller_session*> weak = self_;
-  const auto failed = std::make_shared<bool>(false);
+  // The first refusal of these commands.
+  const auto refusal = std::make_shared<std::optional<statement_answer>>();
   const auto hooks = hooks_;
   const auto id = active_->request.id;
   for (std::size_t i = 0; i < commands.size(); ++i) {
@@ -182,29 +183,47 @@
       hooks_->log("statement_prepared", active_->request.id, description);
     }
     hooks_->send(number, std::move(commands[i]), [=](const member_reply& reply) {
-      *failed = *failed || reply.lost || reply.answer.error.has_value();
       if (reply.answer.error) {
         log_refused_preparation(*hooks, id, description, reply.answer);
+        if (!*refusal) {
+          *refusal = reply.answer;
+        }
       }
       const auto self = weak.lock();
       if (!last || !self || !(*self)->active_) {
         return;
       }
-      if (!*failed) {
+      if (reply.lost) {
+        (*self)->reply_lost();
+      } else if (*refusal) {
+        (*self)->preparation_refused(**refusal, reply.answer.state);
+      } else {
         (*self)->connection_->kept.confirm();
         (*self)->send_begin();
-        return;
-      }
-      // Nothing from the caller was sent. The connection's settings are unknown now, so it is
-      // closed.
-      if (!reply.lost) {
-        (*self)->hooks_->close_connection((*self)->connection_->number);
       }
-      (*self)->reply_lost();
     });
   }
 }
 
+// A member refused a command that prepares its connection, so nothing of the statement ran. The
+// connection stays usable: its state counts as unknown until a reset.
+void
+caller_session::preparation_refused(const statement_answer& refusal, transaction_state state)
+{
+  const auto error = *refusal.error;
+  if (!in_transaction_ && retry_on_another_member(error, state)) {
+    return;
+  }
+  if (!in_transaction_ && state != transaction_state::idle) {
+    close_connection();
+  } else {
+    roll_back_connection();
+  }
+  const bool tells_cause = leaves_no_effect(error) || error == statement_error::malformed;
+  fail_statement(tells_cause ? error : statement_error::aborted,
+                 "the member refused to prepare the connection: " + quote(refusal.error_text));
+}
+
 // The primary may change between the grant of a connection and the statement.
 bool
 caller_session::primary_changed_before_send() const
--- a/Tests/Proxy/session_test.cxx
+++ b/Tests/Proxy/session_test.cxx
@@ -409,6 +409,55 @@
   CHECK(bench.pool.connection_count() == 0);
 }
 
+// Guards against a refused PREPARE that is told as an unreachable member, after three connections
+// were closed for it.
+TEST_CASE("a refused preparation is told to the caller and keeps the connection")
+{
+  session_bench bench("writes");
+  bench.submit(statement_kind::prepare, "PREPARE s READ q", "s", "q");
+  bench.submit(statement_kind::execute, "EXECUTE s k", "s", "k");
+  bench.reply(statement_error::malformed, transaction_state::idle);
+  CHECK(bench.answers.back().error == statement_error::malformed);
+  CHECK(bench.closed.empty());
+  bench.submit(statement_kind::write, "WRITE a x");
+  CHECK(bench.command().kind == command_kind::reset);
+  bench.reply(std::nullopt, transaction_state::idle);
+  CHECK(bench.command().text == "WRITE a x");
+}
+
+// Guards against an error of the caller where a member had no time to prepare its connection.
+TEST_CASE("a preparation that a member did not run is repeated")
+{
+  session_bench bench("writes");
+  bench.submit(statement_kind::set, "SET a 1", "a", "1");
+  bench.submit(statement_kind::write, "WRITE a x");
+  bench.reply(statement_error::busy, transaction_state::idle);
+  CHECK(bench.command().kind == command_kind::reset);
+  bench.reply(std::nullopt, transaction_state::idle);
+  CHECK(bench.command().kind == command_kind::set);
+  bench.reply(std::nullopt, transaction_state::idle);
+  CHECK(bench.command().text == "WRITE a x");
+}
+
+// Guards against a prepared statement that is unknown to the caller although it was acknowledged,
+// and that stays unknown on the connection.
+TEST_CASE("a prepared statement that the member lost in a transaction aborts it")
+{
+  session_bench bench("writes");
+  bench.submit(statement_kind::prepare, "PREPARE s READ q", "s", "q");
+  bench.submit(statement_kind::begin, "BEGIN");
+  bench.submit(statement_kind::execute, "EXECUTE s k", "s", "k");
+  bench.reply(std::nullopt, transaction_state::idle);
+  bench.reply(std::nullopt, transaction_state::open);
+  REQUIRE(bench.command().kind == command_kind::execute);
+  bench.reply(statement_error::unknown_statement, transaction_state::failed);
+  CHECK(bench.answers.back().error == statement_error::aborted);
+  bench.reply(std::nullopt, transaction_state::idle);
+  bench.submit(statement_kind::rollback, "ROLLBACK");
+  bench.submit(statement_kind::execute, "EXECUTE s k", "s", "k");
+  CHECK(bench.command().kind == command_kind::reset);
+}
+
 // Guards against a statement that runs inside another session's transaction: a caller disconnected
 // while its BEGIN was in progress, and the next session got the connection.
 TEST_CASE(
