platform: Refuse messages to members that would be read with other fields

Cause: commands and START were put together by joining texts. A workspace "two words" gave "START g two words m1", where the member reads the workspace "two" and another member's id; an EXECUTE near the longest message became longer than a member accepts once its name was exchanged, which ends the connection and leaves the caller with an unknown outcome.

A command that cannot be encoded is answered in its turn as MALFORMED with the reason, and nothing is sent.

--- a/Source/ProxyNode/member_connection.cxx
+++ b/Source/ProxyNode/member_connection.cxx
@@ -89,8 +89,13 @@
                        self->handle_failure(reason);
                      }
                    } });
-  stream_->write(platform::encode_member_start(
-    target_.group, target_.workspace.empty() ? "-" : target_.workspace, target_.member));
+  const auto start =
+    platform::encode_member_start(target_.group, target_.workspace, target_.member);
+  if (!start) {
+    handle_failure(start.error().message);
+    return;
+  }
+  stream_->write(start.value());
 }
 
 void
@@ -117,7 +122,7 @@
     }
     return;
   }
-  if (pending_.empty()) {
+  if (pending_.empty() || pending_.front().refused) {
     handle_failure("message received without a command in flight");
     return;
   }
@@ -145,7 +150,7 @@
     handle_failure("answer ended without a result");
     return;
   }
-  answer.state = message.state;
+  answer.state = state_ = message.state;
   answer.position = message.position;
   auto finished = std::move(current);
   pending_.pop_front();
@@ -153,6 +158,20 @@
   stream_->set_owner_bytes(0);
   finished.reply.received = boot_now();
   finished.done(std::move(finished.reply));
+  answer_refused();
+}
+
+// Answers the oldest commands up to the first one that was sent.
+void
+member_connection::answer_refused()
+{
+  while (!pending_.empty() && pending_.front().refused) {
+    auto refused = std::move(pending_.front());
+    pending_.pop_front();
+    refused.reply.answer.state = state_;
+    refused.reply.received = boot_now();
+    refused.done(std::move(refused.reply));
+  }
 }
 
 void
@@ -165,8 +184,17 @@
   pending next;
   next.done = std::move(done);
   next.reply.sent = boot_now();
+  auto line = platform::encode_command(command);
+  if (!line) {
+    next.refused = true;
+    next.reply.answer.error = statement_error::malformed;
+    next.reply.answer.error_text = line.error().message;
+    pending_.push_back(std::move(next));
+    boost::asio::post(context_, [self = shared_from_this()] { self->answer_refused(); });
+    return;
+  }
   pending_.push_back(std::move(next));
-  stream_->write(platform::encode_command(command));
+  stream_->write(line.value());
 }
 
 std::optional<instant>
@@ -204,8 +232,10 @@
   auto lost = std::exchange(pending_, {});
   handlers_.closed(too_many_connections_, reason);
   for (auto& entry : lost) {
-    entry.reply.lost = true;
-    entry.reply.answer = {};
+    if (!entry.refused) {
+      entry.reply.lost = true;
+      entry.reply.answer = {};
+    }
     entry.reply.received = boot_now();
     entry.done(std::move(entry.reply));
   }
--- a/Source/ProxyNode/member_connection.h
+++ b/Source/ProxyNode/member_connection.h
@@ -57,12 +57,15 @@
     reply_handler done;
     member_reply reply;
     bool answered = false;
+    // The command cannot be sent; it is answered once those before it are.
+    bool refused = false;
   };
 
   member_connection(boost::asio::io_context& context, connection_target target, handlers callbacks);
   void handle_connected(const boost::system::error_code& failure);
   void handle_line(std::string_view line);
   void handle_failure(const std::string& reason);
+  void answer_refused();
 
   boost::asio::io_context& context_;
   connection_target target_;
@@ -70,6 +73,8 @@
   std::shared_ptr<line_stream> stream_;
   boost::asio::steady_timer open_timer_;
   std::deque<pending> pending_;
+  // State of the connection after the newest answer.
+  transaction_state state_ = transaction_state::idle;
   memory_budget::account account_;
   // Bytes of the rows of the present answer.
   std::size_t row_bytes_ = 0;
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -67,12 +67,12 @@
   command.id = "5c";
   command.text = "READ 1a4";
   command.min_position = log_point{ term(3), log_position(1207) };
-  CHECK(encode_command(command) == "QUERY 5c AFTER 3.1207 READ 1a4\r\n");
+  CHECK(encode_command(command).value() == "QUERY 5c AFTER 3.1207 READ 1a4\r\n");
   command = {};
   command.kind = member_command::command_kind::demote;
   command.above_term = term(4);
-  CHECK(encode_command(command) == "QUERY - DEMOTE 4\r\n");
-  CHECK(encode_member_start("g", "w", "i-1") == "START g w i-1\r\n");
+  CHECK(encode_command(command).value() == "QUERY - DEMOTE 4\r\n");
+  CHECK(encode_member_start("g", "w", "i-1").value() == "START g w i-1\r\n");
   statement_answer answer;
   answer.rows = { "one" };
   answer.signature = "7.1f3";
--- a/Tests/Proxy/statement_workload.cxx
+++ b/Tests/Proxy/statement_workload.cxx
@@ -171,7 +171,7 @@
   const auto fault = std::uniform_real_distribution<>(0, 1)(random_);
   member_reply reply;
   reply.sent = reply.received = now_;
-  auto line = platform::encode_command(sent.command);
+  auto line = platform::encode_command(sent.command).value();
   line.resize(line.size() - 2);
   if (fault < fault_rate / 2) {
     reply.answer.error = refusals.at(draw(refusals.size()));
