platform: Refuse statements whose id is that of the proxy's own

A member takes a statement with the id - for one of the proxy's own, which no caller sent (UNASKED). A caller could send that id, and its statement ran under it.

--- a/Tests/Platform/line_fields_test.cxx
+++ b/Tests/Platform/line_fields_test.cxx
@@ -81,7 +81,7 @@
   }));
 }
 
-// Guards against an id of a caller that is another field.
+// Guards against an id of a caller that is another field, or that of the proxy's own statements.
 TEST_CASE("a member reads a caller's id and text, or the statement is refused")
 {
   CHECK(rc::check("statements", [] {
@@ -101,6 +101,7 @@
     RC_ASSERT(ran.value().id == command.id);
     RC_ASSERT(ran.value().text == command.text);
   }));
+  CHECK_FALSE(parse_caller_message("QUERY - READ a"));
 }
 
 // Guards against a workspace or member whose name changes who connects, and to whom.
