platform: Keep the text of an error to callers in one line

The text may repeat a name of the operators' configuration. A workspace named "a\r\nDONE x" made a DONE of its own in the caller's stream, which would be read as the answer to a statement.

--- a/Tests/Platform/line_fields_test.cxx
+++ b/Tests/Platform/line_fields_test.cxx
@@ -123,6 +123,15 @@
   CHECK(is_workspace_name("w-1"));
 }
 
+// Guards against an error text that becomes a message of its own for the caller.
+TEST_CASE("an answer to a caller has as many lines as messages")
+{
+  statement_answer answer;
+  answer.error = statement_error::busy;
+  answer.error_text = "rate limit of a\r\nDONE x reached";
+  CHECK(encode_answer(answer) == "ERROR BUSY rate limit of a??DONE x reached\r\nREADY I -\r\n");
+}
+
 // Guards against a message that a member drops with its connection, and the outcome with it.
 TEST_CASE("a command is refused if it is longer than a message may be")
 {
