Proxy: Refuse at once what runs for a workspace whose name members cannot be told

A configuration may hold any text as a workspace's name, and a START that cannot be encoded now fails each connection attempt: the statement would wait for its time limit. It is refused as BUSY with the name of the workspace before anything waits; other workspaces are not affected.

--- a/Source/Proxy/caller_session.cxx
+++ b/Source/Proxy/caller_session.cxx
@@ -215,14 +215,21 @@
   return std::nullopt;
 }
 
-// The reason why this instance cannot know which workspace holds the key; empty if it can, or if
-// the caller needs no workspace. A route that is open to all still tells the members which
+// The reason why nothing can run in the name of the caller's workspace: this instance cannot know
+// which one holds the key, or members cannot be told its name. Empty if there is none, or if the
+// caller needs no workspace. A route that is open to all still tells the members which
 // workspace holds the caller's key.
 std::optional<std::string>
-caller_session::missing_evidence(const proxy_route& route) const
+caller_session::workspace_refusal(const proxy_route& route) const
 {
-  return route.open_to_all && workspace_.get().empty() ? std::nullopt
-                                                       : hooks_->key_evidence_missing();
+  if (route.open_to_all && workspace_.get().empty()) {
+    return std::nullopt;
+  }
+  const auto* workspace = hooks_->configuration().workspace(workspace_);
+  if (workspace != nullptr && !workspace->has_usable_name) {
+    return "the name of workspace " + quote(workspace_.get()) + " cannot be sent to members";
+  }
+  return hooks_->key_evidence_missing();
 }
 
 // Ends the statement in progress if the caller's access changed since it was checked: the statement
@@ -240,7 +247,7 @@
     error = statement_error::aborted;
   }
   if (!reason) {
-    reason = missing_evidence(*route);
+    reason = workspace_refusal(*route);
     error = statement_error::busy;
   }
   if (!reason) {
@@ -266,7 +273,7 @@
                  *reason);
     return;
   }
-  if (const auto missing = missing_evidence(*route)) {
+  if (const auto missing = workspace_refusal(*route)) {
     roll_back_connection();
     hooks_->log("key_evidence_missing", request.id, *missing);
     answer_error(statement_error::busy, *missing);
--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -180,7 +180,7 @@
   void start_operation(const statement& request);
   void on_admission(std::optional<duration> refused_for);
   std::optional<std::string> refuse_access(const proxy_route*& route);
-  std::optional<std::string> missing_evidence(const proxy_route& route) const;
+  std::optional<std::string> workspace_refusal(const proxy_route& route) const;
   bool end_if_access_changed();
   void end_unfinished(const std::string& reason);
   void cancel_waits();
--- a/Source/Proxy/fleet_configuration.h
+++ b/Source/Proxy/fleet_configuration.h
@@ -70,6 +70,8 @@
   double burst = 0;
   // 0 is the highest priority. A workspace without one has the lowest.
   std::uint32_t priority = lowest_priority;
+  // False if members cannot be told the name, so that nothing can run for the workspace.
+  bool has_usable_name = true;
 
   friend bool operator==(const proxy_workspace&, const proxy_workspace&) = default;
 };
--- a/Tests/Platform/line_fields_test.cxx
+++ b/Tests/Platform/line_fields_test.cxx
@@ -2,6 +2,7 @@
 
 #include "StandIns/standin_line_session.h"
 #include "platform/line_protocol.h"
+#include "platform/store_format.h"
 
 #include <rapidcheck.h>
 
@@ -121,6 +122,10 @@
   CHECK_FALSE(is_workspace_name("-"));
   CHECK_FALSE(is_workspace_name("two words"));
   CHECK(is_workspace_name("w-1"));
+  const auto configuration = parse_configuration(
+    R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"a b","api_keys":["k"]}]})");
+  REQUIRE(configuration);
+  CHECK_FALSE(configuration.value().workspaces.front().has_usable_name);
 }
 
 // Guards against an error text that becomes a message of its own for the caller.
--- a/Tests/Proxy/access_test.cxx
+++ b/Tests/Proxy/access_test.cxx
@@ -235,3 +235,17 @@
   INFO("violations: " << found.size());
   REQUIRE_MESSAGE(found.empty(), found.front());
 }
+
+// Guards against a statement that waits for its time limit although members cannot be told the name
+// of its workspace.
+TEST_CASE("a workspace whose name members cannot be told is refused at once")
+{
+  session_bench bench("writes");
+  auto changed = make_configuration();
+  changed.workspaces.front().has_usable_name = false;
+  bench.configuration = configuration_index(changed);
+  bench.submit(statement_kind::write, "WRITE a x");
+  CHECK(bench.answers.back().error == statement_error::busy);
+  CHECK(bench.answers.back().error_text == "the name of workspace w cannot be sent to members");
+  CHECK(bench.requests.empty());
+}
