--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -14,11 +14,12 @@
   using command_kind = member_command::command_kind;
   std::string text(name_of(command.kind));
   if (command.kind == command_kind::set) {
-    text += " " + quote(command.name);
+    text.append(" ").append(quote(command.name));
   }
   if (command.kind == command_kind::prepare) {
-    text += " " + std::to_string(command.prepared.get());
-    text += (command.writes ? " as write \"" : " as read \"") + quote(command.argument) + "\"";
+    text.append(" ").append(std::to_string(command.prepared.get()));
+    text.append(command.writes ? " as write \"" : " as read \"");
+    text.append(quote(command.argument)).append("\"");
   }
   return text;
 }
