--- a/Tests/Proxy/prepared_statement_test.cxx
+++ b/Tests/Proxy/prepared_statement_test.cxx
@@ -1,9 +1,8 @@
 #include <doctest/doctest.h>
 
-#include "statement_workload.h"
+#include "Sessions/statement_workload.h"
 
 using namespace persimmonshelf;
-using namespace persimmonshelf::testing;
 
 // Guards against executions whose fields are split otherwise at the member, because the name there
 // held blanks of the shape (UNASKED of issue 38).
--- a/Tests/Proxy/statement_workload.cxx
+++ b/Utilities/Checks/Sessions/statement_workload.cxx
@@ -1,14 +1,17 @@
-#include "statement_workload.h"
+#include "Sessions/statement_workload.h"
 
 #include "platform/line_protocol.h"
 
 #include <array>
 
-namespace persimmonshelf::testing {
+namespace persimmonshelf {
 
 namespace {
 
 constexpr std::size_t caller_count = 4;
+constexpr duration statement_timeout = std::chrono::milliseconds(800);
+// Step of the clock that ends statements which wait.
+constexpr duration clock_step = std::chrono::milliseconds(900);
 // Pieces of the texts, which look like other statements when they are put together.
 const std::array<std::string, 16> pieces{ "q12",   "READ", "WRITE", "zd",
                                           "r.q12", "-",    "AFTER", "1.1",
@@ -19,6 +22,36 @@
                                                statement_error::malformed,
                                                statement_error::unknown_statement };
 
+// One database on a group with one member, and one workspace.
+fleet_configuration
+make_configuration()
+{
+  fleet_configuration configuration;
+  configuration.version = config_version(1);
+  proxy_route route;
+  route.name = "route";
+  route.database = database_id("database");
+  route.group = "group";
+  route.kind = consistency::primary;
+  route.statement_timeout = statement_timeout;
+  route.target_latency = statement_timeout;
+  configuration.routes.push_back(route);
+  configuration.groups.push_back({ route.group, 54, 0 });
+  configuration.workspaces.push_back({ workspace_id("workspace"), { "key" }, 100, 100 });
+  return configuration;
+}
+
+listed_member
+make_primary()
+{
+  listed_member member;
+  member.id = member_id("m1");
+  member.group = "group";
+  member.zone = zone_id("z1");
+  member.claims_primary = true;
+  return member;
+}
+
 }
 
 statement_workload::statement_workload(std::uint32_t seed)
@@ -33,7 +66,7 @@
             } },
           zone_id("z1"))
 {
-  pool_.set_members({ make_member("m1", "z1", true) }, now_);
+  pool_.set_members({ make_primary() }, now_);
   callers_.resize(caller_count);
   for (std::size_t i = 0; i < caller_count; ++i) {
     connect(i);
@@ -52,13 +85,13 @@
   session_hooks hooks;
   hooks.configuration = [this]() -> const configuration_index& { return configuration_; };
   hooks.key_evidence_missing = [] { return std::optional<std::string>(); };
-  hooks.admit = [](const workspace_id&, const operation_urgency&, admission::handler done) {
+  hooks.admit = [](const workspace_id&, const operation_urgency&, const admission::handler& done) {
     done(std::nullopt);
     return std::optional<admission_number>();
   };
   hooks.cancel_admission = [](admission_number) {};
-  hooks.acquire = [this](connection_request request, auto granted, auto refused) {
-    return pool_.acquire(std::move(request), std::move(granted), std::move(refused), now_);
+  hooks.acquire = [this](const connection_request& request, auto granted, auto refused) {
+    return pool_.acquire(request, std::move(granted), std::move(refused), now_);
   };
   hooks.cancel = [this](request_number number) { pool_.cancel(number); };
   hooks.release = [this](connection_number number, duration elapsed) {
@@ -85,7 +118,7 @@
   hooks.log = [](const std::string&, const std::string&, const std::string&) {};
   auto& caller = callers_[index];
   caller.session =
-    std::make_unique<caller_session>(database_id("writes"), "key-w", std::move(hooks));
+    std::make_unique<caller_session>(database_id("database"), "key", std::move(hooks));
   static_cast<void>(caller.session->check_start());
   caller.settings.clear();
   caller.shapes.clear();
@@ -310,7 +343,7 @@
         connect(index);
         break;
       case 1:
-        now_ += ms(900);
+        now_ += clock_step;
         for (auto& caller : callers_) {
           caller.session->tick(now_);
         }
--- a/Tests/Proxy/statement_workload.h
+++ b/Utilities/Checks/Sessions/statement_workload.h
@@ -2,7 +2,6 @@
 
 #include "Proxy/caller_session.h"
 #include "StandIns/standin_line_session.h"
-#include "proxy_support.h"
 
 #include <deque>
 #include <functional>
@@ -12,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace persimmonshelf::testing {
+namespace persimmonshelf {
 
 // Sessions of one workspace that share the connections of a pool to members that read each message
 // strictly. Compares each statement that a member runs with what its caller sent and had set up.
@@ -76,7 +75,7 @@
   std::size_t draw(std::size_t end);
 
   std::mt19937 random_;
-  instant now_ = at(1000);
+  instant now_{};
   configuration_index configuration_;
   connection_pool pool_;
   std::deque<connection_number> opening_;
