Base: Take the percent encoding from Net, and add its decoder

Texts that are joined need it below Net as well: targets in platform/ and routing keys in Proxy. The stand-ins' own decoder used the same name and now uses this one.

--- a/Source/Adapters/operator_client.cxx
+++ b/Source/Adapters/operator_client.cxx
@@ -3,7 +3,7 @@
 #include "Adapters/operator_text.h"
 #include "Base/digest.h"
 #include "Base/json_fields.h"
-#include "Net/percent_encoding.h"
+#include "Base/percent_encoding.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
--- a/Source/Adapters/platform_adapter.cxx
+++ b/Source/Adapters/platform_adapter.cxx
@@ -1,6 +1,6 @@
 #include "Adapters/platform_adapter.h"
 
-#include "Net/percent_encoding.h"
+#include "Base/percent_encoding.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
--- a/Utilities/StandIns/standin_platform_server.cxx
+++ b/Utilities/StandIns/standin_platform_server.cxx
@@ -203,7 +203,7 @@
 standin_reply
 standin_platform::run_table(const standin_request& request, std::string_view path)
 {
-  const auto key = percent_decode(path.substr(table_prefix.size()));
+  const auto key = decode_target_part(path.substr(table_prefix.size()));
   if (request.http.method == "GET") {
     const auto row = store_.get(key);
     return reply(to_json(row), row.revision == 0 ? 404 : 200);
@@ -258,7 +258,7 @@
 standin_reply
 standin_platform::run_object(const standin_request& request, std::string_view path)
 {
-  const auto key = percent_decode(path.substr(objects_prefix.size()));
+  const auto key = decode_target_part(path.substr(objects_prefix.size()));
   if (request.http.method == "PUT") {
     store_.put_object(key, request.http.body);
     return reply(json::object{});
--- a/Utilities/StandIns/standin_target.cxx
+++ b/Utilities/StandIns/standin_target.cxx
@@ -1,7 +1,8 @@
 #include "StandIns/standin_target.h"
 
+#include "Base/percent_encoding.h"
+
 #include <algorithm>
-#include <charconv>
 
 namespace persimmonshelf {
 
@@ -12,21 +13,9 @@
 }
 
 std::string
-percent_decode(std::string_view text)
+decode_target_part(std::string_view part)
 {
-  std::string decoded;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    unsigned byte = 0;
-    if (text[i] == '%' && i + 2 < text.size() &&
-        std::from_chars(text.data() + i + 1, text.data() + i + 3, byte, 16).ptr ==
-          text.data() + i + 3) {
-      decoded.push_back(static_cast<char>(byte));
-      i += 2;
-      continue;
-    }
-    decoded.push_back(text[i]);
-  }
-  return decoded;
+  return percent_decode(part).value_or(std::string(part));
 }
 
 std::string
@@ -38,7 +27,7 @@
     const auto pair = query.substr(0, end);
     const auto equals = std::min(pair.find('='), pair.size());
     if (pair.substr(0, equals) == name) {
-      return percent_decode(pair.substr(std::min(pair.size(), equals + 1)));
+      return decode_target_part(pair.substr(std::min(pair.size(), equals + 1)));
     }
     query.remove_prefix(std::min(query.size(), end + 1));
   }
--- a/Utilities/StandIns/standin_target.h
+++ b/Utilities/StandIns/standin_target.h
@@ -13,8 +13,8 @@
 std::string
 query_value(std::string_view target, std::string_view name);
 
-// Replaces each %XX sequence with the byte that it encodes.
+// Decodes a part of a target. One that is not percent-encoded correctly stays as it is.
 std::string
-percent_decode(std::string_view text);
+decode_target_part(std::string_view part);
 
 }
