--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -6,6 +6,7 @@
 #include "ProxyNode/fleet_rows.h"
 #include "ProxyNode/member_list_reader.h"
 #include "ProxyNode/node_settings.h"
+#include "StandIns/standin_target.h"
 #include "platform/base64.h"
 #include "platform/line_protocol.h"
 #include "platform/store_format.h"
@@ -304,6 +305,25 @@
   CHECK(reader.read(rows).new_problems.size() == 1);
 }
 
+// Guards against keys of other writers that change the rest of a call: a row whose key has a blank,
+// "&" or a line end made the next page of its table unreadable, and so the table.
+TEST_CASE("targets of read calls carry any table and key unchanged")
+{
+  CHECK(rc::check("parameters", [](const std::string& table, const std::string& key) {
+    const auto target = row_target(table, key);
+    RC_ASSERT(target.find_first_of(std::string_view(" \t\r\n#\0", 6)) == std::string::npos);
+    RC_ASSERT(path_of(target) == "/rows-get");
+    RC_ASSERT(query_value(target, "table") == table);
+    RC_ASSERT(query_value(target, "from") == key);
+    RC_ASSERT(query_value(target, "limit") == "1");
+    RC_ASSERT(query_value(feed_target(table, 7, 8), "table") == table);
+    RC_ASSERT(query_value(feed_target(table, 7, 8), "after") == "7");
+  }));
+  CHECK(query_value(read_target("servers", "a&limit=1"), "from") == "a&limit=1");
+  CHECK(query_value(read_target("servers", "a b\r\nX: 1"), "from") == "a b\r\nX: 1");
+  CHECK(read_target("servers", "") == "/rows-get?table=servers&part=");
+}
+
 TEST_CASE("a configuration is decoded")
 {
   const auto configuration = parse_configuration(
