Proxy: Encode the names of a routing key

Cause: a redirect to another carrier names group and workspace, joined by a tab, on the assumption that names have no control characters. Nothing checks that: both come from the operator's configuration, which may hold any text.

What an operator sees: with a tab in a name, two different keys are one ("a<tab>b" and "c", "a" and "b<tab>c"), so sessions go to a carrier that does not hold the workspace's share. With a line end in a name, the redirect is two messages between the instances: the second one is read as a message of another session, or ends the connection with the sessions of all callers on it.

Change: both names are percent-encoded. Keys of letters and digits stay as they were.

Failed before: "routing keys are unchanged after encoding and decoding", for the two keys above and, in the property, for the group "<tab>" after 18 tests.

--- a/Source/Proxy/session_routing.cxx
+++ b/Source/Proxy/session_routing.cxx
@@ -1,5 +1,6 @@
 #include "Proxy/session_routing.h"
 
+#include "Base/percent_encoding.h"
 #include "Base/stable_hash.h"
 
 #include <algorithm>
@@ -17,7 +18,7 @@
 // A double represents the remaining 53 bits of a hash exactly; they have 2^53 values.
 constexpr int dropped_hash_bits = 11;
 constexpr double hash_values = 9007199254740992.0;
-// Separates the fields of an encoded key. Names contain no control characters.
+// Separates the fields of an encoded key, in which no field contains it.
 constexpr char separator = '\t';
 
 using carrier_list = std::vector<const carrier*>;
@@ -173,17 +174,21 @@
 std::string
 encode_routing_key(const routing_key& key)
 {
-  return key.group + separator + key.workspace.get();
+  return percent_encode(key.group) + separator + percent_encode(key.workspace.get());
 }
 
 routing_key
 decode_routing_key(std::string_view text)
 {
   const auto end = text.find(separator);
-  if (end == std::string_view::npos) {
-    return { {}, workspace_id(std::string(text)) };
+  if (end != std::string_view::npos) {
+    auto group = percent_decode(text.substr(0, end));
+    auto workspace = percent_decode(text.substr(end + 1));
+    if (group && workspace) {
+      return { std::move(*group), workspace_id(std::move(*workspace)) };
+    }
   }
-  return { std::string(text.substr(0, end)), workspace_id(std::string(text.substr(end + 1))) };
+  return { {}, workspace_id(std::string(text)) };
 }
 
 std::vector<const carrier*>
--- a/Source/Proxy/session_routing.h
+++ b/Source/Proxy/session_routing.h
@@ -33,8 +33,8 @@
   friend bool operator==(const routing_key&, const routing_key&) = default;
 };
 
-// A routing key as text without line ends. Any text can be decoded; one that is not an encoded key
-// becomes a key without a group.
+// A routing key as text without spaces and line ends, whatever the names contain. Any text can be
+// decoded; one that is not an encoded key becomes a key without a group.
 std::string
 encode_routing_key(const routing_key& key);
 routing_key
--- a/Tests/Proxy/carriers_test.cxx
+++ b/Tests/Proxy/carriers_test.cxx
@@ -323,6 +323,18 @@
   CHECK(decode_routing_key(encode_routing_key({})) == routing_key());
   CHECK(decode_routing_key("START db key") == routing_key{ {}, workspace_id("START db key") });
   CHECK(encode_routing_key(key).find_first_of("\r\n") == std::string::npos);
+  // Names with a tab became other names, and names with a line end other messages.
+  const routing_key left{ "a\tb", workspace_id("c") };
+  const routing_key right{ "a", workspace_id("b\tc") };
+  CHECK(encode_routing_key(left) != encode_routing_key(right));
+  CHECK(rc::check("any names", [](const std::string& group, const std::string& workspace) {
+    const routing_key any{ group, workspace_id(workspace) };
+    const auto text = encode_routing_key(any);
+    RC_ASSERT(decode_routing_key(text) == any);
+    RC_ASSERT(text.find_first_of("\r\n ") == std::string::npos);
+  }));
+  CHECK(rc::check("any text",
+                  [](const std::string& text) { static_cast<void>(decode_routing_key(text)); }));
 }
 
 // A calm day of a fleet of 13 instances in three zones before 3 groups of 3 members with 35
