ProxyNode: Do not read a caller's first message as a routing key

Cause: an instance without a configuration takes the first message itself to choose a carrier, and passed it to the decoder of redirects. A caller that puts a tab into its key chose group and workspace.

What a caller sees: its session starts at another carrier than one without a tab; an instance that carries sessions gives it away instead of running it until the configuration arrives.

Change: the message as a whole takes the place of the workspace.

--- a/Source/ProxyNode/relay_router.cxx
+++ b/Source/ProxyNode/relay_router.cxx
@@ -407,7 +407,10 @@
     return *key;
   }
   const auto redirected = redirect_keys_.find(first_line);
-  return redirected == redirect_keys_.end() ? decode_routing_key(first_line) : redirected->second;
+  // Without a configuration the message itself stands for the workspace, which only spreads the
+  // sessions.
+  return redirected == redirect_keys_.end() ? routing_key{ {}, workspace_id(first_line) }
+                                            : redirected->second;
 }
 
 bool
--- a/Tests/ProxyNode/relay_test.cxx
+++ b/Tests/ProxyNode/relay_test.cxx
@@ -223,6 +223,23 @@
   CHECK_FALSE(fixture.finished);
 }
 
+// Guards against a caller's text that is read as the routing key of a redirect: with a tab in the
+// first message, an instance without a configuration sent the session elsewhere.
+TEST_CASE("a first message is never read as a routing key")
+{
+  relay_fixture fixture;
+  carrier_plan plan;
+  plan.version = 2;
+  plan.carriers = { { instance_id("carrier"), zone_id("z"), fixture.address, 0.5, false, false },
+                    { instance_id("edge"), zone_id("z"), "127.0.0.1:9", 0.5, false, false } };
+  fixture.router->set_plan(plan);
+  for (int number = 0; number < 20; ++number) {
+    const auto key = std::to_string(number);
+    CHECK(fixture.router->runs_here("START db " + key));
+    CHECK(fixture.router->runs_here("START db\t" + key));
+  }
+}
+
 // The carrier is killed while a statement is in flight. Guards against any answer of the session to
 // the caller, since the statement may have run: the caller's connection adds that the outcome is
 // unknown.
