ProxyNode: Refuse a relay message whose text contains a line end

Cause: messages between instances are lines, and the encoder put any text into one. Lines of callers and answers, which are split first, contain no line end, but the routing key of a redirect and the coordinator's address are texts from elsewhere: the operator's configuration and the store's rows.

What a caller sees: the rest of the text is read as the next message, which may be a message of another caller's session; if it is none, the connection between the two instances ends with all sessions on it.

Change: the encoder fails, as the only place that knows. The carrier counts the limit "line_end_in_message" and ends the session in question; an announcement is left out. The property now splits the bytes as the connection does, instead of cutting off the last two.

--- a/Source/ProxyNode/carrier_connection.cxx
+++ b/Source/ProxyNode/carrier_connection.cxx
@@ -4,6 +4,8 @@
 #include "ProxyNode/boot_clock.h"
 #include "platform/line_protocol.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -233,17 +235,30 @@
 void
 carrier_connection::write(message_kind kind, std::uint64_t number, std::string_view text)
 {
-  if (up_) {
-    stream_->write(encode_relay_message({ kind, number, std::string(text) }));
+  const auto line = encode_relay_message({ kind, number, std::string(text) });
+  if (up_ && line) {
+    stream_->write(line.value());
   }
 }
 
 void
 carrier_connection::queue(message_kind kind, std::uint64_t session, std::string_view text)
 {
-  if (up_ && queue_) {
-    queue_->push(session, encode_relay_message({ kind, session, std::string(text) }));
+  if (!up_ || !queue_) {
+    return;
   }
+  if (auto line = encode_relay_message({ kind, session, std::string(text) })) {
+    queue_->push(session, std::move(line.value()));
+    return;
+  }
+  // Not a line, so no caller sent it. The session ends, because its answer would never arrive.
+  boost::asio::post(context_, [self = shared_from_this(), session] {
+    if (const auto found = self->sessions_.find(session); found != self->sessions_.end()) {
+      const auto handlers = std::move(found->second);
+      self->close(session);
+      handlers.closed(end_reason::ended);
+    }
+  });
 }
 
 void
--- a/Source/ProxyNode/relay_message.cxx
+++ b/Source/ProxyNode/relay_message.cxx
@@ -18,6 +18,7 @@
 
 // Limits how much of a malformed line an error quotes.
 constexpr std::size_t max_quoted_bytes = 20;
+constexpr std::string_view line_end = "\r\n";
 
 constexpr std::array<named_kind, 10> kinds{ {
   { 'V', message_kind::version },
@@ -34,9 +35,12 @@
 
 }
 
-std::string
+result<std::string>
 encode_relay_message(const relay_message& message)
 {
+  if (message.text.find(line_end) != std::string::npos) {
+    return fail(result_code::bad_request, "relay: the text of a message contains a line end");
+  }
   std::string line;
   for (const auto& entry : kinds) {
     if (entry.kind == message.kind) {
@@ -46,7 +50,7 @@
   line += std::to_string(message.number);
   line += ' ';
   line += message.text;
-  line += "\r\n";
+  line += line_end;
   return line;
 }
 
--- a/Source/ProxyNode/relay_message.h
+++ b/Source/ProxyNode/relay_message.h
@@ -43,7 +43,9 @@
 // Text of `close` if messages without an answer were not handled by the carrier.
 inline constexpr std::string_view all_answered_text = "all-answered";
 
-std::string
+// The message with its line end. Fails with bad_request if the text contains a line end, because
+// the receiver would read two messages.
+result<std::string>
 encode_relay_message(const relay_message& message);
 
 // Fails with malformed_answer.
--- a/Source/ProxyNode/relay_server_peer.h
+++ b/Source/ProxyNode/relay_server_peer.h
@@ -77,9 +77,14 @@
     }
   }
 
+  // Sends nothing if the text cannot be sent: the next message of the kind states the same again.
   void send(message_kind kind, std::uint64_t number, std::string_view text)
   {
-    stream_->write(encode_relay_message({ kind, number, std::string(text) }));
+    if (const auto line = encode_relay_message({ kind, number, std::string(text) })) {
+      stream_->write(line.value());
+    } else {
+      server_.record_limit(line_end_cause);
+    }
   }
 
   void tick(instant now)
@@ -135,6 +140,8 @@
   // Kind, number and space before a caller's message.
   static constexpr std::size_t header_bytes = 32;
   static constexpr std::string_view line_end = "\r\n";
+  // Counted with the limits: a text that would have become two messages.
+  static constexpr std::string_view line_end_cause = "line_end_in_message";
   // Answers of one session that may wait for the connection, in bytes. Longer answers are not
   // passed to callers either.
   static constexpr std::size_t session_queue_limit_bytes = 4 << 20;
@@ -260,7 +267,11 @@
 
   void queue(message_kind kind, std::uint64_t number, std::string_view text)
   {
-    queue_.push(number, encode_relay_message({ kind, number, std::string(text) }));
+    if (auto line = encode_relay_message({ kind, number, std::string(text) })) {
+      queue_.push(number, std::move(line.value()));
+    } else {
+      end_session_for_limit(number, line_end_cause);
+    }
   }
 
   memory_budget::account open_session_account(std::uint64_t number)
--- a/Tests/ProxyNode/relay_test.cxx
+++ b/Tests/ProxyNode/relay_test.cxx
@@ -141,8 +141,8 @@
 
 }
 
-// Guards against messages that change between encoding and parsing, and against crashes of the
-// parser on arbitrary bytes.
+// Guards against messages that change between encoding and parsing, that become two messages, and
+// against crashes of the parser on arbitrary bytes.
 TEST_CASE("relay messages are unchanged after encoding and parsing")
 {
   CHECK(rc::check("round trip", [] {
@@ -150,9 +150,18 @@
     message.kind = static_cast<relay_message::message_kind>(
       *rc::gen::inRange(0, static_cast<int>(relay_message::message_kind::close) + 1));
     message.number = *rc::gen::arbitrary<std::uint64_t>();
-    message.text = *rc::gen::string<std::string>();
+    message.text = *rc::gen::container<std::string>(
+      rc::gen::oneOf(rc::gen::element('\r', '\n', ' '), rc::gen::arbitrary<char>()));
     const auto line = encode_relay_message(message);
-    const auto read = parse_relay_message(std::string_view(line).substr(0, line.size() - 2));
+    if (message.text.find("\r\n") != std::string::npos) {
+      RC_ASSERT_FALSE(line.has_value());
+      return;
+    }
+    RC_ASSERT(line.has_value());
+    // As the connection splits what it received.
+    const auto end = line.value().find("\r\n");
+    RC_ASSERT(end + 2 == line.value().size());
+    const auto read = parse_relay_message(line.value().substr(0, end));
     RC_ASSERT(read.has_value());
     RC_ASSERT(read.value().kind == message.kind);
     RC_ASSERT(read.value().number == message.number);
@@ -240,6 +249,23 @@
   }
 }
 
+// Guards against a text that becomes a message of another session, or ends the connection with the
+// sessions of all callers on it.
+TEST_CASE("a text with a line end ends only the session that it belongs to")
+{
+  relay_fixture fixture;
+  const auto other = fixture.open_ready();
+  fixture.server->send_coordinator(7, "10.0.0.1:80\r\nhello");
+  fixture.redirect_key = "g\r\nhello";
+  const auto session = fixture.open("START db key");
+  fixture.run_until([&] { return fixture.finished; });
+  CHECK(fixture.coordinator.empty());
+  fixture.received.clear();
+  other.handle_line("QUERY a READ 1");
+  fixture.run_until([&] { return fixture.sessions.front()->lines.size() == 2; });
+  CHECK_FALSE(fixture.sessions.front()->disconnected);
+}
+
 // The carrier is killed while a statement is in flight. Guards against any answer of the session to
 // the caller, since the statement may have run: the caller's connection adds that the outcome is
 // unknown.
