--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -324,6 +324,22 @@
   CHECK(read_target("servers", "") == "/rows-get?table=servers&part=");
 }
 
+// Guards against rows that share only their key with another one: a feed carries all parts of its
+// table, and the fleet's rows have none.
+TEST_CASE("rows of other parts are not rows of the page")
+{
+  const auto page =
+    parse_page(R"({"ver":9,"rows":[{"table":"op","part":"","key":"config","ver":7},)"
+               R"({"table":"op","part":"old","key":"config","ver":8},)"
+               R"({"table":"op","part":"old","key":"config","ver":9,"deleted":true},)"
+               R"({"table":"op","key":"evacuate/z","ver":5}]})");
+  REQUIRE(page);
+  REQUIRE(page.value().rows.size() == 2);
+  CHECK(page.value().rows[0].revision == 7);
+  CHECK(page.value().rows[1].key == "evacuate/z");
+  CHECK(page.value().store_revision == 9);
+}
+
 TEST_CASE("a configuration is decoded")
 {
   const auto configuration = parse_configuration(
