--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -434,6 +434,46 @@
   CHECK(seen->grant.waiting_elsewhere == view.grant.waiting_elsewhere);
 }
 
+// Guards against one name with odd bytes for which a whole report or view is dropped.
+TEST_CASE("any names reach the other instance in reports and views")
+{
+  CHECK(rc::check("names", [](const std::string& name, const std::string& other) {
+    instance_report report;
+    report.instance = instance_id(name);
+    report.zone = zone_id(other);
+    report.demands[workspace_id(name)] = 1;
+    report.shares[workspace_id(other)] = 2;
+    report.positions[name].source = { member_id(other), instance_id(name) };
+    report.reachability.push_back({ member_id(name), duration() });
+    const auto read = decode_datagram(encode_report(report)).report;
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read->instance == report.instance);
+    RC_ASSERT(read->zone == report.zone);
+    RC_ASSERT(read->demands == report.demands);
+    RC_ASSERT(read->shares == report.shares);
+    RC_ASSERT(read->positions.at(name).source.member == member_id(other));
+    RC_ASSERT(read->reachability.front().member == member_id(name));
+    fleet_view view;
+    view.holder = instance_id(name);
+    view.groups.push_back({ name, member_id(other), true, false, term(3) });
+    view.members.emplace();
+    view.members->push_back({ member_id(name), other, name, zone_id(other) });
+    view.grant.tokens[workspace_id(name)] = 1;
+    view.evacuated_zones = { zone_id(name), zone_id(other) };
+    view.plan.emplace();
+    view.plan->version = 1;
+    view.plan->carriers.push_back({ instance_id(name), zone_id(other), name });
+    const auto seen = decode_datagram(encode_view(view)).view;
+    RC_ASSERT(seen.has_value());
+    RC_ASSERT(seen->holder == view.holder);
+    RC_ASSERT(seen->groups == view.groups);
+    RC_ASSERT(seen->members == view.members);
+    RC_ASSERT(seen->grant.tokens == view.grant.tokens);
+    RC_ASSERT(seen->evacuated_zones == view.evacuated_zones);
+    RC_ASSERT(seen->plan == view.plan);
+  }));
+}
+
 // A view of 90 workspaces and 20 groups. Guards against control traffic between zones that grows
 // with the length of names, and against a small datagram that expands until the memory is used up.
 TEST_CASE("large datagrams are compressed, and decompressed up to a limit")
