ProxyNode: Write texts that are not UTF-8 as readable log lines

Cause: a line is made by a JSON serializer that passes every byte from 0x80 on, and texts were cut after 512 bytes wherever that was. Ids and texts of callers may be any bytes.

What an operator sees: the line of just such a request is not JSON, so a reader of the log drops it or stops there.

Change: each byte that belongs to no character becomes U+FFFD, in one place for all fields.

Failed before (with the former cut in the new function): "any text is a valid value of a log line", for "\xd3" after 4 tests, for "1\xff2" and for a character across the limit.

--- a/Source/ProxyNode/decision_log.cxx
+++ b/Source/ProxyNode/decision_log.cxx
@@ -1,5 +1,6 @@
 #include "ProxyNode/decision_log.h"
 
+#include "Base/utf8.h"
 #include "ProxyNode/boot_clock.h"
 
 #include <boost/json/object.hpp>
@@ -23,12 +24,6 @@
 // notified without holding the mutex.
 constexpr auto max_writer_wait = std::chrono::milliseconds(500);
 
-std::string_view
-cut(std::string_view value)
-{
-  return value.substr(0, max_field_bytes);
-}
-
 void
 write_all(const std::string& line)
 {
@@ -45,6 +40,13 @@
 
 }
 
+std::string
+log_text(std::string_view value)
+{
+  constexpr std::string_view replacement_character = "\xef\xbf\xbd";
+  return replace_invalid_utf8(value.substr(0, max_field_bytes), replacement_character);
+}
+
 decision_log::decision_log(std::string instance)
   : instance_(std::move(instance))
   , lines_(queue_capacity_lines)
@@ -91,7 +93,7 @@
   object["instance"] = instance_;
   object["event"] = event;
   for (const auto& [name, value] : fields) {
-    object[name] = cut(value);
+    object[name] = log_text(value);
   }
   if (dropped_ != reported_drops_) {
     object["lines_dropped"] = dropped_;
--- a/Source/ProxyNode/decision_log.h
+++ b/Source/ProxyNode/decision_log.h
@@ -15,6 +15,12 @@
 
 namespace persimmonshelf {
 
+// A value as a line shows it: at most 512 bytes of the text, and U+FFFD for each byte that is not
+// part of a character in UTF-8, so that every line is valid JSON. Texts of callers may be any
+// bytes.
+std::string
+log_text(std::string_view value);
+
 // Structured log on standard output, one JSON object per line. A bounded queue passes the lines to
 // a writer thread. When the queue is full or the limit of lines per second is reached, lines are
 // dropped and counted, so a blocked reader of the log never delays a request.
