platform: Let an odd entry of a configuration cost no other entry

Cause: the first route, service, tenant or key that could not be parsed made the whole configuration unreadable.

What an operator sees: with one such entry, every instance stays at the version before. Routes, tenants and limits that the version adds have no effect, and keys that it withdraws stay valid.

--- a/Source/Proxy/fleet_configuration.h
+++ b/Source/Proxy/fleet_configuration.h
@@ -83,6 +83,8 @@
   std::vector<proxy_workspace> workspaces;
   // Longest idle time inside a transaction before the proxy may end it; zero means no limit.
   duration transaction_idle_limit{};
+  // Why entries of the text were left out, one reason each, for the log.
+  std::vector<std::string> unusable_entries;
 };
 
 // Finds routes, groups and workspaces of one configuration by name.
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -140,6 +140,8 @@
   void apply_configuration(const std::string& text,
                            const configuration_dater& confirmed_at,
                            const std::string& source);
+  // Writes a line for each entry of the present configuration that was left out.
+  void log_unusable_entries();
   void fetch_configuration(instant now);
   void serve_peer_request(const http_request& request, const http_server::responder& send) const;
   void register_self(instant now);
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -5,6 +5,7 @@
 #include "ProxyNode/fleet_rows.h"
 #include "platform/store_format.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace persimmonshelf {
@@ -17,6 +18,8 @@
 constexpr duration removal_interval = std::chrono::seconds(5);
 // HTTP path under which an instance serves its current configuration.
 constexpr std::string_view configuration_path = "/v1/configuration";
+// Limit of the unusable entries of one configuration that are logged.
+constexpr std::size_t max_logged_entries = 20;
 // Delay between two attempts to fetch a configuration.
 constexpr duration fetch_retry_delay = std::chrono::milliseconds(50);
 
@@ -62,6 +65,7 @@
     configuration_text_ = text;
     log_.write("configuration",
                { { "version", std::to_string(version.get()) }, { "source", source } });
+    log_unusable_entries();
     limiter_.set_workspaces(fleet_state_.configuration().configuration().workspaces, boot_now());
     hooks_.changed();
     if (coordinator_) {
@@ -71,6 +75,19 @@
   select_data_sources(boot_now());
 }
 
+void
+fleet_participant::log_unusable_entries()
+{
+  const auto& reasons = fleet_state_.configuration().configuration().unusable_entries;
+  for (std::size_t i = 0; i < std::min(reasons.size(), max_logged_entries); ++i) {
+    log_.write("configuration_entry_unusable", { { "reason", reasons[i] } });
+  }
+  if (reasons.size() > max_logged_entries) {
+    log_.write("configuration_entry_unusable",
+               { { "reason", std::to_string(reasons.size() - max_logged_entries) + " more" } });
+  }
+}
+
 // Fetches the version that the newest view named from the coordinator, which has read it from the
 // store. This also supplies instances whose calls the store rejects.
 void
