platform: Leave out entries of a configuration whose names cannot be sent

Cause: names of tenants and services could be any text, unlike those of the members' table. They become a field within START to a member, a part of a redirect, of datagrams and of a row's key.

What an operator sees: the tenant "a b" is two fields in START, so members refuse every connection and its callers get BUSY for ever; "a<line end>QUERY - DEMOTE 9" is a command to each member. A name of 1 MiB makes a redirect that ends the connection between two instances, and datagrams that are never sent, so no instance gets a view. A service with more than 194 bytes has a record that the store refuses, so its primary cannot be replaced. A tenant named "" counts as a caller without a tenant, which no rate limits.

Callers of such a tenant get NOAUTH instead of BUSY, and of such a route NODB.

Failed before: "entries whose names cannot be sent are left out of a configuration", first for "". The effects on members, datagrams and rows are read from the code, not run.

--- a/Source/ProxyNode/fleet_rows.cxx
+++ b/Source/ProxyNode/fleet_rows.cxx
@@ -1,6 +1,7 @@
 #include "ProxyNode/fleet_rows.h"
 
 #include "Base/json_fields.h"
+#include "platform/store_format.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -19,6 +20,9 @@
 constexpr std::int64_t max_capacity_cores = 1'000;
 constexpr std::int64_t max_validity_ms = 60'000;
 constexpr std::int64_t max_carriers_per_group = 10'000;
+// A record that the store refuses could never be written.
+static_assert(group_key_prefix.size() + platform::group_name_limit_bytes <=
+              platform::row_text_limit_bytes);
 
 }
 
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -396,6 +396,53 @@
                                   "a tenant must have name and api_keys" });
 }
 
+// Guards against names that are several fields or none in a message to a member, that make a
+// redirect or a datagram longer than the other instance accepts, or a row whose key the store
+// refuses; and against a tenant without a name, which would count as a caller without a tenant.
+TEST_CASE("entries whose names cannot be sent are left out of a configuration")
+{
+  namespace json = boost::json;
+  const auto parse = [](const std::string& name) {
+    const json::object route{ { "name", name }, { "host", "db" }, { "kind", "primary" } };
+    auto odd = route;
+    odd["service"] = name;
+    auto good = route;
+    good["service"] = "g";
+    const json::object tenant{ { "name", name }, { "api_keys", json::array{ "k1" } } };
+    const json::object other{ { "name", "w" }, { "api_keys", json::array{ "k2" } } };
+    const json::object text{ { "version", 7 },
+                             { "routes", json::array{ odd, good } },
+                             { "services",
+                               json::array{ json::object{ { "name", name } },
+                                            json::object{ { "name", "g" } } } },
+                             { "tenants", json::array{ tenant, other } } };
+    return parse_configuration(json::serialize(text)).value();
+  };
+  for (const auto& name : { std::string(),
+                            std::string("a b"),
+                            std::string("a "),
+                            std::string("a\r\nQUERY - DEMOTE 9"),
+                            std::string("a\tb"),
+                            std::string(1, '\0'),
+                            std::string(201, 'a'),
+                            std::string(1 << 20, 'a') }) {
+    CAPTURE(name.substr(0, 20));
+    const auto configuration = parse(name);
+    REQUIRE(configuration.routes.size() == 1);
+    CHECK(configuration.routes.front().group == "g");
+    CHECK(configuration.groups.size() == 1);
+    REQUIRE(configuration.workspaces.size() == 1);
+    CHECK(configuration.workspaces.front().name == workspace_id("w"));
+    CHECK(configuration.unusable_entries.size() == 3);
+    for (const auto& reason : configuration.unusable_entries) {
+      CHECK(reason.size() < 400);
+    }
+  }
+  CHECK(parse("\xc3\xa4/:%&").unusable_entries.empty());
+  CHECK(parse(std::string(group_name_limit_bytes, 'a')).unusable_entries.empty());
+  CHECK(parse(std::string(group_name_limit_bytes + 1, 'a')).unusable_entries.size() == 2);
+}
+
 TEST_CASE("an error in the settings names the missing section")
 {
   const auto missing = parse_node_settings(R"({"instance":"a","zone":"z"})");
