platform: Do not give callers without a key the access of a tenant

Cause: a caller that sends no key has the empty text as its key, and an empty text among a tenant's keys is the same.

What an operator sees: with one empty key in the configuration, everybody who sends no key is that tenant, on its routes and within its rate.

--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -443,6 +443,20 @@
   CHECK(parse(std::string(group_name_limit_bytes + 1, 'a')).unusable_entries.size() == 2);
 }
 
+// Guards against callers without a key that get a tenant's access.
+TEST_CASE("an empty key of a tenant is not the key of callers without one")
+{
+  const auto parsed = parse_configuration(
+    R"({"version":7,"routes":[],"services":[],"tenants":[{"name":"w","api_keys":["","k1"]}]})");
+  REQUIRE(parsed);
+  CHECK(parsed.value().workspaces.front().keys == std::vector<std::string>{ "k1" });
+  CHECK(parsed.value().unusable_entries == std::vector<std::string>{ "tenant w: a key is empty" });
+  const configuration_index index(parsed.value());
+  CHECK(index.workspace_of_key(parse_session_start("START db").value().key) == nullptr);
+  CHECK(index.workspace_of_key(parse_session_start("START db ").value().key) == nullptr);
+  CHECK(index.workspace_of_key("k1") != nullptr);
+}
+
 TEST_CASE("an error in the settings names the missing section")
 {
   const auto missing = parse_node_settings(R"({"instance":"a","zone":"z"})");
