--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -457,6 +457,28 @@
   CHECK(index.workspace_of_key("k1") != nullptr);
 }
 
+// Guards against one text that keeps a whole version from any effect: the grammar of JSON allows
+// half a surrogate pair, and many writers any bytes.
+TEST_CASE("texts of a configuration that are not Unicode cost no other entry")
+{
+  for (const std::string odd : { R"(\ud800)", R"(a\udc00b)", R"(\ud800\ud800)", "\xff", "a\xc3" }) {
+    CAPTURE(odd);
+    const auto parsed = parse_configuration(
+      R"({"version":7,"services":[{"name":"g"},{"name":")" + odd + R"("}],"routes":[)" +
+      R"({"name":"\\ud800\ud83d\ude00","host":"db","service":"g","kind":"primary"},)" +
+      R"({"name":"r","host":")" + odd + R"(","service":"g","kind":"primary"}],)" +
+      R"("tenants":[{"name":")" + odd + R"(","api_keys":[]},{"name":"w","api_keys":["k1",")" + odd +
+      R"("]}]})");
+    REQUIRE(parsed);
+    CHECK(parsed.value().groups.size() == 1);
+    REQUIRE(parsed.value().routes.size() == 1);
+    CHECK(parsed.value().routes.front().name == "\\ud800\xf0\x9f\x98\x80");
+    REQUIRE(parsed.value().workspaces.size() == 1);
+    CHECK(parsed.value().workspaces.front().keys == std::vector<std::string>{ "k1" });
+    CHECK(parsed.value().unusable_entries.size() == 4);
+  }
+}
+
 TEST_CASE("an error in the settings names the missing section")
 {
   const auto missing = parse_node_settings(R"({"instance":"a","zone":"z"})");
