--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -1,11 +1,13 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "Base/utf8.h"
 #include "ProxyNode/compression.h"
 #include "ProxyNode/fleet_messages.h"
 #include "ProxyNode/fleet_rows.h"
 #include "ProxyNode/member_list_reader.h"
 #include "ProxyNode/node_settings.h"
+#include "StandIns/standin_target.h"
 #include "platform/base64.h"
 #include "platform/line_protocol.h"
 #include "platform/store_format.h"
@@ -304,6 +306,41 @@
   CHECK(reader.read(rows).new_problems.size() == 1);
 }
 
+// Guards against keys of other writers that change the rest of a call: a row whose key has a blank,
+// "&" or a line end made the next page of its table unreadable, and so the table.
+TEST_CASE("targets of read calls carry any table and key unchanged")
+{
+  CHECK(rc::check("parameters", [](const std::string& table, const std::string& key) {
+    const auto target = row_target(table, key);
+    RC_ASSERT(target.find_first_of(std::string_view(" \t\r\n#\0", 6)) == std::string::npos);
+    RC_ASSERT(path_of(target) == "/rows-get");
+    RC_ASSERT(query_value(target, "table") == table);
+    RC_ASSERT(query_value(target, "from") == key);
+    RC_ASSERT(query_value(target, "limit") == "1");
+    RC_ASSERT(query_value(feed_target(table, 7, 8), "table") == table);
+    RC_ASSERT(query_value(feed_target(table, 7, 8), "after") == "7");
+  }));
+  CHECK(query_value(read_target("servers", "a&limit=1"), "from") == "a&limit=1");
+  CHECK(query_value(read_target("servers", "a b\r\nX: 1"), "from") == "a b\r\nX: 1");
+  CHECK(read_target("servers", "") == "/rows-get?table=servers&part=");
+}
+
+// Guards against rows that share only their key with another one: a feed carries all parts of its
+// table, and the fleet's rows have none.
+TEST_CASE("rows of other parts are not rows of the page")
+{
+  const auto page =
+    parse_page(R"({"ver":9,"rows":[{"table":"op","part":"","key":"config","ver":7},)"
+               R"({"table":"op","part":"old","key":"config","ver":8},)"
+               R"({"table":"op","part":"old","key":"config","ver":9,"deleted":true},)"
+               R"({"table":"op","key":"evacuate/z","ver":5}]})");
+  REQUIRE(page);
+  REQUIRE(page.value().rows.size() == 2);
+  CHECK(page.value().rows[0].revision == 7);
+  CHECK(page.value().rows[1].key == "evacuate/z");
+  CHECK(page.value().store_revision == 9);
+}
+
 TEST_CASE("a configuration is decoded")
 {
   const auto configuration = parse_configuration(
@@ -323,7 +360,130 @@
   REQUIRE(unstated);
   CHECK(unstated.value().workspaces.at(0).priority == lowest_priority);
   CHECK(configuration.value().transaction_idle_limit == std::chrono::seconds(3));
-  CHECK_FALSE(parse_configuration(R"({"version":7,"routes":[{"name":"r"}],"services":[]})"));
+  for (const auto* bad : { R"({"routes":[],"services":[]})",
+                           R"({"version":7,"services":[]})",
+                           R"({"version":7,"routes":[]})",
+                           R"({"version":7,"routes":{},"services":[]})",
+                           R"({"version":7,"routes":[],"services":[],"tenants":{}})" }) {
+    CHECK_FALSE(parse_configuration(bad));
+  }
+}
+
+// Guards against one odd entry that keeps a whole version, with its withdrawn keys, from any
+// effect.
+TEST_CASE("an odd entry of a configuration costs no other entry")
+{
+  const auto parsed = parse_configuration(
+    R"({"version":7,"routes":[{"name":"r"},7,{"name":"r","host":"db","service":"g","kind":"odd"},)"
+    R"({"name":"r","host":"db","service":"g","kind":"primary"}],)"
+    R"("services":[{},{"name":"g","max_conns":54},null],)"
+    R"("tenants":[{"name":"w","api_keys":["k1",2,"k2"]},{"name":"v"},"u",{"name":"t","api_keys":[]}]})");
+  REQUIRE(parsed);
+  const auto& configuration = parsed.value();
+  REQUIRE(configuration.routes.size() == 1);
+  CHECK(configuration.routes.front().kind == consistency::primary);
+  REQUIRE(configuration.groups.size() == 1);
+  CHECK(configuration.groups.front().max_connections == 54);
+  REQUIRE(configuration.workspaces.size() == 2);
+  CHECK(configuration.workspaces.front().keys == std::vector<std::string>{ "k1", "k2" });
+  CHECK(configuration.unusable_entries ==
+        std::vector<std::string>{ "a route must have name, host, service and kind",
+                                  "a route is not a JSON object",
+                                  "route r: field \"kind\" is missing or invalid",
+                                  "a service has no name",
+                                  "a service has no name",
+                                  "tenant w: a key is not a text",
+                                  "a tenant must have name and api_keys",
+                                  "a tenant must have name and api_keys" });
+}
+
+// Guards against names that are several fields or none in a message to a member, that make a
+// redirect or a datagram longer than the other instance accepts, or a row whose key the store
+// refuses; and against holders of such a tenant's key who count as callers without a tenant.
+TEST_CASE("entries whose names cannot be sent are left out of a configuration or kept as unusable")
+{
+  namespace json = boost::json;
+  const auto parse = [](const std::string& name) {
+    const json::object route{ { "name", name }, { "host", "db" }, { "kind", "primary" } };
+    auto odd = route;
+    odd["service"] = name;
+    auto good = route;
+    good["service"] = "g";
+    const json::object tenant{ { "name", name }, { "api_keys", json::array{ "k1" } } };
+    const json::object other{ { "name", "w" }, { "api_keys", json::array{ "k2" } } };
+    const json::object text{ { "version", 7 },
+                             { "routes", json::array{ odd, good } },
+                             { "services",
+                               json::array{ json::object{ { "name", name } },
+                                            json::object{ { "name", "g" } } } },
+                             { "tenants", json::array{ tenant, other } } };
+    return parse_configuration(json::serialize(text)).value();
+  };
+  for (const auto& name : { std::string(),
+                            std::string("a b"),
+                            std::string("a "),
+                            std::string("a\r\nQUERY - DEMOTE 9"),
+                            std::string("a\tb"),
+                            std::string(1, '\0'),
+                            std::string(201, 'a'),
+                            std::string(1 << 20, 'a') }) {
+    CAPTURE(name.substr(0, 20));
+    const auto configuration = parse(name);
+    REQUIRE(configuration.routes.size() == 1);
+    CHECK(configuration.routes.front().group == "g");
+    CHECK(configuration.groups.size() == 1);
+    REQUIRE(configuration.workspaces.size() == 2);
+    const auto& unusable = configuration.workspaces.front();
+    CHECK_FALSE(unusable.has_usable_name);
+    CHECK_FALSE(is_workspace_name(unusable.name.get()));
+    CHECK(unusable.keys == std::vector<std::string>{ "k1" });
+    CHECK(configuration.workspaces.back().name == workspace_id("w"));
+    CHECK(configuration.workspaces.back().has_usable_name);
+    CHECK(configuration.unusable_entries.size() == 3);
+    for (const auto& reason : configuration.unusable_entries) {
+      CHECK(reason.size() < 400);
+    }
+  }
+  CHECK(parse("\xc3\xa4/:%&").unusable_entries.empty());
+  CHECK(parse(std::string(group_name_limit_bytes, 'a')).unusable_entries.empty());
+  CHECK(parse(std::string(group_name_limit_bytes + 1, 'a')).unusable_entries.size() == 2);
+}
+
+// Guards against callers without a key that get a tenant's access.
+TEST_CASE("an empty key of a tenant is not the key of callers without one")
+{
+  const auto parsed = parse_configuration(
+    R"({"version":7,"routes":[],"services":[],"tenants":[{"name":"w","api_keys":["","k1"]}]})");
+  REQUIRE(parsed);
+  CHECK(parsed.value().workspaces.front().keys == std::vector<std::string>{ "k1" });
+  CHECK(parsed.value().unusable_entries == std::vector<std::string>{ "tenant w: a key is empty" });
+  const configuration_index index(parsed.value());
+  CHECK(index.workspace_of_key(parse_session_start("START db").value().key) == nullptr);
+  CHECK(index.workspace_of_key(parse_session_start("START db ").value().key) == nullptr);
+  CHECK(index.workspace_of_key("k1") != nullptr);
+}
+
+// Guards against one text that keeps a whole version from any effect: the grammar of JSON allows
+// half a surrogate pair, and many writers any bytes.
+TEST_CASE("texts of a configuration that are not Unicode cost no other entry")
+{
+  for (const std::string odd : { R"(\ud800)", R"(a\udc00b)", R"(\ud800\ud800)", "\xff", "a\xc3" }) {
+    CAPTURE(odd);
+    const auto parsed = parse_configuration(
+      R"({"version":7,"services":[{"name":"g"},{"name":")" + odd + R"("}],"routes":[)" +
+      R"({"name":"\\ud800\ud83d\ude00","host":"db","service":"g","kind":"primary"},)" +
+      R"({"name":"r","host":")" + odd + R"(","service":"g","kind":"primary"}],)" +
+      R"("tenants":[{"name":")" + odd + R"(","api_keys":[]},{"name":"w","api_keys":["k1",")" + odd +
+      R"("]}]})");
+    REQUIRE(parsed);
+    CHECK(parsed.value().groups.size() == 1);
+    REQUIRE(parsed.value().routes.size() == 1);
+    CHECK(parsed.value().routes.front().name == "\\ud800\xf0\x9f\x98\x80");
+    REQUIRE(parsed.value().workspaces.size() == 2);
+    CHECK_FALSE(parsed.value().workspaces.front().has_usable_name);
+    CHECK(parsed.value().workspaces.back().keys == std::vector<std::string>{ "k1" });
+    CHECK(parsed.value().unusable_entries.size() == 4);
+  }
 }
 
 TEST_CASE("an error in the settings names the missing section")
@@ -398,6 +558,79 @@
   CHECK(seen->grant.waiting_elsewhere == view.grant.waiting_elsewhere);
 }
 
+// Guards against names and values that are lost or changed in the fleet's rows or in a write to the
+// store. Every name comes from JSON and is therefore UTF-8.
+TEST_CASE("any names are unchanged in rows and writes")
+{
+  CHECK(rc::check("rows", [](const std::string& bytes, const std::string& other, bool flag) {
+    const auto name = replace_invalid_utf8(bytes, "?");
+    const group_record record{ name, member_id(other.empty() ? name : "m"), flag, !flag, term(3) };
+    RC_ASSERT(decode_group(encode_group(record)).value() == record);
+    coordinator_row row;
+    row.holder = instance_id(name);
+    row.address = name;
+    row.validity = std::chrono::seconds(2);
+    const auto read = decode_coordinator(encode_coordinator(row));
+    RC_ASSERT(read.value().holder == row.holder);
+    RC_ASSERT(read.value().address == row.address);
+    carrier_plan plan;
+    plan.version = 2;
+    plan.carriers.push_back({ instance_id(name), zone_id(name), name, 0.5, flag, !flag });
+    RC_ASSERT(decode_plan(encode_plan(plan)).value() == plan);
+    const auto body = boost::json::parse(encode_write({ { name, name, 7, other } })).as_object();
+    const auto& put = body.at("puts").at(0);
+    RC_ASSERT(put.at("table").as_string() == std::string_view(name));
+    RC_ASSERT(put.at("key").as_string() == std::string_view(name));
+    RC_ASSERT(decode_base64(std::string(put.at("value").as_string())) == other);
+    RC_ASSERT(body.at("expected_rev").at(0).at("key") == put.at("key"));
+    const auto removal = boost::json::parse(encode_remove(name, { name, "k" }));
+    RC_ASSERT(removal.at("remove").as_array().size() == 2U);
+    RC_ASSERT(removal.at("remove").at(0).at("key") == put.at("key"));
+    const auto promotion = boost::json::parse(encode_promote(name, "m"));
+    RC_ASSERT(promotion.at("service") == put.at("key"));
+  }));
+}
+
+// Guards against one name with odd bytes for which a whole report or view is dropped.
+TEST_CASE("any names reach the other instance in reports and views")
+{
+  CHECK(rc::check("names", [](const std::string& name, const std::string& other) {
+    instance_report report;
+    report.instance = instance_id(name);
+    report.zone = zone_id(other);
+    report.demands[workspace_id(name)] = 1;
+    report.shares[workspace_id(other)] = 2;
+    report.positions[name].source = { member_id(other), instance_id(name) };
+    report.reachability.push_back({ member_id(name), duration() });
+    const auto read = decode_datagram(encode_report(report)).report;
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read->instance == report.instance);
+    RC_ASSERT(read->zone == report.zone);
+    RC_ASSERT(read->demands == report.demands);
+    RC_ASSERT(read->shares == report.shares);
+    RC_ASSERT(read->positions.at(name).source.member == member_id(other));
+    RC_ASSERT(read->reachability.front().member == member_id(name));
+    fleet_view view;
+    view.holder = instance_id(name);
+    view.groups.push_back({ name, member_id(other), true, false, term(3) });
+    view.members.emplace();
+    view.members->push_back({ member_id(name), other, name, zone_id(other) });
+    view.grant.tokens[workspace_id(name)] = 1;
+    view.evacuated_zones = { zone_id(name), zone_id(other) };
+    view.plan.emplace();
+    view.plan->version = 1;
+    view.plan->carriers.push_back({ instance_id(name), zone_id(other), name });
+    const auto seen = decode_datagram(encode_view(view)).view;
+    RC_ASSERT(seen.has_value());
+    RC_ASSERT(seen->holder == view.holder);
+    RC_ASSERT(seen->groups == view.groups);
+    RC_ASSERT(seen->members == view.members);
+    RC_ASSERT(seen->grant.tokens == view.grant.tokens);
+    RC_ASSERT(seen->evacuated_zones == view.evacuated_zones);
+    RC_ASSERT(seen->plan == view.plan);
+  }));
+}
+
 // A view of 90 workspaces and 20 groups. Guards against control traffic between zones that grows
 // with the length of names, and against a small datagram that expands until the memory is used up.
 TEST_CASE("large datagrams are compressed, and decompressed up to a limit")
