Net: Refuse requests whose target or headers would be another request

Cause: http_connection writes target and header values as they are. Lease-Holder is the name of the instance, which its settings may state with any characters, and targets contain keys.

What an operator sees: a name with a line end sets headers of its own in the call that promotes a member, such as another Fencing-Token, or begins a request of its own.

Change: such a request fails before anything is sent. The place is the last one before the wire, so it holds for every target and header.

--- a/Source/Net/http_connection.cxx
+++ b/Source/Net/http_connection.cxx
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -17,6 +18,44 @@
 using asio::ip::tcp;
 using error_code = boost::system::error_code;
 
+namespace {
+
+constexpr unsigned char delete_character = 0x7f;
+
+bool
+is_control(char character)
+{
+  const auto byte = static_cast<unsigned char>(character);
+  return byte < ' ' || byte == delete_character;
+}
+
+bool
+is_target(std::string_view text)
+{
+  return !text.empty() && std::none_of(text.begin(), text.end(), [](char character) {
+    return character == ' ' || is_control(character);
+  });
+}
+
+bool
+is_header_value(std::string_view text)
+{
+  return std::none_of(text.begin(), text.end(), is_control);
+}
+
+// False if the request would be sent as another one, or as several.
+bool
+is_encodable(const http_request& request)
+{
+  return is_target(request.target) && is_header_value(request.authorization) &&
+         is_header_value(request.traceparent) &&
+         std::all_of(request.headers.begin(), request.headers.end(), [](const auto& header) {
+           return is_header_value(header.second);
+         });
+}
+
+}
+
 struct http_connection::state
 {
   explicit state(asio::io_context& context)
@@ -116,6 +155,12 @@
     done(&failure, {});
     return;
   }
+  if (!is_encodable(request)) {
+    close();
+    const http_failure failure{ false, "the request cannot be encoded", false };
+    done(&failure, {});
+    return;
+  }
   ++state_->exchange;
   state_->on_response = std::move(done);
   auto& message = state_->request;
--- a/Source/Net/http_connection.h
+++ b/Source/Net/http_connection.h
@@ -52,7 +52,8 @@
 
   // Sends a request and reports the complete response, or a failure if none arrives within
   // `timeout`. May be called only while the connection is open and not busy; otherwise it reports a
-  // failure.
+  // failure. A request with a blank in its target or a control character in its target or a header
+  // would be another one, or several: it is reported as a failure and the connection closes.
   void send(const http_request& request, duration timeout, response_handler done);
 
   // Sets the handler that is called once when the open connection closes for any reason.
