--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "Base/utf8.h"
 #include "ProxyNode/compression.h"
 #include "ProxyNode/fleet_messages.h"
 #include "ProxyNode/fleet_rows.h"
@@ -551,6 +552,39 @@
   CHECK(seen->grant.waiting_elsewhere == view.grant.waiting_elsewhere);
 }
 
+// Guards against names and values that are lost or changed in the fleet's rows or in a write to the
+// store. Every name comes from JSON and is therefore UTF-8.
+TEST_CASE("any names are unchanged in rows and writes")
+{
+  CHECK(rc::check("rows", [](const std::string& bytes, const std::string& other, bool flag) {
+    const auto name = replace_invalid_utf8(bytes, "?");
+    const group_record record{ name, member_id(other.empty() ? name : "m"), flag, !flag, term(3) };
+    RC_ASSERT(decode_group(encode_group(record)).value() == record);
+    coordinator_row row;
+    row.holder = instance_id(name);
+    row.address = name;
+    row.validity = std::chrono::seconds(2);
+    const auto read = decode_coordinator(encode_coordinator(row));
+    RC_ASSERT(read.value().holder == row.holder);
+    RC_ASSERT(read.value().address == row.address);
+    carrier_plan plan;
+    plan.version = 2;
+    plan.carriers.push_back({ instance_id(name), zone_id(name), name, 0.5, flag, !flag });
+    RC_ASSERT(decode_plan(encode_plan(plan)).value() == plan);
+    const auto body = boost::json::parse(encode_write({ { name, name, 7, other } })).as_object();
+    const auto& put = body.at("puts").at(0);
+    RC_ASSERT(put.at("table").as_string() == std::string_view(name));
+    RC_ASSERT(put.at("key").as_string() == std::string_view(name));
+    RC_ASSERT(decode_base64(std::string(put.at("value").as_string())) == other);
+    RC_ASSERT(body.at("expected_rev").at(0).at("key") == put.at("key"));
+    const auto removal = boost::json::parse(encode_remove(name, { name, "k" }));
+    RC_ASSERT(removal.at("remove").as_array().size() == 2U);
+    RC_ASSERT(removal.at("remove").at(0).at("key") == put.at("key"));
+    const auto promotion = boost::json::parse(encode_promote(name, "m"));
+    RC_ASSERT(promotion.at("service") == put.at("key"));
+  }));
+}
+
 // Guards against one name with odd bytes for which a whole report or view is dropped.
 TEST_CASE("any names reach the other instance in reports and views")
 {
