Utilities: Record what the members of the line stand-in receive

Whether text is changed between a caller and a member can only be told from what the member received. The stand-in kept none of it.

With the setting "record", standin_line_platform writes a JSON line for each statement that a member ran (id, text, shape, item, data, settings and transaction in force, connection, answer), for each QUERY that it refused, and for each other line. All texts are base64, so that no byte is lost.

--- a/Utilities/StandIns/standin_line_group.cxx
+++ b/Utilities/StandIns/standin_line_group.cxx
@@ -17,6 +17,8 @@
 
 namespace {
 
+using operation = standin_line_statement::operation;
+
 constexpr std::string_view line_end = "\r\n";
 // The only term of the group.
 constexpr std::string_view term_prefix = "1.";
@@ -50,6 +52,9 @@
 standin_line_group::create(asio::io_context& context, options group)
 {
   std::unique_ptr<standin_line_group> created(new standin_line_group(context, std::move(group)));
+  if (!created->options_.record.empty()) {
+    BOOST_OUTCOME_TRY(created->record_, standin_line_record::create(created->options_.record));
+  }
   for (const auto& entry : created->options_.members) {
     BOOST_OUTCOME_TRYV(created->listen(entry));
   }
@@ -106,6 +111,7 @@
   std::string buffer;
   session current;
   current.serving = &entry;
+  current.origin = { entry.id, ++connections_ };
   bool started = false;
   asio::steady_timer timer(context_);
   for (;;) {
@@ -126,12 +132,14 @@
       // The group's name, the workspace and the member's id follow.
       started = word == "START" && take_word(rest) == options_.name;
       answer = started ? ready(current) : error_line("MISROUTED", entry.id);
+      record_other_line(current, "start", line);
     } else if (word == "QUERY") {
       timer.expires_after(options_.statement_time);
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
       answer = execute(current, line);
       answer += ready(current);
     } else {
+      record_other_line(current, "line", line);
       co_return;
     }
     co_await asio::async_write(
@@ -161,15 +169,41 @@
          std::string(term_prefix) + std::to_string(position_) + " 0\r\n";
 }
 
+void
+standin_line_group::record_other_line(const session& current,
+                                      std::string_view event,
+                                      std::string_view line)
+{
+  if (record_) {
+    record_->other_line(current.origin, event, line);
+  }
+}
+
 std::string
 standin_line_group::execute(session& current, std::string_view line)
 {
-  using operation = standin_line_statement::operation;
+  // The state before the statement is what it ran in.
+  const auto before = record_ ? current.line : standin_line_session();
   const auto applied = current.line.apply(line);
-  if (!applied) {
-    return error_line(applied.error().message, current.serving->id);
+  const bool read_only =
+    applied && applied.value().kind == operation::write && !current.serving->primary;
+  if (!applied || read_only) {
+    const std::string code = applied ? "READONLY" : applied.error().message;
+    if (record_) {
+      record_->refused(current.origin, line, code);
+    }
+    return error_line(code, current.serving->id);
   }
-  const auto& statement = applied.value();
+  auto answer = run_statement(current, applied.value());
+  if (record_) {
+    record_->ran(current.origin, applied.value(), before, answer);
+  }
+  return answer;
+}
+
+std::string
+standin_line_group::run_statement(session& current, const standin_line_statement& statement)
+{
   switch (statement.kind) {
     case operation::read:
       return read(current, statement.item);
@@ -200,9 +234,6 @@
 std::string
 standin_line_group::write(session& current, const standin_line_statement& statement)
 {
-  if (!current.serving->primary) {
-    return error_line("READONLY", current.serving->id);
-  }
   if (current.line.state() == 'T') {
     current.writes[statement.item] = statement.data;
   } else {
--- a/Utilities/StandIns/standin_line_group.h
+++ b/Utilities/StandIns/standin_line_group.h
@@ -2,6 +2,7 @@
 
 #include "Base/error.h"
 #include "Net/http_connection.h"
+#include "StandIns/standin_line_record.h"
 #include "StandIns/standin_line_session.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -35,9 +36,12 @@
     std::vector<member> members;
     // Time that a member takes for each statement.
     std::chrono::milliseconds statement_time{ 0 };
+    // File in which the members record what they receive. Empty for none.
+    std::string record = {};
   };
 
-  // Fails with address_unavailable if the address of a member cannot be bound.
+  // Fails with address_unavailable if the address of a member cannot be bound, and with
+  // internal_error if the record cannot be written.
   static result<std::unique_ptr<standin_line_group>> create(boost::asio::io_context& context,
                                                             options group);
 
@@ -47,6 +51,7 @@
   struct session
   {
     const member* serving = nullptr;
+    standin_line_record::origin origin;
     standin_line_session line;
     // Writes of the open transaction.
     std::map<std::string, std::string> writes;
@@ -60,6 +65,8 @@
   std::string status_row(const member& entry) const;
   // Runs the statement of one message and returns the lines of its answer, without READY.
   std::string execute(session& current, std::string_view line);
+  std::string run_statement(session& current, const standin_line_statement& statement);
+  void record_other_line(const session& current, std::string_view event, std::string_view line);
   std::string read(const session& current, const std::string& item) const;
   std::string write(session& current, const standin_line_statement& statement);
   std::string end_transaction(session& current, bool commit);
@@ -67,6 +74,8 @@
   boost::asio::io_context& context_;
   options options_;
   std::vector<std::unique_ptr<tcp::acceptor>> acceptors_;
+  std::unique_ptr<standin_line_record> record_;
+  std::uint64_t connections_ = 0;
   std::map<std::string, std::string> items_;
   // Number of committed transactions, which is the position in the only term.
   std::uint64_t position_ = 1;
--- a/Utilities/StandIns/standin_line_platform_main.cxx
+++ b/Utilities/StandIns/standin_line_platform_main.cxx
@@ -28,7 +28,8 @@
 
 Options:
   --settings=FILE  JSON file: store (IP:PORT), group, statement_ms, members (list of id, address,
-                   zone, primary) and configuration (contents of the row config).
+                   zone, primary), configuration (contents of the row config) and optionally record
+                   (file in which the members record what they receive, replaced at the start).
   -h --help        Print this help.
 )";
 
@@ -59,6 +60,9 @@
   group.name = text_of(settings.at("group"));
   group.statement_time =
     std::chrono::milliseconds(settings.at("statement_ms").to_number<std::int64_t>());
+  if (const auto* record = settings.as_object().if_contains("record")) {
+    group.record = text_of(*record);
+  }
   for (const auto& entry : settings.at("members").as_array()) {
     group.members.push_back(
       { text_of(entry.at("id")), address_of(entry.at("address")), entry.at("primary").as_bool() });
--- a/Utilities/StandIns/standin_line_session.cxx
+++ b/Utilities/StandIns/standin_line_session.cxx
@@ -76,6 +76,8 @@
       return malformed();
     }
     state_ = 'T';
+    ++transaction_;
+    reads_only_ = rest != "BEGIN";
     return success();
   }
   if (rest == "RESET") {
--- a/Utilities/StandIns/standin_line_session.h
+++ b/Utilities/StandIns/standin_line_session.h
@@ -47,6 +47,10 @@
 
   // State letter of READY: I (idle), T (open transaction) or E (failed transaction).
   char state() const { return state_; }
+  // Number of the open transaction, counted on this connection from 1; the last one's if none is.
+  std::uint64_t transaction() const { return transaction_; }
+  // True if that transaction was begun for reading.
+  bool reads_only() const { return reads_only_; }
   const std::map<std::string, std::string>& settings() const { return settings_; }
   std::size_t prepared_count() const { return prepared_.size(); }
 
@@ -61,6 +65,8 @@
   result<void> prepare(std::string_view rest);
 
   char state_ = 'I';
+  std::uint64_t transaction_ = 0;
+  bool reads_only_ = false;
   std::map<std::string, std::string> settings_;
   std::map<std::string, prepared_shape> prepared_;
 };
