Utilities: Check the statements that members ran against those callers sent

No tool sent hostile texts through real processes and compared what arrived.

statement_check runs seeded callers with blanks, tabs, lone CR and LF, NUL, bytes above 0x7f, look-alikes of statements and messages about as long as allowed in every field. It compares the record of standin_line_platform with what each caller sent and was told: texts, arguments, shapes, values, transactions, answers, runs of malformed or incomplete messages, DONE without a run, and promises that were broken. statement-soak.sh runs it through a fleet with two carriers and relaying instances, with series of signals that overlap.

--- /dev/null
+++ b/Utilities/Checks/Statements/statement_caller.cxx
@@ -0,0 +1,451 @@
+#include "Checks/Statements/statement_caller.h"
+
+#include "platform/line_protocol.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace persimmonshelf::checks {
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+namespace {
+
+using operation = sent_statement::operation;
+
+constexpr std::string_view line_end = "\r\n";
+constexpr std::chrono::seconds answer_limit{ 10 };
+// Pause before the next try after a failed session.
+constexpr std::size_t retry_pause_ms = 100;
+// Most statements of one session and of one transaction.
+constexpr std::size_t session_statements = 120;
+constexpr std::size_t transaction_statements = 7;
+// A pause in a transaction; some exceed the limit for idle transactions of the soak's fleet.
+constexpr std::size_t short_pause_ms = 20;
+constexpr std::size_t long_pause_ms = 700;
+constexpr std::size_t item_count = 40;
+
+}
+
+statement_caller::statement_caller(asio::io_context& context,
+                                   caller_options options,
+                                   std::uint64_t seed,
+                                   sent_statements& sent,
+                                   caller_totals& totals)
+  : context_(context)
+  , options_(std::move(options))
+  , text_(seed)
+  , sent_(sent)
+  , totals_(totals)
+  , socket_(context)
+  , deadline_(context)
+{
+}
+
+bool
+statement_caller::may_go_on() const
+{
+  return count_ < options_.statements && std::chrono::steady_clock::now() < options_.end;
+}
+
+asio::awaitable<void>
+statement_caller::pause(std::size_t max_ms)
+{
+  asio::steady_timer timer(context_, std::chrono::milliseconds(text_.below(max_ms + 1)));
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+void
+statement_caller::close()
+{
+  error_code ignored;
+  socket_.close(ignored);
+  buffer_.clear();
+}
+
+asio::awaitable<void>
+statement_caller::run()
+{
+  while (may_go_on()) {
+    const bool started = co_await start_session();
+    if (started) {
+      ++totals_.sessions;
+      co_await run_session();
+    }
+    close();
+    if (!started) {
+      co_await pause(retry_pause_ms);
+    }
+  }
+}
+
+asio::awaitable<bool>
+statement_caller::start_session()
+{
+  state_ = 'I';
+  transaction_ = 0;
+  values_ = std::make_shared<const session_values>();
+  prepared_.clear();
+  error_code failure;
+  socket_ = tcp::socket(context_);
+  co_await socket_.async_connect(
+    { asio::ip::make_address(options_.address.address), options_.address.port },
+    asio::redirect_error(asio::use_awaitable, failure));
+  if (failure) {
+    co_return false;
+  }
+  socket_.set_option(tcp::no_delay(true), failure);
+  const auto& database = options_.databases.at(text_.below(options_.databases.size()));
+  if (!co_await send("START " + database + " " + options_.key + "\r\n")) {
+    co_return false;
+  }
+  const auto line = co_await receive_line();
+  if (!line.starts_with("READY I ")) {
+    ++totals_.refused_sessions;
+    co_return false;
+  }
+  co_return true;
+}
+
+asio::awaitable<void>
+statement_caller::run_session()
+{
+  const auto end = count_ + 1 + text_.below(session_statements);
+  while (socket_.is_open() && count_ < end && may_go_on()) {
+    if (text_.chance(20)) {
+      co_await run_transaction();
+    } else if (text_.chance(25)) {
+      co_await change_session();
+    } else {
+      co_await run_statement();
+    }
+    if (text_.chance(10)) {
+      co_await pause(short_pause_ms);
+    }
+  }
+  if (socket_.is_open()) {
+    co_await leave();
+  }
+}
+
+// Ends the session in one of the ways in which callers leave.
+asio::awaitable<void>
+statement_caller::leave()
+{
+  if (text_.chance(40)) {
+    co_await send("BYE\r\n");
+    co_return;
+  }
+  if (text_.chance(50)) {
+    co_return;
+  }
+  // The caller leaves in the middle of a message.
+  auto next = next_read_or_write();
+  next.id = next_id();
+  next.values = values_;
+  next.complete = false;
+  auto message = "QUERY " + next.id + " " + next.text + "\r\n";
+  message.resize(1 + text_.below(message.size() - 1));
+  sent_.add(std::move(next));
+  co_await send(message);
+}
+
+asio::awaitable<void>
+statement_caller::run_transaction()
+{
+  sent_statement begin;
+  const bool reads_only = text_.chance(40);
+  begin.text = reads_only ? "BEGIN READ" : "BEGIN";
+  const auto* answered = co_await exchange(std::move(begin));
+  if (answered->outcome != sent_statement::result::done) {
+    co_return;
+  }
+  ++totals_.transactions;
+  transaction_ = sent_.next_transaction();
+  reads_only_ = reads_only;
+  const auto count = text_.below(transaction_statements);
+  for (std::size_t i = 0; i < count && socket_.is_open() && state_ == 'T'; ++i) {
+    if (text_.chance(20)) {
+      co_await pause(text_.chance(5) ? long_pause_ms : short_pause_ms);
+    }
+    if (text_.chance(15)) {
+      co_await change_session();
+    } else {
+      co_await run_statement();
+    }
+  }
+  if (!socket_.is_open()) {
+    co_return;
+  }
+  if (text_.chance(5)) {
+    close();
+    co_return;
+  }
+  sent_statement end;
+  const bool commits = state_ == 'T' && text_.chance(75);
+  end.kind = commits ? operation::commit : operation::session;
+  end.text = commits ? "COMMIT" : "ROLLBACK";
+  co_await exchange(std::move(end));
+  transaction_ = 0;
+  if (socket_.is_open() && state_ != 'I') {
+    close();
+  }
+}
+
+asio::awaitable<void>
+statement_caller::run_statement()
+{
+  sent_statement next;
+  if (text_.below(1000) < options_.long_per_thousand) {
+    next = next_long_statement();
+    ++totals_.long_statements;
+  } else if (text_.chance(2)) {
+    next = next_malformed();
+  } else if (!prepared_.empty() && text_.chance(40)) {
+    next = next_execution();
+  } else {
+    next = next_read_or_write();
+  }
+  co_await exchange(std::move(next));
+}
+
+sent_statement
+statement_caller::next_read_or_write()
+{
+  sent_statement next;
+  const bool common = text_.chance(50);
+  const auto item = "i" + std::to_string(text_.below(item_count));
+  if ((reads_only_ && transaction_ != 0) || text_.chance(50)) {
+    next.kind = operation::read;
+    next.text = "READ " + (common ? item : text_.last_field());
+    return next;
+  }
+  next.kind = operation::write;
+  next.text = "WRITE " + (common ? item : text_.middle_field()) + " ";
+  if (!text_.chance(5)) {
+    next.text += text_.last_field();
+  }
+  return next;
+}
+
+sent_statement
+statement_caller::next_execution()
+{
+  sent_statement next;
+  const auto found =
+    std::next(prepared_.begin(), static_cast<std::ptrdiff_t>(text_.below(prepared_.size())));
+  if (found->second.writes && reads_only_ && transaction_ != 0) {
+    return next_read_or_write();
+  }
+  next.kind = operation::execute;
+  next.shape = found->second.shape;
+  next.shape_writes = found->second.writes;
+  next.arguments =
+    text_.chance(50) ? text_.last_field() : text_.middle_field() + (next.shape_writes ? " d" : "");
+  next.text = "EXECUTE " + found->first + " " + next.arguments;
+  return next;
+}
+
+// A statement whose message has about the longest length, or one byte more.
+sent_statement
+statement_caller::next_long_statement()
+{
+  constexpr std::array<std::size_t, 4> spare_bytes{ 0, 1, 12, 200 };
+  auto next = !prepared_.empty() && text_.chance(30) ? next_execution() : next_read_or_write();
+  next.id = next_id();
+  const auto head = std::string_view("QUERY ").size() + next.id.size() + 1 + line_end.size();
+  const auto filler = text_.long_field(platform::line_limit_bytes - head - next.text.size() -
+                                       spare_bytes.at(text_.below(spare_bytes.size())));
+  next.text += filler;
+  next.arguments += next.kind == operation::execute ? filler : "";
+  if (text_.chance(5)) {
+    // One byte too long: the connection ends without a run.
+    next.text += text_.long_field(platform::line_limit_bytes + 1 - head - next.text.size());
+    next.well_formed = false;
+  }
+  return next;
+}
+
+sent_statement
+statement_caller::next_malformed()
+{
+  const std::array<std::string, 9> texts{
+    "AFTER 1.1 READ x", " READ x",  "READ ",
+    "WRITE x",          "WRITE  x", "EXECUTE s0 ",
+    "commit x",         "RESETS",   "PREPARE s0  READ q12",
+  };
+  sent_statement next;
+  next.text = texts.at(text_.below(texts.size()));
+  next.well_formed = false;
+  return next;
+}
+
+// Changes a value or a prepared statement of the session.
+asio::awaitable<void>
+statement_caller::change_session()
+{
+  auto change = next_change();
+  const auto* answered = co_await exchange(std::move(change.statement));
+  if (answered->outcome != sent_statement::result::done) {
+    // The protocol has callers leave after such an error.
+    close();
+    co_return;
+  }
+  change.apply();
+}
+
+statement_caller::session_change
+statement_caller::next_change()
+{
+  session_change change;
+  const auto name = text_.chance(70) ? "s" + std::to_string(text_.below(4)) : text_.middle_field();
+  const auto choice = text_.below(10);
+  if (choice < 4 || options_.prepared == prepared_use::none) {
+    const auto value = text_.chance(10)  ? std::string()
+                       : text_.chance(1) ? text_.long_field(20'000)
+                                         : text_.last_field();
+    change.statement.text = "SET " + name + (value.empty() && text_.chance(50) ? "" : " " + value);
+    change.apply = [this, name, value] {
+      auto changed = std::make_shared<session_values>(*values_);
+      (*changed)[name] = value;
+      values_ = std::move(changed);
+    };
+  } else if (choice < 9) {
+    const prepared_statement prepared{ text_.chance(50),
+                                       text_.shape(options_.prepared == prepared_use::plain) };
+    change.statement.text =
+      "PREPARE " + name + (prepared.writes ? " WRITE " : " READ ") + prepared.shape;
+    change.apply = [this, name, prepared] { prepared_[name] = prepared; };
+  } else {
+    change.statement.text = "DEALLOC " + name;
+    change.apply = [this, name] { prepared_.erase(name); };
+  }
+  return change;
+}
+
+// Unique by its number; some have odd bytes around it.
+std::string
+statement_caller::next_id()
+{
+  const auto number = std::to_string(sent_.next_number());
+  if (text_.chance(60)) {
+    return "n" + number;
+  }
+  // The characters before and after the number keep it apart from bytes of the text.
+  return text_.middle_field().substr(0, 12) + "#" + number + "#" +
+         text_.middle_field().substr(0, 12);
+}
+
+asio::awaitable<const sent_statement*>
+statement_caller::exchange(sent_statement next)
+{
+  ++count_;
+  if (next.id.empty()) {
+    next.id = next_id();
+  }
+  next.values = values_;
+  next.transaction = transaction_;
+  next.reads_only = transaction_ != 0 && reads_only_;
+  const auto message = "QUERY " + next.id + " " + next.text + "\r\n";
+  auto& entry = sent_.add(std::move(next));
+  if (!buffer_.empty()) {
+    totals_.violations.push_back("unsolicited: " + printable(buffer_));
+  }
+  if (co_await send(message)) {
+    co_await receive(entry);
+  }
+  co_return &entry;
+}
+
+// Sends in one piece or in several ones.
+asio::awaitable<bool>
+statement_caller::send(std::string_view message)
+{
+  error_code failure;
+  const auto pieces = text_.chance(90) ? 1 : 1 + text_.below(4);
+  for (std::size_t i = 0; i < pieces && !failure; ++i) {
+    const bool last = i + 1 == pieces || message.size() < 2;
+    const auto length = last ? message.size() : 1 + text_.below(message.size() - 1);
+    co_await asio::async_write(socket_,
+                               asio::buffer(message.substr(0, length)),
+                               asio::redirect_error(asio::use_awaitable, failure));
+    message.remove_prefix(length);
+    if (last) {
+      break;
+    }
+    co_await pause(3);
+  }
+  if (failure) {
+    ++totals_.lost_sessions;
+    close();
+  }
+  co_return !failure;
+}
+
+asio::awaitable<std::string>
+statement_caller::receive_line()
+{
+  deadline_.expires_after(answer_limit);
+  deadline_.async_wait([this](const error_code& cancelled) {
+    if (!cancelled) {
+      ++totals_.timeouts;
+      error_code ignored;
+      socket_.close(ignored);
+    }
+  });
+  error_code failure;
+  const auto length =
+    co_await asio::async_read_until(socket_,
+                                    asio::dynamic_buffer(buffer_),
+                                    std::string(line_end),
+                                    asio::redirect_error(asio::use_awaitable, failure));
+  deadline_.cancel();
+  if (failure) {
+    ++totals_.lost_sessions;
+    close();
+    co_return std::string();
+  }
+  auto line = buffer_.substr(0, length - line_end.size());
+  buffer_.erase(0, length);
+  co_return line;
+}
+
+asio::awaitable<void>
+statement_caller::receive(sent_statement& entry)
+{
+  bool failed = false;
+  std::string code;
+  std::string answer;
+  for (;;) {
+    const auto line = co_await receive_line();
+    if (line.empty()) {
+      co_return;
+    }
+    if (line.starts_with("READY ") && line.size() > 6) {
+      state_ = line[6];
+      break;
+    }
+    if (line.starts_with("ERROR ")) {
+      failed = true;
+      code = line.substr(6, line.find(' ', 6) - 6);
+    }
+    answer += line + "\r\n";
+  }
+  entry.outcome = failed ? sent_statement::result::failed : sent_statement::result::done;
+  entry.code = code;
+  entry.answer = std::move(answer);
+  if (failed) {
+    ++totals_.codes[code];
+  } else if (entry.kind != operation::session) {
+    ++totals_.done[format_address(options_.address)];
+  }
+}
+
+}
--- /dev/null
+++ b/Utilities/statement-soak.sh
@@ -0,0 +1,190 @@
+#!/usr/bin/env bash
+# Runs callers with hostile texts through a fleet of persimmonshelf-proxy processes on loopback while
+# signals come in overlapping series, and compares what the members ran with what was sent. The
+# first two instances carry sessions; the others are smaller and relay theirs to them.
+# Usage: statement-soak.sh [SECONDS] [SEED] [INSTANCES] [OPTION OF statement_check]...
+# SOAK_SIGNALS=no runs without signals.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seconds=${1:-30}
+seed=${2:-1}
+instances=${3:-5}
+shift $(($# < 3 ? $# : 3))
+build=${SOAK_BUILD:-build}
+signals=${SOAK_SIGNALS:-yes}
+port=${SOAK_PORT:-16100}
+folder=$(mktemp -d)
+stand_in=127.0.5.250
+declare -A pids=()
+# Callers that are open to all reach db4, so that sessions differ in their route.
+databases=db1,db2,db3,db4
+
+# Members, a stand-in, the check and the series of signals come on top of the instances.
+if [ "$instances" -lt 1 ] || [ "$instances" -gt 30 ]; then
+  echo "statement-soak: 1 to 30 instances are supported" >&2
+  exit 2
+fi
+
+instance_host() { echo "127.0.5.$(($1 + 1))"; }
+
+stop_all() {
+  exec 2>/dev/null
+  local name
+  touch "$folder/stop"
+  [ "${#series[@]}" -eq 0 ] || wait "${series[@]}" 2>/dev/null || true
+  for name in "${!pids[@]}"; do kill -s KILL "${pids[$name]}" 2>/dev/null || true; done
+  for ((number = 0; number < instances; number++)); do
+    kill -s KILL "$(cat "$folder/i$number.pid" 2>/dev/null)" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+}
+series=()
+trap stop_all EXIT
+
+route() {
+  echo "{\"name\":\"$1\",\"host\":\"$1\",\"service\":\"g1\",\"prefix\":\"/\",\"kind\":\"$2\"," \
+    "\"timeout_ms\":2000,\"target_latency_ms\":400,\"priority\":1,\"max_attempts\":2," \
+    "\"max_staleness_ms\":2500,\"public\":$3}"
+}
+
+member() {
+  echo "{\"id\":\"m$1\",\"address\":\"$stand_in:$((port + $1))\",\"zone\":\"z1\",\"primary\":$2}"
+}
+
+write_platform() {
+  cat >"$folder/platform.json" <<JSON
+{
+  "store": "$stand_in:$port", "group": "g1", "statement_ms": 1, "record": "$folder/record.jsonl",
+  "members": [$(member 1 true), $(member 2 false), $(member 3 false)],
+  "configuration": {
+    "version": 1,
+    "routes": [$(route db1 primary false), $(route db2 bounded_staleness false),
+               $(route db3 read_your_writes false), $(route db4 bounded_staleness true)],
+    "services": [{"name": "g1", "max_conns": 60, "sync_replicas": 0}],
+    "limits": {"tx_idle_ms": 500},
+    "tenants": [{"name": "w1", "api_keys": ["key1"], "priority": 1, "rate_per_s": 100000,
+                 "burst": 100000}]
+  }
+}
+JSON
+}
+
+write_settings() {
+  local number=$1 host seeds="" other cores=0.084
+  host=$(instance_host "$number")
+  for ((other = 0; other < instances; other++)); do
+    seeds+="${seeds:+,}\"$(instance_host $other):$((port + 3))\""
+  done
+  [ "$number" -lt 2 ] && cores=2
+  cat >"$folder/i$number.json" <<JSON
+{
+  "instance": "i$number", "zone": "z1", "seeds": [$seeds],
+  "listen": {"callers": "$host:$port", "readiness": "$host:$((port + 1))",
+             "relay": "$host:$((port + 2))", "peers": "$host:$((port + 3))",
+             "metrics": "$host:$((port + 4))"},
+  "store": {"address": "$stand_in:$port"},
+  "duties": {"address": "$stand_in:$port", "lists": []},
+  "key_revocation_ms": 5000, "stop_grace_s": 2, "configuration_limit_ms": 3000,
+  "processor_cores": $cores, "limits": {"memory_mb": 112, "descriptors": 512},
+  "first_start": $([ "$number" -eq 0 ] && [ ! -e "$folder/i0.log" ] && echo true || echo false)
+}
+JSON
+}
+
+start_instance() {
+  write_settings "$1"
+  "$build/Source/persimmonshelf-proxy" run --settings "$folder/i$1.json" >>"$folder/i$1.log" 2>&1 &
+  echo "$!" >"$folder/i$1.pid"
+}
+
+is_ready() { curl -s -m 1 -o /dev/null -f "http://$(instance_host "$1"):$((port + 1))/readiness"; }
+
+wait_ready() {
+  local tries
+  for ((tries = 0; tries < 150; tries++)); do
+    is_ready "$1" && return 0
+    sleep 0.1
+  done
+  echo "statement-soak: instance i$1 is not ready; logs are in $folder" >&2
+  return 1
+}
+
+# Sends one signal after another to instances that it draws, and starts again those that end. The
+# series overlap; of one instance only one series at a time takes care. Instances 0 and 1 carry the
+# sessions, so that they are never both away by this script.
+run_series() {
+  local name=$1 lock number signal
+  RANDOM=$((seed * 31 + $2))
+  while [ ! -e "$folder/stop" ]; do
+    sleep "0.$((RANDOM % 9 + 1))"
+    number=$((RANDOM % instances))
+    signal=$name
+    lock="$folder/lock.$number"
+    [ "$number" -lt 2 ] && lock="$folder/lock.carriers"
+    if [ "$signal" = HUP ]; then
+      kill -s HUP "$(cat "$folder/i$number.pid")" 2>/dev/null || true
+      continue
+    fi
+    mkdir "$lock" 2>/dev/null || continue
+    local pid
+    pid=$(cat "$folder/i$number.pid")
+    kill -s "$signal" "$pid" 2>/dev/null || true
+    # Not a child of this shell; its identifier is free once it has ended.
+    local tries
+    for ((tries = 0; tries < 60; tries++)); do
+      [ -d "/proc/$pid" ] && ! grep -q '^State:.*Z' "/proc/$pid/status" 2>/dev/null || break
+      sleep 0.1
+    done
+    if [ "$tries" -eq 60 ]; then
+      echo "statement-soak: i$number did not end within 6 s of $signal" >>"$folder/series.log"
+      kill -s KILL "$pid" 2>/dev/null || true
+      sleep 0.2
+    fi
+    echo "$signal i$number" >>"$folder/series.log"
+    start_instance "$number"
+    wait_ready "$number" 2>>"$folder/series.log" || true
+    rmdir "$lock"
+    sleep "$((RANDOM % 2)).$((RANDOM % 9 + 1))"
+  done
+}
+
+write_platform
+"$build/Utilities/standin_line_platform" --settings="$folder/platform.json" \
+  >"$folder/platform.log" 2>&1 &
+pids[platform]=$!
+sleep 0.3
+list=""
+for ((number = 0; number < instances; number++)); do
+  start_instance "$number"
+  list+="${list:+,}$(instance_host "$number"):$port"
+  # The carriers are chosen before the others come.
+  [ "$number" -gt 1 ] || wait_ready "$number"
+done
+for ((number = 0; number < instances; number++)); do wait_ready "$number"; done
+sleep 3
+
+if [ "$signals" = yes ]; then
+  run_series HUP 1 & series+=($!)
+  run_series TERM 2 & series+=($!)
+  run_series KILL 3 & series+=($!)
+fi
+failed=0
+"$build/Utilities/statement_check" --instances="$list" --record="$folder/record.jsonl" \
+  --databases="$databases" --key=key1 --seconds="$seconds" --seed="$seed" "$@" || failed=$?
+
+for ((number = 2; number < instances; number++)); do
+  grep -q '"carries":"no"' "$folder/i$number.log" ||
+    echo "statement-soak: instance i$number never relayed sessions"
+done
+for signal in TERM KILL; do
+  echo "instances restarted after $signal: $(grep -c "^$signal" "$folder/series.log" 2>/dev/null || true)"
+done
+grep "statement-soak" "$folder/series.log" 2>/dev/null || true
+if [ "$failed" -ne 0 ]; then
+  echo "statement-soak: failed with seed $seed; record and logs are in $folder" >&2
+  exit 1
+fi
+stop_all
+trap - EXIT
+rm -rf "$folder"
+echo "statement-soak: passed with seed $seed"
