--- a/Utilities/Checks/Statements/record_comparison.cxx
+++ b/Utilities/Checks/Statements/record_comparison.cxx
@@ -2,6 +2,7 @@
 
 #include "Checks/Statements/hostile_text.h"
 #include "platform/base64.h"
+#include "platform/line_protocol.h"
 
 #include <boost/json.hpp>
 
@@ -19,6 +20,7 @@
 
 using operation = sent_statement::operation;
 
+constexpr std::size_t line_end_bytes = 2;
 // Codes that promise that nothing of the attempt is kept.
 constexpr std::array<std::string_view, 6> promises{ "BUSY",     "ABORTED",   "LAGGING",
                                                     "READONLY", "MISROUTED", "TOOMANY" };
@@ -258,9 +260,12 @@
     report("own_command_refused", description);
     return;
   }
+  refused_.insert(id);
   const auto* sent = sent_.find(id);
   if (sent == nullptr) {
     report("unknown_id", description);
+  } else if (sent->well_formed && line.size() + line_end_bytes > platform::line_limit_bytes) {
+    report("line_too_long", description + ", sent as " + in_quotes(sent->text));
   } else if (sent->well_formed) {
     report("refused_well_formed", description + ", sent as " + in_quotes(sent->text));
   }
@@ -307,6 +312,13 @@
     }
     return;
   }
+  // Callers use only names that they prepared, and few values. A transaction may end while it is
+  // idle, and its next statement is malformed then.
+  const bool refused = sent.code == "MALFORMED" || sent.code == "NOSTMT";
+  if (refused && sent.well_formed && !sent.ahead && sent.transaction == 0 &&
+      !refused_.contains(sent.id)) {
+    report("refused_by_proxy", description + " was answered with " + in_quotes(sent.answer));
+  }
   const bool promised = sent.outcome == sent_statement::result::failed &&
                         std::find(promises.begin(), promises.end(), sent.code) != promises.end();
   const bool kept = (writes(sent) && sent.transaction == 0) ||
--- a/Utilities/Checks/Statements/record_comparison.h
+++ b/Utilities/Checks/Statements/record_comparison.h
@@ -65,6 +65,8 @@
   std::vector<violation> violations_;
   std::map<std::string, std::uint64_t> counts_;
   std::unordered_map<std::string, run> runs_;
+  // Ids that a member refused as malformed or as naming no prepared statement.
+  std::unordered_set<std::string> refused_;
   std::map<std::uint64_t, member_transaction> transactions_;
   std::map<member_transaction, std::uint64_t> callers_of_;
   // Transactions in which a write ran.
--- a/Utilities/Checks/Statements/sent_statements.h
+++ b/Utilities/Checks/Statements/sent_statements.h
@@ -45,6 +45,9 @@
   bool reads_only = false;
   // False if a member must refuse it by the grammar.
   bool well_formed = true;
+  // True if other statements were sent and not answered yet. The state is unknown to the caller
+  // then.
+  bool ahead = false;
   // False if the caller left before it had sent the whole message.
   bool complete = true;
   result outcome = result::unknown;
--- a/Utilities/Checks/Statements/statement_caller.cxx
+++ b/Utilities/Checks/Statements/statement_caller.cxx
@@ -31,6 +31,14 @@
 constexpr std::size_t short_pause_ms = 20;
 constexpr std::size_t long_pause_ms = 700;
 constexpr std::size_t item_count = 40;
+// Most statements that a caller sends before the first one is answered.
+constexpr std::size_t most_sent_ahead = 5;
+
+std::string
+message_of(const sent_statement& sent)
+{
+  return "QUERY " + sent.id + " " + sent.text + "\r\n";
+}
 
 }
 
@@ -102,8 +110,14 @@
     co_return false;
   }
   socket_.set_option(tcp::no_delay(true), failure);
-  const auto& database = options_.databases.at(text_.below(options_.databases.size()));
-  if (!co_await send("START " + database + " " + options_.key + "\r\n")) {
+  auto start = "START " + options_.databases.at(text_.below(options_.databases.size())) + " " +
+               options_.key + "\r\n";
+  if (!options_.open_databases.empty() && text_.chance(20)) {
+    // Anyone may use these.
+    start = "START " + options_.open_databases.at(text_.below(options_.open_databases.size())) +
+            (text_.chance(50) ? "\r\n" : " " + text_.last_field() + "\r\n");
+  }
+  if (!co_await send(start)) {
     co_return false;
   }
   const auto line = co_await receive_line();
@@ -151,7 +165,7 @@
   next.id = next_id();
   next.values = values_;
   next.complete = false;
-  auto message = "QUERY " + next.id + " " + next.text + "\r\n";
+  auto message = message_of(next);
   message.resize(1 + text_.below(message.size() - 1));
   sent_.add(std::move(next));
   co_await send(message);
@@ -202,20 +216,52 @@
 asio::awaitable<void>
 statement_caller::run_statement()
 {
+  if (text_.chance(3)) {
+    co_await run_ahead();
+    co_return;
+  }
   sent_statement next;
   if (text_.below(1000) < options_.long_per_thousand) {
     next = next_long_statement();
     ++totals_.long_statements;
   } else if (text_.chance(2)) {
     next = next_malformed();
-  } else if (!prepared_.empty() && text_.chance(40)) {
-    next = next_execution();
   } else {
-    next = next_read_or_write();
+    next = next_ordinary();
   }
   co_await exchange(std::move(next));
 }
 
+// Sends several statements before the first one is answered.
+asio::awaitable<void>
+statement_caller::run_ahead()
+{
+  std::string messages;
+  std::vector<sent_statement*> entries;
+  const auto count = 2 + text_.below(most_sent_ahead - 1);
+  for (std::size_t i = 0; i < count; ++i) {
+    entries.push_back(&add(next_ordinary()));
+    entries.back()->ahead = true;
+    messages += message_of(*entries.back());
+  }
+  totals_.sent_ahead += count;
+  if (!co_await send(messages)) {
+    co_return;
+  }
+  for (auto* entry : entries) {
+    co_await receive(*entry);
+    if (!socket_.is_open()) {
+      co_return;
+    }
+  }
+}
+
+sent_statement
+statement_caller::next_ordinary()
+{
+  return !prepared_.empty() && text_.chance(40) ? next_execution() : next_read_or_write();
+}
+
 sent_statement
 statement_caller::next_read_or_write()
 {
@@ -343,8 +389,9 @@
          text_.middle_field().substr(0, 12);
 }
 
-asio::awaitable<const sent_statement*>
-statement_caller::exchange(sent_statement next)
+// Keeps a statement that is about to be sent, in the state of the session.
+sent_statement&
+statement_caller::add(sent_statement next)
 {
   ++count_;
   if (next.id.empty()) {
@@ -353,12 +400,17 @@
   next.values = values_;
   next.transaction = transaction_;
   next.reads_only = transaction_ != 0 && reads_only_;
-  const auto message = "QUERY " + next.id + " " + next.text + "\r\n";
-  auto& entry = sent_.add(std::move(next));
+  return sent_.add(std::move(next));
+}
+
+asio::awaitable<const sent_statement*>
+statement_caller::exchange(sent_statement next)
+{
+  auto& entry = add(std::move(next));
   if (!buffer_.empty()) {
     totals_.violations.push_back("unsolicited: " + printable(buffer_));
   }
-  if (co_await send(message)) {
+  if (co_await send(message_of(entry))) {
     co_await receive(entry);
   }
   co_return &entry;
--- a/Utilities/Checks/Statements/statement_caller.h
+++ b/Utilities/Checks/Statements/statement_caller.h
@@ -33,6 +33,8 @@
 {
   tcp_address address;
   std::vector<std::string> databases;
+  // Databases that anyone may use. Callers go there without a key or with an unknown one.
+  std::vector<std::string> open_databases;
   std::string key;
   std::chrono::steady_clock::time_point end;
   // Most statements of the caller.
@@ -51,6 +53,7 @@
   std::uint64_t timeouts = 0;
   std::uint64_t transactions = 0;
   std::uint64_t long_statements = 0;
+  std::uint64_t sent_ahead = 0;
   // Statements that members ran and that were answered with DONE, by address.
   std::map<std::string, std::uint64_t> done;
   std::map<std::string, std::uint64_t> codes;
@@ -91,15 +94,18 @@
   boost::asio::awaitable<void> run_session();
   boost::asio::awaitable<void> run_transaction();
   boost::asio::awaitable<void> run_statement();
+  boost::asio::awaitable<void> run_ahead();
   boost::asio::awaitable<void> change_session();
   boost::asio::awaitable<void> leave();
   // Statements of the next message, with everything but the id.
+  sent_statement next_ordinary();
   sent_statement next_read_or_write();
   sent_statement next_execution();
   sent_statement next_long_statement();
   sent_statement next_malformed();
   session_change next_change();
   std::string next_id();
+  sent_statement& add(sent_statement next);
   // Sends the statement and waits for its answer. The session has no open socket afterwards if no
   // answer came. Returns the statement with its outcome.
   boost::asio::awaitable<const sent_statement*> exchange(sent_statement next);
--- a/Utilities/Checks/statement_check.cxx
+++ b/Utilities/Checks/statement_check.cxx
@@ -29,14 +29,17 @@
   R"(statement_check: compares the statements that members ran with those that callers sent.
 
 Usage:
-  statement_check --instances=LIST --record=FILE --databases=LIST --key=KEY [--callers=N]
-                  [--seconds=N] [--count=N] [--seed=N] [--prepared=USE] [--long=N] [--print=N]
+  statement_check --instances=LIST --record=FILE --databases=LIST --key=KEY
+                  [--open=LIST] [--callers=N] [--seconds=N] [--count=N] [--seed=N]
+                  [--prepared=USE] [--long=N] [--print=N]
   statement_check (-h | --help)
 
 Options:
   --instances=LIST  Caller addresses of the instances, comma separated.
   --record=FILE     Record of standin_line_platform for this run.
   --databases=LIST  Names of databases, comma separated. Each session takes one.
+  --open=LIST       Databases that anyone may use, comma separated. Some sessions go there without
+                    a key or with an unknown one.
   --key=KEY         Workspace key of all callers.
   --callers=N       Callers for each instance [default: 6].
   --seconds=N       Duration of the run in seconds [default: 20].
@@ -96,6 +99,9 @@
   boost::asio::io_context context(1);
   caller_options common;
   common.databases = split_list(options.at("--databases").asString());
+  if (const auto& open = options.at("--open")) {
+    common.open_databases = split_list(open.asString());
+  }
   common.key = options.at("--key").asString();
   common.end =
     std::chrono::steady_clock::now() + std::chrono::seconds(number_of(options.at("--seconds")));
@@ -170,8 +176,9 @@
   std::cout << "statement_check: seed " << options.at("--seed").asString() << ", sessions "
             << totals.sessions << " (refused " << totals.refused_sessions << ", lost "
             << totals.lost_sessions << "), statements " << sent.entries().size() << " (long "
-            << totals.long_statements << "), transactions " << totals.transactions << ", done "
-            << done << ", timeouts " << totals.timeouts << ", violations " << violations << "\n";
+            << totals.long_statements << ", ahead " << totals.sent_ahead << "), transactions "
+            << totals.transactions << ", done " << done << ", timeouts " << totals.timeouts
+            << ", violations " << violations << "\n";
   if (done == 0) {
     std::cout << "statement_check: no statement was run for a caller\n";
   }
--- a/Utilities/statement-soak.sh
+++ b/Utilities/statement-soak.sh
@@ -15,9 +15,9 @@
 port=${SOAK_PORT:-16100}
 folder=$(mktemp -d)
 stand_in=127.0.5.250
-declare -A pids=()
-# Callers that are open to all reach db4, so that sessions differ in their route.
 databases=db1,db2,db3,db4
+# Anyone may use db4.
+open_databases=db4
 
 # Members, a stand-in, the check and the series of signals come on top of the instances.
 if [ "$instances" -lt 1 ] || [ "$instances" -gt 30 ]; then
@@ -27,17 +27,34 @@
 
 instance_host() { echo "127.0.5.$(($1 + 1))"; }
 
-stop_all() {
-  exec 2>/dev/null
-  local name
+# The identifier of the instance's process; empty if it has ended.
+running_pid() {
+  local pid
+  pid=$(cat "$folder/i$1.pid" 2>/dev/null) || return 0
+  # An identifier may be used again by a process that is not ours.
+  if tr '\0' ' ' 2>/dev/null <"/proc/$pid/cmdline" | grep -qF "$folder/i$1.json"; then echo "$pid"; fi
+}
+
+signal_instance() {
+  local pid
+  pid=$(running_pid "$1")
+  [ -z "$pid" ] || kill -s "$2" "$pid" 2>/dev/null || true
+}
+
+stop_series() {
   touch "$folder/stop"
   [ "${#series[@]}" -eq 0 ] || wait "${series[@]}" 2>/dev/null || true
-  for name in "${!pids[@]}"; do kill -s KILL "${pids[$name]}" 2>/dev/null || true; done
-  for ((number = 0; number < instances; number++)); do
-    kill -s KILL "$(cat "$folder/i$number.pid" 2>/dev/null)" 2>/dev/null || true
-  done
+  series=()
+}
+
+stop_all() {
+  local number
+  stop_series
+  for ((number = 0; number < instances; number++)); do signal_instance "$number" KILL; done
+  [ -z "${platform:-}" ] || kill -s TERM "$platform" 2>/dev/null || true
   wait 2>/dev/null || true
 }
+
 series=()
 trap stop_all EXIT
 
@@ -95,6 +112,8 @@
   write_settings "$1"
   "$build/Source/persimmonshelf-proxy" run --settings "$folder/i$1.json" >>"$folder/i$1.log" 2>&1 &
   echo "$!" >"$folder/i$1.pid"
+  # The shell would report its end by a signal.
+  disown
 }
 
 is_ready() { curl -s -m 1 -o /dev/null -f "http://$(instance_host "$1"):$((port + 1))/readiness"; }
@@ -113,31 +132,29 @@
 # series overlap; of one instance only one series at a time takes care. Instances 0 and 1 carry the
 # sessions, so that they are never both away by this script.
 run_series() {
-  local name=$1 lock number signal
+  local signal=$1 lock number tries
   RANDOM=$((seed * 31 + $2))
   while [ ! -e "$folder/stop" ]; do
     sleep "0.$((RANDOM % 9 + 1))"
     number=$((RANDOM % instances))
-    signal=$name
     lock="$folder/lock.$number"
     [ "$number" -lt 2 ] && lock="$folder/lock.carriers"
     if [ "$signal" = HUP ]; then
-      kill -s HUP "$(cat "$folder/i$number.pid")" 2>/dev/null || true
+      signal_instance "$number" HUP
       continue
     fi
     mkdir "$lock" 2>/dev/null || continue
-    local pid
-    pid=$(cat "$folder/i$number.pid")
-    kill -s "$signal" "$pid" 2>/dev/null || true
-    # Not a child of this shell; its identifier is free once it has ended.
-    local tries
+    if [ -z "$(running_pid "$number")" ]; then
+      echo "statement-soak: i$number ended by itself" >>"$folder/series.log"
+    fi
+    signal_instance "$number" "$signal"
     for ((tries = 0; tries < 60; tries++)); do
-      [ -d "/proc/$pid" ] && ! grep -q '^State:.*Z' "/proc/$pid/status" 2>/dev/null || break
+      [ -n "$(running_pid "$number")" ] || break
       sleep 0.1
     done
     if [ "$tries" -eq 60 ]; then
       echo "statement-soak: i$number did not end within 6 s of $signal" >>"$folder/series.log"
-      kill -s KILL "$pid" 2>/dev/null || true
+      signal_instance "$number" KILL
       sleep 0.2
     fi
     echo "$signal i$number" >>"$folder/series.log"
@@ -151,7 +168,7 @@
 write_platform
 "$build/Utilities/standin_line_platform" --settings="$folder/platform.json" \
   >"$folder/platform.log" 2>&1 &
-pids[platform]=$!
+platform=$!
 sleep 0.3
 list=""
 for ((number = 0; number < instances; number++)); do
@@ -170,7 +187,13 @@
 fi
 failed=0
 "$build/Utilities/statement_check" --instances="$list" --record="$folder/record.jsonl" \
-  --databases="$databases" --key=key1 --seconds="$seconds" --seed="$seed" "$@" || failed=$?
+  --databases="$databases" --open="$open_databases" --key=key1 --seconds="$seconds" --seed="$seed" "$@" || failed=$?
+stop_series
+for ((number = 0; number < instances; number++)); do
+  if [ -z "$(running_pid "$number")" ]; then
+    echo "statement-soak: i$number ended by itself" >>"$folder/series.log"
+  fi
+done
 
 for ((number = 2; number < instances; number++)); do
   grep -q '"carries":"no"' "$folder/i$number.log" ||
@@ -179,7 +202,7 @@
 for signal in TERM KILL; do
   echo "instances restarted after $signal: $(grep -c "^$signal" "$folder/series.log" 2>/dev/null || true)"
 done
-grep "statement-soak" "$folder/series.log" 2>/dev/null || true
+if grep "statement-soak" "$folder/series.log" 2>/dev/null; then failed=1; fi
 if [ "$failed" -ne 0 ]; then
   echo "statement-soak: failed with seed $seed; record and logs are in $folder" >&2
   exit 1
