--- a/Tests/Proxy/prepared_statement_test.cxx
+++ b/Tests/Proxy/prepared_statement_test.cxx
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "Sessions/statement_workload.h"
+#include "Checks/Sessions/statement_workload.h"
 
 using namespace persimmonshelf;
 
--- a/Utilities/Checks/session_fuzz.cxx
+++ b/Utilities/Checks/session_fuzz.cxx
@@ -1,4 +1,4 @@
-#include "Sessions/statement_workload.h"
+#include "Checks/Sessions/statement_workload.h"
 
 #include <docopt/docopt.h>
 
