Proxy: Serve messages of the longest length that gain a position or another name

What callers saw: a read or execution of nearly 1 MiB was too long once a position was put before it or its name was replaced, and members refused it or closed the connection; since the encoder checks the length, the caller got MALFORMED for a legal message.

Change: a statement that leaves no room for a position goes to the primary without one, like after LAGGING. Names of prepared statements are letters, and the first 52 of a connection have one, so an execution does not become longer than it was. What remains: an execution within a byte of the limit under one of the later names, and SET without a value at the very limit, are refused as MALFORMED.

Evidence: the three checks of the longest messages now also require an answer without error, which failed before.

--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Longest id and text of a statement before which a position fits into one message to a member, in
+// bytes.
+constexpr std::size_t max_positioned_bytes = (1 << 20) - 128;
+
 // The command that prepares a connection, as the log shows it. Values are left out.
 std::string
 describe(const member_command& command)
@@ -51,6 +55,11 @@
   if (may_write || route.kind == consistency::primary) {
     return;
   }
+  // Only the primary has every commit without a position that says so.
+  if (!transaction_ &&
+      active_->request.id.size() + active_->request.text.size() > max_positioned_bytes) {
+    return;
+  }
   active_->evidence = hooks_->position_for_staleness(route.group, route.max_staleness);
   if (!active_->evidence) {
     return;
--- a/Tests/Platform/line_fields_test.cxx
+++ b/Tests/Platform/line_fields_test.cxx
@@ -6,6 +6,7 @@
 
 #include <rapidcheck.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -137,6 +138,23 @@
   CHECK(encode_answer(answer) == "ERROR BUSY rate limit of a??DONE x reached\r\nREADY I -\r\n");
 }
 
+// Guards against two prepared statements with one name, and against names that grow a message.
+TEST_CASE("prepared statements have short names of their own")
+{
+  constexpr std::uint32_t count = 60;
+  constexpr std::uint32_t one_letter_names = 52;
+  std::set<std::string> messages;
+  auto command = make_command(member_command::command_kind::execute, {}, "k");
+  for (std::uint32_t number = 1; number <= count; ++number) {
+    command.prepared = prepared_number(number);
+    const auto message = encode_command(command).value();
+    const auto shortest = std::string("QUERY - EXECUTE a k\r\n").size();
+    CHECK(message.size() == shortest + (number > one_letter_names ? 1 : 0));
+    messages.insert(message);
+  }
+  CHECK(messages.size() == count);
+}
+
 // Guards against a message that a member drops with its connection, and the outcome with it.
 TEST_CASE("a command is refused if it is longer than a message may be")
 {
--- a/Tests/Proxy/message_length_test.cxx
+++ b/Tests/Proxy/message_length_test.cxx
@@ -29,7 +29,6 @@
                 transaction_state::idle);
   }
   REQUIRE_FALSE(bench.answers.empty());
-  CHECK(bench.answers.back().error != statement_error::unknown_database);
   return longest;
 }
 
@@ -50,6 +49,7 @@
 {
   session_bench bench("stale");
   CHECK(longest_message(bench, filled_up("READ ")) <= platform::line_limit_bytes);
+  CHECK_FALSE(bench.answers.back().error);
 }
 
 TEST_CASE("an execution of the longest length stays within the limit")
@@ -57,6 +57,7 @@
   session_bench bench("writes");
   longest_message(bench, "PREPARE s WRITE shape of some length");
   CHECK(longest_message(bench, filled_up("EXECUTE s k ")) <= platform::line_limit_bytes);
+  CHECK_FALSE(bench.answers.back().error);
 }
 
 TEST_CASE("a prepared statement of the longest length stays within the limit")
@@ -64,6 +65,7 @@
   session_bench bench("writes");
   longest_message(bench, filled_up("PREPARE s WRITE "));
   CHECK(longest_message(bench, "EXECUTE s k d") <= platform::line_limit_bytes);
+  CHECK_FALSE(bench.answers.back().error);
 }
 
 TEST_CASE("a value of the longest length stays within the limit")
