ProxyNode: Keep commands that could not be sent apart from members' answers

Cause: a command that cannot be encoded was answered as MALFORMED like one that the member refused. It then counted as a sign of life of a member that may be silent, as a measured statement, and in the metrics of members' answers.

Change: such a reply is marked as unsent. The session ends the statement with its reason and gives the connection back without a measurement.

Evidence: a connection to a member that the test plays answers unsent commands in their turn, with the state before them, and not as lost when the connection breaks.

--- a/Source/Proxy/caller_session.h
+++ b/Source/Proxy/caller_session.h
@@ -24,6 +24,9 @@
 {
   // True if the connection broke before the answer was complete; `answer` is then empty.
   bool lost = false;
+  // True if the command could not be sent; `answer` then has the reason, and the member's state
+  // before it.
+  bool unsent = false;
   statement_answer answer{};
   // Time when the command was passed to the connection, and time when the answer was complete.
   instant sent{};
@@ -187,6 +190,8 @@
   void select_target();
   void acquire();
   void connection_granted(std::shared_ptr<pooled_connection> connection);
+  void end_unsent(const statement_answer& reason);
+  void connection_prepared(transaction_state state);
   void preparation_refused(const statement_answer& refusal, transaction_state state);
   void connection_refused(statement_error error, const std::string& reason);
   void prepare_connection();
--- a/Source/Proxy/caller_session_answers.cxx
+++ b/Source/Proxy/caller_session_answers.cxx
@@ -21,6 +21,10 @@
     reply_lost();
     return;
   }
+  if (reply.unsent) {
+    end_unsent(reply.answer);
+    return;
+  }
   // A member that refuses writes does not lead.
   if (reply.answer.position && active_->sent_to_primary &&
       reply.answer.error != statement_error::read_only) {
@@ -37,6 +41,14 @@
   finish(reply);
 }
 
+// Ends a statement that could not be sent to the member.
+void
+caller_session::end_unsent(const statement_answer& reason)
+{
+  roll_back_connection();
+  fail_statement(*reason.error, reason.error_text);
+}
+
 // Handles an error after which the member ran nothing: retries at another member until the limit of
 // attempts. A transaction that has begun cannot move to another member.
 bool
--- a/Source/ProxyNode/member_connection.cxx
+++ b/Source/ProxyNode/member_connection.cxx
@@ -122,7 +122,7 @@
     }
     return;
   }
-  if (pending_.empty() || pending_.front().refused) {
+  if (pending_.empty() || pending_.front().reply.unsent) {
     handle_failure("message received without a command in flight");
     return;
   }
@@ -158,19 +158,19 @@
   stream_->set_owner_bytes(0);
   finished.reply.received = boot_now();
   finished.done(std::move(finished.reply));
-  answer_refused();
+  answer_unsent();
 }
 
 // Answers the oldest commands up to the first one that was sent.
 void
-member_connection::answer_refused()
+member_connection::answer_unsent()
 {
-  while (!pending_.empty() && pending_.front().refused) {
-    auto refused = std::move(pending_.front());
+  while (!pending_.empty() && pending_.front().reply.unsent) {
+    auto unsent = std::move(pending_.front());
     pending_.pop_front();
-    refused.reply.answer.state = state_;
-    refused.reply.received = boot_now();
-    refused.done(std::move(refused.reply));
+    unsent.reply.answer.state = state_;
+    unsent.reply.received = boot_now();
+    unsent.done(std::move(unsent.reply));
   }
 }
 
@@ -186,11 +186,11 @@
   next.reply.sent = boot_now();
   auto line = platform::encode_command(command);
   if (!line) {
-    next.refused = true;
+    next.reply.unsent = true;
     next.reply.answer.error = statement_error::malformed;
     next.reply.answer.error_text = line.error().message;
     pending_.push_back(std::move(next));
-    boost::asio::post(context_, [self = shared_from_this()] { self->answer_refused(); });
+    boost::asio::post(context_, [self = shared_from_this()] { self->answer_unsent(); });
     return;
   }
   pending_.push_back(std::move(next));
@@ -232,7 +232,7 @@
   auto lost = std::exchange(pending_, {});
   handlers_.closed(too_many_connections_, reason);
   for (auto& entry : lost) {
-    if (!entry.refused) {
+    if (!entry.reply.unsent) {
       entry.reply.lost = true;
       entry.reply.answer = {};
     }
--- a/Source/ProxyNode/member_connection.h
+++ b/Source/ProxyNode/member_connection.h
@@ -42,6 +42,7 @@
                                                    handlers callbacks);
   // `account` is charged with what is received from the member.
   void open(duration timeout, memory_budget::account account = {});
+  // A command that cannot be sent is answered once those before it are.
   void send(const member_command& command, reply_handler done);
 
   const std::string& member() const { return target_.member; }
@@ -57,15 +58,13 @@
     reply_handler done;
     member_reply reply;
     bool answered = false;
-    // The command cannot be sent; it is answered once those before it are.
-    bool refused = false;
   };
 
   member_connection(boost::asio::io_context& context, connection_target target, handlers callbacks);
   void handle_connected(const boost::system::error_code& failure);
   void handle_line(std::string_view line);
   void handle_failure(const std::string& reason);
-  void answer_refused();
+  void answer_unsent();
 
   boost::asio::io_context& context_;
   connection_target target_;
--- a/Source/ProxyNode/node_metrics.cxx
+++ b/Source/ProxyNode/node_metrics.cxx
@@ -190,11 +190,11 @@
 void
 node_metrics::count_member_answer(member_command::command_kind kind, const member_reply& reply)
 {
-  const std::string answered =
-    reply.answer.error ? std::string(name_of(*reply.answer.error)) : "done";
-  state_->member_answers
-    ->Add(
-      { { "command", std::string(name_of(kind)) }, { "result", reply.lost ? "lost" : answered } })
+  std::string result = reply.answer.error ? std::string(name_of(*reply.answer.error)) : "done";
+  if (reply.lost || reply.unsent) {
+    result = reply.lost ? "lost" : "unsent";
+  }
+  state_->member_answers->Add({ { "command", std::string(name_of(kind)) }, { "result", result } })
     .Increment();
 }
 
--- a/Source/ProxyNode/node_metrics.h
+++ b/Source/ProxyNode/node_metrics.h
@@ -75,7 +75,7 @@
   // Counts one observed log position. `origin` is how it reached this instance.
   void count_position(std::string_view origin, observation_outcome outcome);
 
-  // Counts a member's answer to a command, or that none will come.
+  // Counts a member's answer to a command, or that none will come, or that it could not be sent.
   void count_member_answer(member_command::command_kind kind, const member_reply& reply);
 
   // Counts a client of this kind that was refused or closed because of a limit.
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -72,7 +72,7 @@
                          kind = command.kind,
                          done = std::move(done)](member_reply reply) {
                           metrics->count_member_answer(kind, reply);
-                          if (!reply.lost) {
+                          if (!reply.lost && !reply.unsent) {
                             last_answers[member] = reply.received;
                           }
                           done(std::move(reply));
