Proxy: Believe a connection's transaction state only as its member reports it

Cause: after a preparation and after BEGIN without an error, the next statement was sent whatever state the member reported, so it could run outside its transaction or inside an old one; likewise after a statement in a transaction. It takes a member that answers oddly.

Change: a state other than the expected one closes the connection; the statement goes to another one, or its transaction ends as ABORTED, or with an unknown outcome if it had run a statement. A refused preparation is retried up to the usual limit unless the member calls it malformed.

--- a/Source/Proxy/caller_session_answers.cxx
+++ b/Source/Proxy/caller_session_answers.cxx
@@ -213,6 +213,10 @@
   } else if (result.error) {
     result.state = transaction_state::failed;
     roll_back_connection();
+  } else if (result.state != transaction_state::open) {
+    close_connection();
+    fail_statement(statement_error::outcome_unknown, "the member ended the transaction");
+    return;
   }
   answer(result);
 }
--- a/Source/Proxy/caller_session_execution.cxx
+++ b/Source/Proxy/caller_session_execution.cxx
@@ -208,20 +208,36 @@
       } else if (*refusal) {
         (*self)->preparation_refused(**refusal, reply.answer.state);
       } else {
-        (*self)->connection_->kept.confirm();
-        (*self)->send_begin();
+        (*self)->connection_prepared(reply.answer.state);
       }
     });
   }
 }
 
-// A member refused a command that prepares its connection, so nothing of the statement ran. The
-// connection stays usable: its state counts as unknown until a reset.
+// All commands that prepare the connection were carried out.
+void
+caller_session::connection_prepared(transaction_state state)
+{
+  const auto expected = in_transaction_ ? transaction_state::open : transaction_state::idle;
+  if (state != expected) {
+    hooks_->close_connection(connection_->number);
+    reply_lost();
+    return;
+  }
+  connection_->kept.confirm();
+  send_begin();
+}
+
+// A member refused a command that prepares its connection, or it could not be sent, so nothing of
+// the statement ran. The connection stays usable: its state counts as unknown until a reset.
 void
 caller_session::preparation_refused(const statement_answer& refusal, transaction_state state)
 {
   const auto error = *refusal.error;
-  if (!in_transaction_ && retry_on_another_member(error, state)) {
+  // A malformed command stays one. Anything else is retried like a statement that did not run.
+  const bool is_malformed = error == statement_error::malformed;
+  if (!in_transaction_ && !is_malformed &&
+      retry_on_another_member(has_not_run(error) ? error : statement_error::busy, state)) {
     return;
   }
   if (!in_transaction_ && state != transaction_state::idle) {
@@ -229,9 +245,8 @@
   } else {
     roll_back_connection();
   }
-  const bool tells_cause = leaves_no_effect(error) || error == statement_error::malformed;
-  fail_statement(tells_cause ? error : statement_error::aborted,
-                 "the member refused to prepare the connection: " + quote(refusal.error_text));
+  fail_statement(leaves_no_effect(error) || is_malformed ? error : statement_error::aborted,
+                 "the connection could not be prepared: " + quote(refusal.error_text));
 }
 
 // The primary may change between the grant of a connection and the statement.
@@ -286,6 +301,11 @@
                    reply.answer.error_text);
     return;
   }
+  if (reply.answer.state != transaction_state::open) {
+    close_connection();
+    fail_statement(statement_error::aborted, "the member began no transaction");
+    return;
+  }
   in_transaction_ = true;
   send_statement();
 }
--- a/Tests/Proxy/session_test.cxx
+++ b/Tests/Proxy/session_test.cxx
@@ -439,6 +439,49 @@
   CHECK(bench.command().text == "WRITE a x");
 }
 
+// Guards against a connection that is used further although its member reports another transaction
+// state than a preparation, a BEGIN or a reset leaves.
+TEST_CASE("a connection in another transaction state than expected is closed")
+{
+  for (const auto error :
+       { std::optional<statement_error>(), std::optional(statement_error::busy) }) {
+    CAPTURE(error.has_value());
+    session_bench preparing("writes");
+    preparing.submit(statement_kind::set, "SET a 1", "a", "1");
+    preparing.submit(statement_kind::write, "WRITE a x");
+    preparing.reply(error, transaction_state::open);
+    CHECK(preparing.closed.size() == 1);
+  }
+  session_bench beginning("writes");
+  beginning.submit(statement_kind::begin, "BEGIN");
+  beginning.submit(statement_kind::write, "WRITE a x");
+  beginning.reply(std::nullopt, transaction_state::idle);
+  CHECK(beginning.answers.back().error == statement_error::aborted);
+  CHECK(beginning.closed.size() == 1);
+  session_bench leaving("writes");
+  leaving.submit(statement_kind::write, "WRITE a x");
+  leaving.session->disconnect();
+  leaving.reply(std::nullopt, transaction_state::open);
+  leaving.reply(std::nullopt, transaction_state::open);
+  CHECK(leaving.closed.size() == 1);
+}
+
+// Guards against an error of the caller for what only the preparation of a connection met.
+TEST_CASE("a preparation that failed at a member is tried at another connection")
+{
+  session_bench bench("writes");
+  bench.submit(statement_kind::set, "SET a 1", "a", "1");
+  bench.submit(statement_kind::write, "WRITE a x");
+  for (int attempts = 1; attempts < 4; ++attempts) {
+    bench.reply(statement_error::timed_out, transaction_state::idle);
+    CHECK(bench.answers.size() == 1);
+    REQUIRE(bench.command().kind == command_kind::reset);
+    bench.reply(std::nullopt, transaction_state::idle);
+  }
+  bench.reply(statement_error::timed_out, transaction_state::idle);
+  CHECK(bench.answers.back().error == statement_error::aborted);
+}
+
 // Guards against a prepared statement that is unknown to the caller although it was acknowledged,
 // and that stays unknown on the connection.
 TEST_CASE("a prepared statement that the member lost in a transaction aborts it")
