soak: Let the members of the stand-in refuse, lose, cut and delay by a seed

The members now draw faults from a seed, none by default: refusals with BUSY, FAILED, TIMEOUT and NOSTMT before a command runs (a TIMEOUT runs in half of the cases), answers that are lost, cut or delayed, and connections that close between messages. A refusal within a transaction leads to state E, and a COMMIT there rolls back. The record says why a message was refused and what became of an answer. The comparison passes over MALFORMED and NOSTMT only where the member's fault explains them by itself, and adds the violation rolled_back: DONE for a COMMIT that rolled back. The script has SOAK_FAULTS=no|moderate|many, moderate by default, and a series of SIGSTOP and SIGCONT.

--- a/Tests/StatementChecks/record_comparison_test.cxx
+++ b/Tests/StatementChecks/record_comparison_test.cxx
@@ -54,6 +54,7 @@
     const auto before = session_;
     const auto applied = session_.apply(line);
     if (!applied) {
+      session_.fail_transaction();
       record_->refused({ "m1", 1 }, line, applied.error().message);
       return;
     }
@@ -63,6 +64,13 @@
     }
   }
 
+  // Refused by a fault of the stand-in, or as a consequence of one.
+  void refused(const std::string& line, const std::string& code, standin_line_record::reason why)
+  {
+    session_.fail_transaction();
+    record_->refused({ "m1", 1 }, line, code, why);
+  }
+
   // The kinds of all violations.
   std::set<std::string> violations()
   {
@@ -188,6 +196,32 @@
     member.received("QUERY 1 WRITE a b");
     CHECK(member.violations() == kinds{ "promise_broken" });
   }
+  SUBCASE("a commit that rolled back and was answered with DONE")
+  {
+    recorded_member member;
+    auto& commit = member.sent(operation::commit, "1", "COMMIT");
+    commit.transaction = 1;
+    member.received("QUERY - BEGIN");
+    member.refused("QUERY - SET n v", "BUSY", standin_line_record::reason::fault);
+    member.received("QUERY 1 COMMIT");
+    CHECK(member.violations() == kinds{ "rolled_back" });
+    commit.outcome = outcome::failed;
+    commit.code = "ABORTED";
+    CHECK(member.violations() == kinds{});
+  }
+  SUBCASE("a write after a refusal by a fault")
+  {
+    recorded_member member;
+    auto& write = member.sent(operation::write, "1", "WRITE a b");
+    write.outcome = outcome::failed;
+    write.code = "BUSY";
+    member.refused("QUERY 1 WRITE a b", "NOSTMT", standin_line_record::reason::fault);
+    CHECK(member.violations() == kinds{});
+    member.received("QUERY 1 WRITE a b");
+    CHECK(member.violations() == kinds{ "promise_broken" });
+    member.refused("QUERY 2 READ a", "NOSTMT", standin_line_record::reason::fault);
+    CHECK(member.violations() == kinds{ "promise_broken", "unknown_id" });
+  }
   SUBCASE("without having been sent whole")
   {
     recorded_member member;
--- a/Utilities/Checks/Statements/record_comparison.cxx
+++ b/Utilities/Checks/Statements/record_comparison.cxx
@@ -154,6 +154,12 @@
   const auto kind = word_of(entry, "kind");
   const auto text = text_of(entry, "text");
   const auto description = origin_of(entry) + ", id " + in_quotes(id) + ": ran " + in_quotes(text);
+  if (const auto ending = word_of(entry, "ending"); !ending.empty()) {
+    ++counts_["answers_" + ending];
+  }
+  if (text_of(entry, "answer").starts_with("ERROR ")) {
+    ++counts_["ran_and_answered_error"];
+  }
   if (id == "-") {
     if (kind == "read" || kind == "write" || kind == "commit") {
       report("own_statement", description);
@@ -175,6 +181,7 @@
     }
   }
   known.answer = text_of(entry, "answer");
+  known.rolled_back = sent->kind == operation::commit && kind == "rollback";
   if (!sent->complete) {
     report("incomplete", description + ", of which the caller sent only a part");
   }
@@ -196,10 +203,13 @@
 {
   const auto text = text_of(entry, "text");
   if (sent.kind != operation::execute) {
+    // Whether the caller was told of it is checked with its answer.
+    const auto kind = word_of(entry, "kind");
+    const bool rolled_back = sent.kind == operation::commit && kind == "rollback";
     if (text != sent.text) {
       report("text_changed", description + ", sent as " + in_quotes(sent.text));
-    } else if (word_of(entry, "kind") != expected_kind(sent)) {
-      report("text_changed", description + " as " + word_of(entry, "kind"));
+    } else if (!rolled_back && kind != expected_kind(sent)) {
+      report("text_changed", description + " as " + kind);
     }
     return;
   }
@@ -242,13 +252,14 @@
   }
 }
 
-// Refusals that the member's state explains are only counted.
+// Refusals that the member's state or a fault of the stand-in explains are only counted.
 void
 record_comparison::compare_refusal(const json::object& entry)
 {
   const auto code = word_of(entry, "code");
   const auto line = text_of(entry, "line");
-  ++counts_["refused_" + code];
+  const auto why = word_of(entry, "reason");
+  ++counts_["refused_" + code + (why == "message" ? "" : "_by_" + why)];
   if (code != "MALFORMED" && code != "NOSTMT") {
     return;
   }
@@ -256,14 +267,19 @@
                            std::to_string(line.size()) + " bytes";
   const auto rest = after_blanks(line, 1);
   const auto id = std::string(rest.substr(0, rest.find(' ')));
+  const bool explained = why != "message";
   if (id == "-") {
-    report("own_command_refused", description);
+    if (!explained) {
+      report("own_command_refused", description);
+    }
     return;
   }
   refused_.insert(id);
   const auto* sent = sent_.find(id);
   if (sent == nullptr) {
     report("unknown_id", description);
+  } else if (explained) {
+    return;
   } else if (sent->well_formed && line.size() + line_end_bytes > platform::line_limit_bytes) {
     report("line_too_long", description + ", sent as " + in_quotes(sent->text));
   } else if (sent->well_formed) {
@@ -305,6 +321,8 @@
     }
     if (!ran) {
       report("not_run", description + " was answered with DONE and did not run");
+    } else if (found->second.rolled_back) {
+      report("rolled_back", description + " was answered with DONE and rolled back");
     } else if (found->second.answer != sent.answer) {
       report("answer_changed",
              description + " was answered with " + in_quotes(sent.answer) + ", the member sent " +
@@ -321,9 +339,10 @@
   }
   const bool promised = sent.outcome == sent_statement::result::failed &&
                         std::find(promises.begin(), promises.end(), sent.code) != promises.end();
+  const bool rolled_back = ran && found->second.rolled_back;
   const bool kept = (writes(sent) && sent.transaction == 0) ||
                     (sent.kind == operation::commit && wrote_.contains(sent.transaction));
-  if (promised && kept && ran) {
+  if (promised && kept && ran && !rolled_back) {
     report("promise_broken", description + " was answered with " + sent.code + " and ran");
   }
 }
--- a/Utilities/Checks/Statements/record_comparison.h
+++ b/Utilities/Checks/Statements/record_comparison.h
@@ -48,6 +48,8 @@
     std::uint64_t count = 0;
     // Answer of the last run.
     std::string answer;
+    // A COMMIT whose transaction had failed at the member before.
+    bool rolled_back = false;
   };
   void report(std::string kind, std::string text);
   void compare_run(const boost::json::object& entry);
--- a/Utilities/StandIns/standin_line_group.cxx
+++ b/Utilities/StandIns/standin_line_group.cxx
@@ -39,6 +39,44 @@
   return "ERROR " + std::string(code) + " " + member + "\r\n";
 }
 
+std::string_view
+name_of(standin_line_faults::ending end)
+{
+  using ending = standin_line_faults::ending;
+  switch (end) {
+    case ending::lost:
+      return "lost";
+    case ending::cut:
+      return "cut";
+    case ending::closed:
+      return "closed";
+    case ending::none:
+      break;
+  }
+  return "";
+}
+
+// Name that a text prepares; empty if it prepares none.
+std::string_view
+prepared_name(std::string_view text)
+{
+  return take_word(text) == "PREPARE" ? take_word(text) : std::string_view{};
+}
+
+// Name that a message executes; empty if it executes none.
+std::string_view
+execution_name(std::string_view line)
+{
+  take_word(line);
+  take_word(line);
+  auto word = take_word(line);
+  if (word == "AFTER") {
+    take_word(line);
+    word = take_word(line);
+  }
+  return word == "EXECUTE" ? take_word(line) : std::string_view{};
+}
+
 // Result line of a statement that ran.
 std::string
 done_line()
@@ -64,6 +102,7 @@
 standin_line_group::standin_line_group(asio::io_context& context, options group)
   : context_(context)
   , options_(std::move(group))
+  , faults_(options_.faults)
 {
 }
 
@@ -127,29 +166,47 @@
     buffer.erase(0, length);
     std::string_view rest = line;
     const auto word = take_word(rest);
-    std::string answer;
+    reply answer;
     if (!started) {
       // The group's name, the workspace and the member's id follow.
       started = word == "START" && take_word(rest) == options_.name;
-      answer = started ? ready(current) : error_line("MISROUTED", entry.id);
+      answer.text = started ? ready(current) : error_line("MISROUTED", entry.id);
       record_other_line(current, "start", line);
     } else if (word == "QUERY") {
       timer.expires_after(options_.statement_time);
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
       answer = execute(current, line);
-      answer += ready(current);
+      answer.text += ready(current);
     } else {
       record_other_line(current, "line", line);
       co_return;
     }
-    co_await asio::async_write(
-      socket, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, failure));
-    if (failure || !started) {
+    if (!co_await send(socket, std::move(answer)) || !started) {
       co_return;
     }
   }
 }
 
+asio::awaitable<bool>
+standin_line_group::send(tcp::socket& socket, reply answer)
+{
+  using ending = standin_line_faults::ending;
+  error_code failure;
+  if (answer.fault.delay.count() > 0) {
+    asio::steady_timer timer(context_, answer.fault.delay);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+  }
+  if (answer.fault.end == ending::lost) {
+    co_return false;
+  }
+  if (answer.fault.end == ending::cut) {
+    answer.text.resize(faults_.below(answer.text.size()));
+  }
+  co_await asio::async_write(
+    socket, asio::buffer(answer.text), asio::redirect_error(asio::use_awaitable, failure));
+  co_return !failure && answer.fault.end == ending::none;
+}
+
 std::string
 standin_line_group::ready(const session& current) const
 {
@@ -179,26 +236,61 @@
   }
 }
 
-std::string
+standin_line_group::reply
 standin_line_group::execute(session& current, std::string_view line)
 {
-  // The state before the statement is what it ran in.
-  const auto before = record_ ? current.line : standin_line_session();
+  using reason = standin_line_record::reason;
+  // The state before the statement is what it ran in, and what stays if it does not run.
+  const auto before = current.line;
   const auto applied = current.line.apply(line);
-  const bool read_only =
-    applied && applied.value().kind == operation::write && !current.serving->primary;
-  if (!applied || read_only) {
-    const std::string code = applied ? "READONLY" : applied.error().message;
-    if (record_) {
-      record_->refused(current.origin, line, code);
+  if (!applied) {
+    const bool failed_before = before.state() == 'E' && applied.error().message == "MALFORMED";
+    const bool unprepared = current.unprepared.contains(execution_name(line));
+    const auto why = failed_before ? reason::failed_transaction
+                     : unprepared  ? reason::refused_preparation
+                                   : reason::message;
+    return { refuse(current, line, applied.error().message, why), {} };
+  }
+  const auto& statement = applied.value();
+  auto fault = faults_.next(statement);
+  if (!fault.runs) {
+    current.line = before;
+    if (const auto name = prepared_name(statement.text); !name.empty()) {
+      current.unprepared.emplace(name);
     }
-    return error_line(code, current.serving->id);
+    return { refuse(current, line, fault.code, reason::fault), fault };
+  }
+  if (statement.kind == operation::write && !current.serving->primary) {
+    current.line = before;
+    return { refuse(current, line, "READONLY", reason::message), fault };
   }
-  auto answer = run_statement(current, applied.value());
+  if (const auto name = prepared_name(statement.text); !name.empty()) {
+    current.unprepared.erase(std::string(name));
+  } else if (statement.text == "RESET") {
+    current.unprepared.clear();
+  }
+  auto answer = run_statement(current, statement);
+  if (!fault.code.empty()) {
+    answer = error_line(fault.code, current.serving->id);
+    current.line.fail_transaction();
+  }
+  if (record_) {
+    record_->ran(current.origin, statement, before, answer, name_of(fault.end));
+  }
+  return { std::move(answer), fault };
+}
+
+std::string
+standin_line_group::refuse(session& current,
+                           std::string_view line,
+                           std::string_view code,
+                           standin_line_record::reason why)
+{
+  current.line.fail_transaction();
   if (record_) {
-    record_->ran(current.origin, applied.value(), before, answer);
+    record_->refused(current.origin, line, code, why);
   }
-  return answer;
+  return error_line(code, current.serving->id);
 }
 
 std::string
--- a/Utilities/StandIns/standin_line_group.h
+++ b/Utilities/StandIns/standin_line_group.h
@@ -2,6 +2,7 @@
 
 #include "Base/error.h"
 #include "Net/http_connection.h"
+#include "StandIns/standin_line_faults.h"
 #include "StandIns/standin_line_record.h"
 #include "StandIns/standin_line_session.h"
 
@@ -11,8 +12,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +41,7 @@
     std::chrono::milliseconds statement_time{ 0 };
     // File in which the members record what they receive. Empty for none.
     std::string record = {};
+    standin_line_faults::options faults = {};
   };
 
   // Fails with address_unavailable if the address of a member cannot be bound, and with
@@ -55,6 +59,14 @@
     standin_line_session line;
     // Writes of the open transaction.
     std::map<std::string, std::string> writes;
+    // Names whose preparation was refused by a fault, and that stand for nothing since.
+    std::set<std::string, std::less<>> unprepared;
+  };
+  // Answer of one message with the fault that changes how it is sent.
+  struct reply
+  {
+    std::string text;
+    standin_line_faults::fault fault;
   };
 
   standin_line_group(boost::asio::io_context& context, options group);
@@ -64,7 +76,13 @@
   std::string ready(const session& current) const;
   std::string status_row(const member& entry) const;
   // Runs the statement of one message and returns the lines of its answer, without READY.
-  std::string execute(session& current, std::string_view line);
+  reply execute(session& current, std::string_view line);
+  std::string refuse(session& current,
+                     std::string_view line,
+                     std::string_view code,
+                     standin_line_record::reason why);
+  // Sends the answer as far as the fault lets it through. Returns false if the connection ends.
+  boost::asio::awaitable<bool> send(tcp::socket& socket, reply answer);
   std::string run_statement(session& current, const standin_line_statement& statement);
   void record_other_line(const session& current, std::string_view event, std::string_view line);
   std::string read(const session& current, const std::string& item) const;
@@ -75,6 +93,7 @@
   options options_;
   std::vector<std::unique_ptr<tcp::acceptor>> acceptors_;
   std::unique_ptr<standin_line_record> record_;
+  standin_line_faults faults_;
   std::uint64_t connections_ = 0;
   std::map<std::string, std::string> items_;
   // Number of committed transactions, which is the position in the only term.
--- a/Utilities/StandIns/standin_line_platform_main.cxx
+++ b/Utilities/StandIns/standin_line_platform_main.cxx
@@ -29,7 +29,10 @@
 Options:
   --settings=FILE  JSON file: store (IP:PORT), group, statement_ms, members (list of id, address,
                    zone, primary), configuration (contents of the row config) and optionally record
-                   (file in which the members record what they receive, replaced at the start).
+                   (file in which the members record what they receive, replaced at the start) and
+                   faults: seed, shares of 1,000 messages lost, cut, closed and delayed, delay_ms
+                   (longest delay), and under session and statements those refused with BUSY,
+                   FAILED, TIMEOUT and NOSTMT. What is absent does not go wrong.
   -h --help        Print this help.
 )";
 
@@ -53,6 +56,41 @@
   return std::string(value.as_string());
 }
 
+// The number of that name; 0 if it is absent.
+unsigned
+number_of(const json::object& settings, std::string_view name)
+{
+  const auto* value = settings.if_contains(name);
+  return value == nullptr ? 0 : value->to_number<unsigned>();
+}
+
+standin_line_faults::refusals
+refusals_of(const json::object& faults, std::string_view group)
+{
+  standin_line_faults::refusals rates{};
+  if (const auto* settings = faults.if_contains(group)) {
+    for (std::size_t i = 0; i < rates.size(); ++i) {
+      rates.at(i) = number_of(settings->as_object(), standin_line_faults::codes.at(i));
+    }
+  }
+  return rates;
+}
+
+standin_line_faults::options
+faults_of(const json::object& settings)
+{
+  standin_line_faults::options faults;
+  faults.seed = number_of(settings, "seed");
+  faults.session = refusals_of(settings, "session");
+  faults.statements = refusals_of(settings, "statements");
+  faults.lost = number_of(settings, "lost");
+  faults.cut = number_of(settings, "cut");
+  faults.closed = number_of(settings, "closed");
+  faults.delayed = number_of(settings, "delayed");
+  faults.longest_delay = std::chrono::milliseconds(number_of(settings, "delay_ms"));
+  return faults;
+}
+
 standin_line_group::options
 group_of(const json::value& settings)
 {
@@ -63,6 +101,9 @@
   if (const auto* record = settings.as_object().if_contains("record")) {
     group.record = text_of(*record);
   }
+  if (const auto* faults = settings.as_object().if_contains("faults")) {
+    group.faults = faults_of(faults->as_object());
+  }
   for (const auto& entry : settings.at("members").as_array()) {
     group.members.push_back(
       { text_of(entry.at("id")), address_of(entry.at("address")), entry.at("primary").as_bool() });
--- a/Utilities/StandIns/standin_line_record.cxx
+++ b/Utilities/StandIns/standin_line_record.cxx
@@ -31,6 +31,23 @@
   return "session";
 }
 
+std::string_view
+name_of(standin_line_record::reason why)
+{
+  using reason = standin_line_record::reason;
+  switch (why) {
+    case reason::fault:
+      return "fault";
+    case reason::failed_transaction:
+      return "failed_transaction";
+    case reason::refused_preparation:
+      return "refused_preparation";
+    case reason::message:
+      break;
+  }
+  return "message";
+}
+
 json::object
 entry_of(const standin_line_record::origin& from, std::string_view event)
 {
@@ -58,7 +75,8 @@
 standin_line_record::ran(const origin& from,
                          const standin_line_statement& statement,
                          const standin_line_session& session,
-                         std::string_view answer)
+                         std::string_view answer,
+                         std::string_view ending)
 {
   json::array settings;
   for (const auto& [name, value] : session.settings()) {
@@ -76,14 +94,19 @@
   entry["transaction"] = session.state() == 'I' ? 0 : session.transaction();
   entry["reads_only"] = session.state() != 'I' && session.reads_only();
   entry["answer"] = platform::encode_base64(answer);
+  entry["ending"] = ending;
   file_ << json::serialize(entry) << '\n' << std::flush;
 }
 
 void
-standin_line_record::refused(const origin& from, std::string_view line, std::string_view code)
+standin_line_record::refused(const origin& from,
+                             std::string_view line,
+                             std::string_view code,
+                             reason why)
 {
   auto entry = entry_of(from, "refused");
   entry["code"] = code;
+  entry["reason"] = name_of(why);
   entry["line"] = platform::encode_base64(line);
   file_ << json::serialize(entry) << '\n' << std::flush;
 }
--- a/Utilities/StandIns/standin_line_record.h
+++ b/Utilities/StandIns/standin_line_record.h
@@ -25,18 +25,36 @@
     std::uint64_t connection = 0;
   };
 
+  // Why a member refused a message.
+  enum class reason : std::uint8_t
+  {
+    // The message itself, or what the connection holds.
+    message,
+    // A fault of the stand-in. The statement would have run otherwise.
+    fault,
+    // The transaction had failed before, so that only its end is accepted.
+    failed_transaction,
+    // A fault refused the preparation of the name that is executed.
+    refused_preparation,
+  };
+
   // Replaces the file. Fails with internal_error if it cannot be written.
   static result<std::unique_ptr<standin_line_record>> create(const std::string& path);
 
-  // A statement that ran, with the settings and the transaction in force before it, and the lines
-  // of its answer without READY.
+  // A statement that ran, with the settings and the transaction in force before it, the lines of
+  // its answer without READY, and what ended the connection then: lost, cut (the answer did not
+  // arrive or not all of it), closed, or nothing.
   void ran(const origin& from,
            const standin_line_statement& statement,
            const standin_line_session& session,
-           std::string_view answer);
+           std::string_view answer,
+           std::string_view ending = {});
 
   // A QUERY message that did not run, with the protocol's error code.
-  void refused(const origin& from, std::string_view line, std::string_view code);
+  void refused(const origin& from,
+               std::string_view line,
+               std::string_view code,
+               reason why = reason::message);
 
   // Any other line, as it arrived: the first one of a connection has the event "start", and later
   // ones, which the grammar does not know, have the event "line".
--- a/Utilities/StandIns/standin_line_session.cxx
+++ b/Utilities/StandIns/standin_line_session.cxx
@@ -68,7 +68,8 @@
 {
   std::string_view rest = statement.text;
   if (rest == "COMMIT" || rest == "ROLLBACK") {
-    statement.kind = rest == "COMMIT" ? operation::commit : operation::rollback;
+    // The end of a failed transaction rolls back.
+    statement.kind = rest == "COMMIT" && state_ != 'E' ? operation::commit : operation::rollback;
     return state_ == 'I' ? result<void>(malformed()) : success();
   }
   if (rest == "BEGIN" || rest == "BEGIN READ") {
--- a/Utilities/StandIns/standin_line_session.h
+++ b/Utilities/StandIns/standin_line_session.h
@@ -45,6 +45,9 @@
   // Ends the open or failed transaction.
   void end_transaction() { state_ = 'I'; }
 
+  // A statement failed. Only the end of an open transaction is accepted from then on.
+  void fail_transaction() { state_ = state_ == 'I' ? 'I' : 'E'; }
+
   // State letter of READY: I (idle), T (open transaction) or E (failed transaction).
   char state() const { return state_; }
   // Number of the open transaction, counted on this connection from 1; the last one's if none is.
--- a/Utilities/statement-soak.sh
+++ b/Utilities/statement-soak.sh
@@ -3,15 +3,17 @@
 # signals come in overlapping series, and compares what the members ran with what was sent. The
 # first two instances carry sessions; the others are smaller and relay theirs to them.
 # Usage: statement-soak.sh [SECONDS] [SEED] [INSTANCES] [OPTION OF statement_check]...
-# SOAK_SIGNALS=no runs without signals.
+# SOAK_SIGNALS=no runs without signals, pauses included. SOAK_FAULTS is no, moderate or many: how often
+# members refuse commands and statements, lose or cut answers, delay them and close connections.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seconds=${1:-30}
 seed=${2:-1}
-instances=${3:-5}
+instances=${3:-6}
 shift $(($# < 3 ? $# : 3))
 build=${SOAK_BUILD:-build}
 signals=${SOAK_SIGNALS:-yes}
+faults=${SOAK_FAULTS:-moderate}
 port=${SOAK_PORT:-16100}
 folder=$(mktemp -d)
 stand_in=127.0.5.250
@@ -25,6 +27,17 @@
   exit 2
 fi
 
+# Shares of 1,000 messages, see standin_line_platform.
+case $faults in
+  no) share=0 rare=0 ;;
+  moderate) share=5 rare=2 ;;
+  many) share=30 rare=10 ;;
+  *)
+    echo "statement-soak: SOAK_FAULTS: expected no, moderate or many, found $faults" >&2
+    exit 2
+    ;;
+esac
+
 instance_host() { echo "127.0.5.$(($1 + 1))"; }
 
 # The identifier of the instance's process; empty if it has ended.
@@ -68,10 +81,14 @@
   echo "{\"id\":\"m$1\",\"address\":\"$stand_in:$((port + $1))\",\"zone\":\"z1\",\"primary\":$2}"
 }
 
+refusals() { echo "{\"BUSY\":$1,\"FAILED\":$1,\"TIMEOUT\":$1,\"NOSTMT\":$1}"; }
+
 write_platform() {
   cat >"$folder/platform.json" <<JSON
 {
   "store": "$stand_in:$port", "group": "g1", "statement_ms": 1, "record": "$folder/record.jsonl",
+  "faults": {"seed": $seed, "session": $(refusals "$share"), "statements": $(refusals "$rare"),
+             "lost": $rare, "cut": $rare, "closed": $rare, "delayed": $share, "delay_ms": 300},
   "members": [$(member 1 true), $(member 2 false), $(member 3 false)],
   "configuration": {
     "version": 1,
@@ -128,6 +145,14 @@
   return 1
 }
 
+# Stops an instance for a moment. Its neighbours may take it for gone meanwhile.
+pause_instance() {
+  signal_instance "$1" STOP
+  sleep "$((RANDOM % 3)).$((RANDOM % 9 + 1))"
+  signal_instance "$1" CONT
+  echo "STOP i$1" >>"$folder/series.log"
+}
+
 # Sends one signal after another to instances that it draws, and starts again those that end. The
 # series overlap; of one instance only one series at a time takes care. Instances 0 and 1 carry the
 # sessions, so that they are never both away by this script.
@@ -147,6 +172,11 @@
     if [ -z "$(running_pid "$number")" ]; then
       echo "statement-soak: i$number ended by itself" >>"$folder/series.log"
     fi
+    if [ "$signal" = STOP ]; then
+      pause_instance "$number"
+      rmdir "$lock"
+      continue
+    fi
     signal_instance "$number" "$signal"
     for ((tries = 0; tries < 60; tries++)); do
       [ -n "$(running_pid "$number")" ] || break
@@ -184,6 +214,7 @@
   run_series HUP 1 & series+=($!)
   run_series TERM 2 & series+=($!)
   run_series KILL 3 & series+=($!)
+  run_series STOP 4 & series+=($!)
 fi
 failed=0
 "$build/Utilities/statement_check" --instances="$list" --record="$folder/record.jsonl" \
@@ -199,8 +230,8 @@
   grep -q '"carries":"no"' "$folder/i$number.log" ||
     echo "statement-soak: instance i$number never relayed sessions"
 done
-for signal in TERM KILL; do
-  echo "instances restarted after $signal: $(grep -c "^$signal" "$folder/series.log" 2>/dev/null || true)"
+for signal in TERM KILL STOP; do
+  echo "instances sent $signal: $(grep -c "^$signal" "$folder/series.log" 2>/dev/null || true)"
 done
 if grep "statement-soak" "$folder/series.log" 2>/dev/null; then failed=1; fi
 if [ "$failed" -ne 0 ]; then
