--- a/Utilities/run-tests.sh
+++ b/Utilities/run-tests.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs all tests of the build folder and the end-to-end run. A failure that KNOWN-RED.txt lists is
-# printed and passed over; any other failure ends the script.
+# Runs all tests of the build folder, a short soak of statements and the end-to-end run. A failure
+# that KNOWN-RED.txt lists is printed and passed over; any other failure ends the script.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -30,6 +30,8 @@
   done
 done
 
+bash Utilities/statement-soak.sh 30 1 6
+
 output=$(mktemp)
 if bash Utilities/end-to-end.sh >"$output" 2>&1; then
   cat "$output"
--- a/Utilities/statement-soak.sh
+++ b/Utilities/statement-soak.sh
@@ -39,6 +39,13 @@
     ;;
 esac
 
+# Two runs on the same addresses would reach each other's instances.
+exec 9>"${TMPDIR:-/tmp}/statement-soak-$port.lock"
+if ! flock -n 9; then
+  echo "statement-soak: port $port is used by another run; set SOAK_PORT" >&2
+  exit 2
+fi
+
 instance_host() { echo "127.0.5.$(($1 + 1))"; }
 
 # The identifier of the instance's process; empty if it has ended.
