soak: Stop when the stand-in cannot listen

Two runs at the same addresses went on side by side: the stand-in of the second one could not listen, its instances neither, and its callers reached the instances of the first one. The script now ends with what the stand-in said, before it starts an instance. Seen once, beside another run at the same port; tried with a port that was taken: ends with code 2 after 0.3 s.

--- a/Utilities/statement-soak.sh
+++ b/Utilities/statement-soak.sh
@@ -201,6 +201,12 @@
   >"$folder/platform.log" 2>&1 &
 platform=$!
 sleep 0.3
+# Callers must not reach the instances of another run at the same addresses.
+if ! kill -0 "$platform" 2>/dev/null; then
+  cat "$folder/platform.log" >&2
+  echo "statement-soak: the stand-in did not start; SOAK_PORT chooses other ports" >&2
+  exit 2
+fi
 list=""
 for ((number = 0; number < instances; number++)); do
   start_instance "$number"
