--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -3,6 +3,7 @@
 #include "ProxyNode/boot_clock.h"
 #include "ProxyNode/fleet_messages.h"
 #include "ProxyNode/fleet_rows.h"
+#include "platform/configuration_format.h"
 #include "platform/store_format.h"
 
 #include <algorithm>
--- a/Source/ProxyNode/fleet_rows.cxx
+++ b/Source/ProxyNode/fleet_rows.cxx
@@ -1,6 +1,7 @@
 #include "ProxyNode/fleet_rows.h"
 
 #include "Base/json_fields.h"
+#include "platform/configuration_format.h"
 #include "platform/store_format.h"
 
 #include <boost/json/array.hpp>
--- a/Tests/Platform/line_fields_test.cxx
+++ b/Tests/Platform/line_fields_test.cxx
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "StandIns/standin_line_session.h"
+#include "platform/configuration_format.h"
 #include "platform/line_protocol.h"
 #include "platform/store_format.h"
 
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -9,7 +9,9 @@
 #include "ProxyNode/node_settings.h"
 #include "StandIns/standin_target.h"
 #include "platform/base64.h"
+#include "platform/configuration_format.h"
 #include "platform/line_protocol.h"
+#include "platform/row_fields.h"
 #include "platform/store_format.h"
 
 #include <boost/json.hpp>
