--- a/review/fleet/fleet_case.cpp
+++ b/review/fleet/fleet_case.cpp
@@ -715,7 +715,7 @@
   asio::co_spawn(fleet.context(),
                  fleet.servers().cut_from_store(*cut, milliseconds(7000)),
                  asio::detached);
-  co_await fleet.pause(milliseconds(4000));
+  co_await fleet.pause(milliseconds(2000));
   const auto copied_at = clock::now();
   const std::function<bool()> replaced_again = [&] {
     return promoted_since(fleet, fleet.service(1), calls);
@@ -743,7 +743,7 @@
     fleet.add_requester(i, 1, true, milliseconds(20));
   }
   // One of the replicas is a little further behind than the other.
-  fleet.servers().find("i-13")->extra_lag = milliseconds(15);
+  fleet.servers().find("i-13")->extra_lag = milliseconds(25);
   co_await fleet.pause(milliseconds(4000));
   if (trouble) {
     asio::co_spawn(fleet.context(),
--- a/review/fleet/members.hpp
+++ b/review/fleet/members.hpp
@@ -280,11 +280,12 @@
     for (const auto& one : all_) {
       if (one->service == chosen.service) {
         newest = std::max(newest, one->term);
+        // A promote ends the pause of a replica.
+        one->paused = false;
       }
     }
     chosen.term = newest + 1;
     chosen.primary = true;
-    chosen.paused = false;
     record_("member " + chosen.id + " leads " + chosen.service + " in term " +
             std::to_string(chosen.term) + " from " + position_of(chosen));
     beat(chosen);
@@ -327,10 +328,9 @@
       beat(one);
     }
     one.outranked_since.reset();
-    if (one.paused && leader->term < one.held) {
+    if (one.paused) {
       return;
     }
-    one.paused = false;
     one.term = leader->term;
     std::size_t same = std::min(one.log.size(), leader->log.size());
     while (same > 0 && one.log[same - 1].term != leader->log[same - 1].term) {
