--- a/Source/Net/http_connection.cxx
+++ b/Source/Net/http_connection.cxx
@@ -69,6 +69,8 @@
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::string_body>> parser;
   http::request<http::string_body> request;
+  // Name of the response's header to keep; empty for none.
+  std::string kept_header;
   response_handler on_response;
   connect_handler on_connect;
   close_handler closed;
@@ -163,6 +165,7 @@
   }
   ++state_->exchange;
   state_->on_response = std::move(done);
+  state_->kept_header = request.kept_header;
   auto& message = state_->request;
   message = {};
   message.method_string(request.method);
@@ -220,6 +223,9 @@
           http_response response;
           response.status = received.result_int();
           response.body = std::move(received.body());
+          if (const auto& name = self->state_->kept_header; !name.empty()) {
+            response.kept_header = std::string(received[name]);
+          }
           response.close = !received.keep_alive() || self->state_->buffer.size() > 0;
           self->finish(nullptr, std::move(response));
         });
--- a/Source/Net/http_types.h
+++ b/Source/Net/http_types.h
@@ -19,6 +19,8 @@
   bool keep_alive = true;
   // Additional headers of a request to send; empty for received requests.
   std::vector<std::pair<std::string, std::string>> headers{};
+  // Name of the header of the response to keep; empty for none.
+  std::string kept_header{};
 };
 
 struct http_response
@@ -28,6 +30,8 @@
   std::string content_type = "application/json";
   // The connection closes after this response.
   bool close = false;
+  // Value of the header that the request named; empty if the response has none.
+  std::string kept_header{};
 };
 
 // Identifies an accepted connection; not reused during the lifetime of the server.
--- a/Source/Net/platform_client.cxx
+++ b/Source/Net/platform_client.cxx
@@ -29,7 +29,7 @@
 platform_client::execute(platform_call call)
 {
   if (queued_calls_.size() >= max_queued_calls) {
-    report_({ call.id, 0, {} });
+    report_({ call.id, 0, {}, {} });
     return;
   }
   queued_calls_.push_back(std::move(call));
@@ -64,7 +64,7 @@
                       connect_timeout,
                       [this, connection, call = std::move(call)](const std::string& reason) {
                         if (!reason.empty()) {
-                          handle_reply(nullptr, { call.id, 0, {} });
+                          handle_reply(nullptr, { call.id, 0, {}, {} });
                           return;
                         }
                         send_call(connection, call);
@@ -79,21 +79,25 @@
   request.target = call.target;
   request.body = call.body;
   request.headers = call.headers;
+  request.kept_header = call.kept_header;
   // The platform identifies its clients by instance name.
   if (!instance_.empty()) {
     request.authorization = "Bearer " + instance_;
   }
   auto& target = *connection;
-  target.send(request,
-              call.timeout,
-              [this, connection = std::move(connection), id = call.id](const http_failure* failure,
-                                                                       http_response response) {
-                if (failure != nullptr) {
-                  handle_reply(nullptr, { id, 0, {} });
-                  return;
-                }
-                handle_reply(connection, { id, response.status, std::move(response.body) });
-              });
+  target.send(
+    request,
+    call.timeout,
+    [this, connection = std::move(connection), id = call.id](const http_failure* failure,
+                                                             http_response response) {
+      if (failure != nullptr) {
+        handle_reply(nullptr, { id, 0, {}, {} });
+        return;
+      }
+      handle_reply(
+        connection,
+        { id, response.status, std::move(response.body), std::move(response.kept_header) });
+    });
 }
 
 void
--- a/Source/Net/platform_client.h
+++ b/Source/Net/platform_client.h
@@ -27,6 +27,8 @@
   // Uses a new connection, which is reset if no response arrives in time. No part of the request
   // can reach the platform after that.
   bool fresh_connection = false;
+  // Name of the header of the response to report; empty for none.
+  std::string kept_header{};
 };
 
 // The platform's response. Status 0 means that there was none; the call may have taken effect.
@@ -35,6 +37,8 @@
   std::uint64_t id = 0;
   unsigned status = 0;
   std::string body;
+  // Value of the header that the call named; empty if the response has none.
+  std::string kept_header{};
 };
 
 // Sends calls to the platform's services over a small pool of connections, on the thread of the
--- a/Source/Places/evacuated_zones.cxx
+++ b/Source/Places/evacuated_zones.cxx
@@ -24,7 +24,7 @@
 bool
 evacuated_zones::update(const evacuation_evidence& evidence)
 {
-  if (evidence.revision == 0 || evidence.revision < evidence_.revision) {
+  if (!evidence.version.exists() || evidence.version < evidence_.version) {
     return false;
   }
   // Without earlier evidence the evacuation may be of any age.
--- a/Source/Places/evacuated_zones.h
+++ b/Source/Places/evacuated_zones.h
@@ -2,6 +2,7 @@
 
 #include "Base/ids.h"
 #include "Base/instant.h"
+#include "Base/store_version.h"
 
 #include <cstdint>
 #include <map>
@@ -29,9 +30,8 @@
 struct evacuation_evidence
 {
   std::set<zone_id> zones;
-  // Revision of the whole store at the time of the read; it increases with each change. Zero if
-  // nothing is known.
-  std::uint64_t revision = 0;
+  // Version of the whole store at the time of the read.
+  store_version version;
   // Everything that the store acknowledged before this time is included.
   instant confirmed_at{};
 
@@ -51,7 +51,7 @@
   bool update(const evacuation_evidence& evidence);
 
   // False until the first set was applied.
-  bool known() const { return evidence_.revision > 0; }
+  bool known() const { return evidence_.version.exists(); }
   // The newest set, confirmed by the newest read or view that contained it.
   const evacuation_evidence& evidence() const { return evidence_; }
   const std::set<zone_id>& zones() const { return evidence_.zones; }
--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -203,7 +203,7 @@
   view.holder = own_;
   view.address = address_;
   view.clock = now;
-  view.lease_revision = hooks_.lease_revision();
+  view.lease_version = hooks_.lease_version();
   view.token = token_;
   view.view_number = ++last_view_;
   view.incarnation = to.incarnation;
@@ -212,11 +212,11 @@
   view.configuration_age = age(fleet_state_.configuration_confirmed_at());
   if (const auto& evacuations = fleet_state_.evacuations(); evacuations.known()) {
     view.evacuated_zones = evacuations.zones();
-    view.evacuations_revision = evacuations.evidence().revision;
+    view.evacuations_version = evacuations.evidence().version;
     view.evacuations_age = now - evacuations.evidence().confirmed_at;
   }
-  view.groups_revision = fleet_state_.groups_revision();
-  if (hooks_.holds_lease() && fleet_state_.groups_revision() > 0) {
+  view.groups_version = fleet_state_.groups_version();
+  if (hooks_.holds_lease() && fleet_state_.groups_version().exists()) {
     // Only the holder of the lease changes the records, so its copy is current once it has read
     // them.
     view.groups_age = duration::zero();
@@ -268,7 +268,7 @@
   view.holder = own_;
   view.address = address_;
   view.clock = hooks_.now();
-  view.lease_revision = hooks_.lease_revision();
+  view.lease_version = hooks_.lease_version();
   view.token = token_;
   view.view_number = ++last_view_;
   view.incarnation = to.incarnation;
@@ -429,8 +429,8 @@
 {
   const auto now = hooks_.now();
   const auto former = fleet_state_.last_listed_primary(group);
-  // A revision of zero means that the records have not been read yet.
-  if (!former || !has_members || !list_is_reliable || fleet_state_.groups_revision() == 0) {
+  // Without a version the records have not been read yet.
+  if (!former || !has_members || !list_is_reliable || !fleet_state_.groups_version().exists()) {
     primary_unknown_since_.erase(group);
     return std::nullopt;
   }
@@ -446,8 +446,8 @@
     auto& group_failover = failovers_[group.name];
     if (!group_failover) {
       auto callbacks = hooks_.failover_hooks;
-      callbacks.fence_complete = [this](std::uint64_t revision, instant recorded) {
-        return fence_.is_complete(revision, recorded, hooks_.now());
+      callbacks.fence_complete = [this](const store_version& version, instant recorded) {
+        return fence_.is_complete(version, recorded, hooks_.now());
       };
       auto created = failover::create(group.name, std::move(callbacks));
       if (!created) {
@@ -470,7 +470,7 @@
     const auto record = fleet_state_.groups().find(group.name);
     if (!group_failover->in_progress() && record != fleet_state_.groups().end() &&
         record->second.changing) {
-      group_failover->resume(record->second, fleet_state_.groups_revision());
+      group_failover->resume(record->second, fleet_state_.groups_version());
     }
     const auto primary = fleet_state_.primary_of(group.name, now);
     const bool all_evacuated = !members.empty() && evacuation.leaving.size() == members.size();
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -30,7 +30,7 @@
     std::function<instant()> now;
     // True while the lease is valid; rate shares are granted only then.
     std::function<bool()> holds_lease;
-    std::function<std::uint64_t()> lease_revision;
+    std::function<store_version()> lease_version;
     // Reports what became of a position in a report of `reporter`.
     std::function<void(const instance_id& reporter,
                        const std::string& group,
--- a/Source/Proxy/coordinator_lease.cxx
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -51,19 +51,19 @@
 
 void
 coordinator_lease::observe(const std::optional<coordinator_row>& row,
-                           std::uint64_t revision,
+                           const store_version& version,
                            instant confirmed_at,
                            instant now)
 {
-  if (observed_ && revision < revision_) {
+  if (observed_ && version.revision() < version_.revision()) {
     return;
   }
-  if (!observed_ || revision != revision_) {
-    unchanged_since_ = revision == announced_revision_ ? announced_at_ : now;
+  if (!observed_ || version != version_) {
+    unchanged_since_ = version == announced_version_ ? announced_at_ : now;
     unchanged_until_ = confirmed_at;
   }
   observed_ = true;
-  revision_ = revision;
+  version_ = version;
   row_ = row;
   unchanged_until_ = std::max(unchanged_until_, confirmed_at);
   if (!row || row->holder != own_ || row->incarnation != incarnation_) {
@@ -80,10 +80,10 @@
 }
 
 void
-coordinator_lease::observe_revision(std::uint64_t revision, instant now)
+coordinator_lease::observe_version(const store_version& version, instant now)
 {
-  if (revision > announced_revision_) {
-    announced_revision_ = revision;
+  if (version > announced_version_) {
+    announced_version_ = version;
     announced_at_ = now;
   }
 }
@@ -136,11 +136,11 @@
 coordinator_lease::begin_write(const coordinator_row& row, instant now)
 {
   pending_ = pending_write{ row, now };
-  hooks_.write(row, revision_);
+  hooks_.write(row, version_);
 }
 
 void
-coordinator_lease::write_done(write_outcome outcome, std::uint64_t revision, instant now)
+coordinator_lease::write_done(write_outcome outcome, const store_version& version, instant now)
 {
   const auto pending = std::exchange(pending_, std::nullopt);
   if (!pending) {
@@ -150,7 +150,7 @@
   switch (outcome) {
     case write_outcome::written:
       row_ = pending->row;
-      revision_ = std::max(revision_, revision);
+      version_ = std::max(version_, version);
       unchanged_since_ = now;
       unanswered_.reset();
       if (pending->row.holder == own_) {
--- a/Source/Proxy/coordinator_lease.h
+++ b/Source/Proxy/coordinator_lease.h
@@ -36,20 +36,21 @@
 };
 
 // Decides when this instance acquires, renews and releases the coordinator lease. Every write of
-// the row is conditional on its revision, so two instances never hold the same token.
+// the row is conditional on its version, so two instances never hold the same token.
 class coordinator_lease
 {
 public:
   struct hooks
   {
-    // Writes the row if its revision is still `expected`; zero means that the row does not exist.
-    std::function<void(const coordinator_row&, std::uint64_t expected)> write;
+    // Writes the row if its version is still `expected`; one that does not exist means that there
+    // is no row.
+    std::function<void(const coordinator_row&, const store_version& expected)> write;
     std::function<void(bool holding, const std::string& reason)> changed;
   };
   enum class write_outcome : std::uint8_t
   {
     written,
-    // The row has another revision.
+    // The row has another version.
     conflict,
     // The write was not done.
     refused,
@@ -65,16 +66,16 @@
 
   // Reports the row that the store confirmed at `confirmed_at`; empty if it does not exist.
   void observe(const std::optional<coordinator_row>& row,
-               std::uint64_t revision,
+               const store_version& version,
                instant confirmed_at,
                instant now);
 
-  // Reports a revision that the holder itself announced. It only sets the time of this revision;
-  // the row is read from the store before any decision.
-  void observe_revision(std::uint64_t revision, instant now);
+  // Reports a version that the holder itself announced. It only sets the time of this version; the
+  // row is read from the store before any decision.
+  void observe_version(const store_version& version, instant now);
 
-  // Reports the outcome of the write in progress; `revision` is the new one if it was written.
-  void write_done(write_outcome outcome, std::uint64_t revision, instant now);
+  // Reports the outcome of the write in progress; `version` is the new one if it was written.
+  void write_done(write_outcome outcome, const store_version& version, instant now);
 
   void tick(instant now);
 
@@ -93,7 +94,7 @@
   // True if it holds the row, even if the lease has expired meanwhile.
   bool holds_row() const { return holding_; }
   fencing_token token() const { return token_; }
-  std::uint64_t revision() const { return revision_; }
+  const store_version& version() const { return version_; }
   // Time until the lease expires.
   duration remaining(instant now) const;
   // Time when this instance acquired the lease.
@@ -122,11 +123,11 @@
   duration claim_delay_;
   hooks hooks_;
   std::optional<coordinator_row> row_;
-  std::uint64_t revision_ = 0;
+  store_version version_;
   bool observed_ = false;
-  std::uint64_t announced_revision_ = 0;
+  store_version announced_version_;
   instant announced_at_{};
-  // Time when the current revision was first seen, and latest time at which it was confirmed
+  // Time when the current version was first seen, and latest time at which it was confirmed
   // unchanged.
   instant unchanged_since_{};
   instant unchanged_until_{};
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -91,8 +91,8 @@
   std::optional<applied_view> view;
   config_version configuration_version;
   std::uint64_t members_digest = 0;
-  // Revision of the group records that the sender applied.
-  std::uint64_t groups_revision = 0;
+  // Version of the group records that the sender applied.
+  store_version groups_version;
   rate_share_table shares;
   // The view that granted the shares.
   applied_shares shares_view;
@@ -143,21 +143,21 @@
   fencing_token token;
   std::uint64_t view_number = 0;
   incarnation_id incarnation;
-  // Newest revision of the coordinator row that the sender wrote. If it does not change any more,
+  // Newest version of the coordinator row that the sender wrote. If it does not change any more,
   // the receiver can determine when the lease ends.
-  std::uint64_t lease_revision = 0;
+  store_version lease_version;
   // Time of the view on the sender's clock.
   instant clock{};
   // The receiver's clock in its newest report.
   instant echo_clock{};
   config_version configuration_version;
   std::optional<duration> configuration_age;
-  // Evacuated zones, the store revision at which they were read, and the age of that read. A
-  // revision of zero means that the sender does not know them.
+  // Evacuated zones, the version of the store at which they were read, and the age of that read.
+  // Without a version the sender does not know them.
   std::set<zone_id> evacuated_zones;
-  std::uint64_t evacuations_revision = 0;
+  store_version evacuations_version;
   duration evacuations_age{};
-  std::uint64_t groups_revision = 0;
+  store_version groups_version;
   std::optional<duration> groups_age;
   std::vector<group_record> groups;
   std::uint64_t members_digest = 0;
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -124,13 +124,13 @@
 }
 
 void
-failover::resume(const group_record& record, std::uint64_t revision)
+failover::resume(const group_record& record, const store_version& version)
 {
   if (in_progress()) {
     return;
   }
   begin_replacement(record);
-  recorded_revision_ = revision;
+  recorded_version_ = version;
   handle_event("resumed");
 }
 
@@ -180,11 +180,11 @@
 failover::record_change()
 {
   hooks_.write_record(record_,
-                      [this, generation = generation_](bool written, std::uint64_t revision) {
+                      [this, generation = generation_](bool written, const store_version& version) {
                         if (generation != generation_) {
                           return;
                         }
-                        recorded_revision_ = revision;
+                        recorded_version_ = version;
                         recorded_at_ = hooks_.now();
                         handle_event(written ? "recorded" : "not_recorded");
                       });
@@ -259,7 +259,7 @@
 bool
 failover::fence_complete() const
 {
-  return hooks_.fence_complete(recorded_revision_, recorded_at_);
+  return hooks_.fence_complete(recorded_version_, recorded_at_);
 }
 
 // Until the fence is complete, an instance may still read at the old primary and take its answers
@@ -359,7 +359,7 @@
   record.changing = false;
   record.stepped_down = false;
   record.primary_term = chosen_term_;
-  hooks_.write_record(record, [this, generation = generation_](bool written, std::uint64_t) {
+  hooks_.write_record(record, [this, generation = generation_](bool written, const store_version&) {
     if (generation == generation_) {
       handle_event(written ? "recorded" : "not_recorded");
     }
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -46,7 +46,7 @@
   {
     // Writes the group's record, on condition that this instance is still the coordinator.
     std::function<void(const group_record&,
-                       std::function<void(bool written, std::uint64_t revision)>)>
+                       std::function<void(bool written, const store_version& version)>)>
       write_record;
     // Sends a command to a member on a separate connection; the status is empty if no answer came.
     std::function<
@@ -57,7 +57,7 @@
       promote;
     // True if the lease lasts long enough for one promotion call.
     std::function<bool()> may_promote;
-    std::function<bool(std::uint64_t revision, instant recorded)> fence_complete;
+    std::function<bool(const store_version& version, instant recorded)> fence_complete;
     std::function<instant()> now;
     std::function<
       void(const std::string& group, const std::string& event, const std::string& detail)>
@@ -78,8 +78,8 @@
 
   // Starts the replacement of the recorded primary, unless one is in progress.
   void start(const group_record& recorded, replacement_reason reason);
-  // Continues a replacement that an earlier coordinator recorded at this revision or before.
-  void resume(const group_record& record, std::uint64_t revision);
+  // Continues a replacement that an earlier coordinator recorded at this version or before.
+  void resume(const group_record& record, const store_version& version);
   void duty_lost();
   void tick();
 
@@ -147,7 +147,7 @@
   term newest_term_;
   // Position of the old primary when it stepped down.
   std::optional<log_point> final_position_;
-  std::uint64_t recorded_revision_ = 0;
+  store_version recorded_version_;
   instant recorded_at_{};
   instant stepped_down_at_{};
   std::set<member_id> excluded_members_;
--- a/Source/Proxy/fence.cxx
+++ b/Source/Proxy/fence.cxx
@@ -34,18 +34,18 @@
 {
   auto& entry = acknowledgements_[report.instance];
   if (entry.incarnation != report.incarnation) {
-    entry = { report.incarnation, 0 };
+    entry = { report.incarnation, {} };
   }
-  entry.revision = std::max(entry.revision, report.groups_revision);
+  entry.version = std::max(entry.version, report.groups_version);
 }
 
 std::vector<instance_id>
-fence::unconfirmed_instances(std::uint64_t revision) const
+fence::unconfirmed_instances(const store_version& version) const
 {
   std::vector<instance_id> missing;
   for (const auto& [instance, incarnation] : registered_) {
     const auto found = acknowledgements_.find(instance);
-    if (found == acknowledgements_.end() || found->second.revision < revision) {
+    if (found == acknowledgements_.end() || found->second.version < version) {
       missing.push_back(instance);
     }
   }
@@ -53,12 +53,12 @@
 }
 
 bool
-fence::is_complete(std::uint64_t revision, instant recorded, instant now) const
+fence::is_complete(const store_version& version, instant recorded, instant now) const
 {
   if (now - recorded > commit_answer_limit + clock_margin) {
     return true;
   }
-  return now >= unregistered_evidence_until_ && unconfirmed_instances(revision).empty();
+  return now >= unregistered_evidence_until_ && unconfirmed_instances(version).empty();
 }
 
 }
--- a/Source/Proxy/fence.h
+++ b/Source/Proxy/fence.h
@@ -23,17 +23,17 @@
   void record_report(const instance_report& report);
 
   // True once every instance that could still act on the old record has applied the change, which
-  // was recorded at `revision` and acknowledged by the store at `recorded`.
-  bool is_complete(std::uint64_t revision, instant recorded, instant now) const;
+  // was recorded at `version` and acknowledged by the store at `recorded`.
+  bool is_complete(const store_version& version, instant recorded, instant now) const;
 
-  // Registered instances that have not confirmed the revision.
-  std::vector<instance_id> unconfirmed_instances(std::uint64_t revision) const;
+  // Registered instances that have not confirmed the version.
+  std::vector<instance_id> unconfirmed_instances(const store_version& version) const;
 
 private:
   struct acknowledgement
   {
     incarnation_id incarnation;
-    std::uint64_t revision = 0;
+    store_version version;
   };
   instant unregistered_evidence_until_;
   std::map<instance_id, incarnation_id> registered_;
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -100,13 +100,13 @@
 
 bool
 fleet_state::update_groups(const std::vector<group_record>& records,
-                           std::uint64_t revision,
+                           const store_version& version,
                            std::optional<instant> confirmed_at)
 {
-  if (revision < groups_revision_) {
+  if (version.revision() < groups_version_.revision()) {
     return false;
   }
-  groups_revision_ = revision;
+  groups_version_ = version;
   for (const auto& record : records) {
     groups_[record.group] = record;
   }
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -67,11 +67,11 @@
   // Applies the members' list that was current at `confirmed_at`. Returns false for a list older
   // than the current one, which is ignored.
   bool update_members(std::vector<listed_member> members, instant confirmed_at);
-  // Applies group records up to a revision of the store. Returns false if a newer revision was
+  // Applies group records up to a version of the store. Returns false if a newer version was
   // applied already. Without a confirmation time they are known, but no evidence for using a
   // primary: a replacement does not wait for an instance that is not registered.
   bool update_groups(const std::vector<group_record>& records,
-                     std::uint64_t revision,
+                     const store_version& version,
                      std::optional<instant> confirmed_at);
 
   // Applies a set of evacuated zones unless a newer one is known. Returns true if the set changed.
@@ -95,7 +95,7 @@
   // The member that most recently listed itself as the group's primary, also if it no longer does.
   // Empty if this instance has not read a list with one.
   std::optional<member_id> last_listed_primary(const std::string& group) const;
-  std::uint64_t groups_revision() const { return groups_revision_; }
+  const store_version& groups_version() const { return groups_version_; }
   std::optional<instant> configuration_confirmed_at() const { return configuration_confirmed_at_; }
   std::optional<instant> groups_confirmed_at() const { return groups_confirmed_at_; }
   std::optional<instant> members_confirmed_at() const { return members_confirmed_at_; }
@@ -126,7 +126,7 @@
   std::map<member_id, removed_member> removed_members_;
   std::map<std::string, member_id> last_listed_primaries_;
   std::map<std::string, group_record> groups_;
-  std::uint64_t groups_revision_ = 0;
+  store_version groups_version_;
   std::optional<instant> configuration_confirmed_at_;
   std::optional<instant> members_confirmed_at_;
   std::optional<instant> groups_confirmed_at_;
--- a/Source/Proxy/record_write_queue.h
+++ b/Source/Proxy/record_write_queue.h
@@ -17,8 +17,8 @@
   struct entry
   {
     group_record record;
-    // Reports whether the record was written, and at which revision of the store.
-    std::function<void(bool written, std::uint64_t revision)> done;
+    // Reports whether the record was written, and at which version of the store.
+    std::function<void(bool written, const store_version& version)> done;
   };
 
   // Appends a record. A waiting record of the same group is replaced at its place and returned; the
--- a/Source/ProxyNode/api_client.cxx
+++ b/Source/ProxyNode/api_client.cxx
@@ -1,17 +1,21 @@
 #include "ProxyNode/api_client.h"
 
 #include "ProxyNode/boot_clock.h"
+#include "platform/store_format.h"
 
 #include <utility>
 
 namespace persimmonshelf {
 
-api_client::api_client(boost::asio::io_context& context, const tcp_address& address)
+api_client::api_client(boost::asio::io_context& context,
+                       const tcp_address& address,
+                       std::string era_header)
   : client_(std::make_unique<platform_client>(
       context,
       address,
       std::string(),
       [this](platform_reply reply) { handle_reply(std::move(reply)); }))
+  , era_header_(std::move(era_header))
 {
 }
 
@@ -19,6 +23,7 @@
 api_client::execute(platform_call call, reply_handler done)
 {
   call.id = ++last_call_;
+  call.kept_header = era_header_;
   pending_.emplace(call.id, pending_call{ std::move(done), boot_now() });
   client_->execute(std::move(call));
 }
@@ -30,7 +35,13 @@
   if (found.empty()) {
     return;
   }
-  found.mapped().done({ reply.status, std::move(reply.body), found.mapped().sent });
+  const auto era = platform::parse_era(reply.kept_header);
+  if (!era) {
+    // Nothing in the answer can be ordered with what is known.
+    found.mapped().done({ 0, era.error().message, {}, found.mapped().sent });
+    return;
+  }
+  found.mapped().done({ reply.status, std::move(reply.body), era.value(), found.mapped().sent });
 }
 
 void
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -149,7 +149,7 @@
   }
   report.configuration_version = config_version(from.configuration_version());
   report.members_digest = from.members_digest();
-  report.groups_revision = from.groups_revision();
+  report.groups_version = store_version(store_era(from.groups_era()), from.groups_revision());
   report.shares = read_shares(from);
   report.shares_view = { fencing_token(from.shares_token()), from.shares_view() };
   for (const auto& entry : from.demands()) {
@@ -198,7 +198,7 @@
   view.holder = instance_id(from.holder());
   view.tokens_only = from.tokens_only();
   view.address = from.address();
-  view.lease_revision = from.lease_revision();
+  view.lease_version = store_version(store_era(from.lease_era()), from.lease_revision());
   view.clock = instant(from_us(from.clock_us()));
   view.token = fencing_token(from.token());
   view.view_number = from.view();
@@ -209,9 +209,10 @@
   for (const auto& zone : from.evacuated_zones()) {
     view.evacuated_zones.emplace(zone);
   }
-  view.evacuations_revision = from.evacuations_revision();
+  view.evacuations_version =
+    store_version(store_era(from.evacuations_era()), from.evacuations_revision());
   view.evacuations_age = from_us(from.evacuations_age_us());
-  view.groups_revision = from.groups_revision();
+  view.groups_version = store_version(store_era(from.groups_era()), from.groups_revision());
   view.groups_age = age_from_us(from.groups_age_us());
   for (const auto& entry : from.groups()) {
     view.groups.push_back({ entry.group(),
@@ -305,7 +306,8 @@
   }
   to.set_configuration_version(report.configuration_version.get());
   to.set_members_digest(report.members_digest);
-  to.set_groups_revision(report.groups_revision);
+  to.set_groups_revision(report.groups_version.revision());
+  to.set_groups_era(report.groups_version.era().get());
   add_shares(report.shares, to);
   to.set_shares_token(report.shares_view.token.get());
   to.set_shares_view(report.shares_view.number);
@@ -361,7 +363,8 @@
   to.set_holder(view.holder.get());
   to.set_tokens_only(view.tokens_only);
   to.set_address(view.address);
-  to.set_lease_revision(view.lease_revision);
+  to.set_lease_revision(view.lease_version.revision());
+  to.set_lease_era(view.lease_version.era().get());
   to.set_clock_us(to_us(view.clock));
   to.set_token(view.token.get());
   to.set_view(view.view_number);
@@ -372,9 +375,11 @@
   for (const auto& zone : view.evacuated_zones) {
     to.add_evacuated_zones(zone.get());
   }
-  to.set_evacuations_revision(view.evacuations_revision);
+  to.set_evacuations_revision(view.evacuations_version.revision());
+  to.set_evacuations_era(view.evacuations_version.era().get());
   to.set_evacuations_age_us(to_us(view.evacuations_age));
-  to.set_groups_revision(view.groups_revision);
+  to.set_groups_revision(view.groups_version.revision());
+  to.set_groups_era(view.groups_version.era().get());
   to.set_groups_age_us(age_to_us(view.groups_age));
   for (const auto& record : view.groups) {
     auto* entry = to.add_groups();
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -90,7 +90,7 @@
   , hooks_(std::move(callbacks))
   , incarnation_(random_bits())
   , address_(format_address(settings.peers))
-  , store_(context, settings.store)
+  , store_(context, settings.store, std::string(platform::era_header))
   , promotion_client_(context, settings.promotion_api)
   , configuration_watcher_(
       context,
@@ -98,8 +98,8 @@
       std::string(platform::configuration_table),
       configuration_poll_wait,
       true,
-      { [this](const auto& rows, std::uint64_t revision, instant confirmed_at) {
-         update_configuration(rows, revision, confirmed_at);
+      { [this](const auto& rows, const store_version& version, instant confirmed_at) {
+         update_configuration(rows, version, confirmed_at);
        },
         [this](bool reachable, const std::string& reason) {
           log_reachable("configuration", reachable, reason);
@@ -109,7 +109,7 @@
                      std::string(platform::members_table),
                      members_read_period,
                      false,
-                     { [this](const auto& rows, std::uint64_t, instant confirmed_at) {
+                     { [this](const auto& rows, const store_version&, instant confirmed_at) {
                         update_members(rows, confirmed_at);
                       },
                        [this](bool reachable, const std::string& reason) {
@@ -121,8 +121,8 @@
                    std::string(fleet_table),
                    fleet_poll_wait,
                    true,
-                   { [this](const auto& rows, std::uint64_t revision, instant confirmed_at) {
-                      update_fleet(rows, revision, confirmed_at);
+                   { [this](const auto& rows, const store_version& version, instant confirmed_at) {
+                      update_fleet(rows, version, confirmed_at);
                     },
                      [this](bool reachable, const std::string& reason) {
                        log_reachable("fleet", reachable, reason);
@@ -135,7 +135,9 @@
       incarnation_,
       address_,
       claim_delay(settings.name),
-      { [this](const coordinator_row& row, std::uint64_t expected) { write_lease(row, expected); },
+      { [this](const coordinator_row& row, const store_version& expected) {
+         write_lease(row, expected);
+       },
         [this](bool holding, const std::string& reason) { handle_lease_change(holding, reason); } })
   , follower_(incarnation_)
 {
@@ -177,6 +179,18 @@
     { { "table", table }, { "reachable", reachable ? "yes" : "no" }, { "reason", reason } });
 }
 
+void
+fleet_participant::note_era(const store_version& version)
+{
+  if (version.era() > store_era_) {
+    log_.write("store_era",
+               { { "era", std::to_string(version.era().get()) },
+                 { "previous", std::to_string(store_era_.get()) },
+                 { "revision", std::to_string(version.revision()) } });
+    store_era_ = version.era();
+  }
+}
+
 void
 fleet_participant::receive()
 {
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -102,10 +102,14 @@
   const carrier_plan& plan() const { return plan_; }
   // Rows of the members' table that were left out because they name no usable member.
   std::size_t unusable_member_rows() const { return member_list_reader_.unusable_rows(); }
+  // Newest era of the store that this instance has read.
+  store_era known_era() const { return store_era_; }
   std::uint64_t store_calls() const { return store_.call_count() + promotion_client_.call_count(); }
 
 private:
   void receive();
+  // Logs that the store has returned from an older copy of itself.
+  void note_era(const store_version& version);
   void log_reachable(const std::string& table, bool reachable, const std::string& reason);
   void handle_datagram(std::string_view bytes);
   void handle_report(const instance_report& report);
@@ -125,15 +129,15 @@
   std::vector<std::string> discovery_targets() const;
   void apply_tokens(const fleet_view& view, instant now);
   void update_configuration(const std::map<std::string, platform::store_row>& rows,
-                            std::uint64_t revision,
+                            const store_version& version,
                             instant confirmed_at);
   void update_evacuations(const std::map<std::string, platform::store_row>& rows,
-                          std::uint64_t revision,
+                          const store_version& version,
                           instant confirmed_at);
   bool apply_evacuations(const evacuation_evidence& evidence, const std::string& source);
   void update_members(const std::map<std::string, platform::store_row>& rows, instant confirmed_at);
   void update_fleet(const std::map<std::string, platform::store_row>& rows,
-                    std::uint64_t revision,
+                    const store_version& version,
                     instant confirmed_at);
   // Returns the time at which no version newer than `version` existed; empty if it is unknown.
   using configuration_dater = std::function<std::optional<instant>(config_version version)>;
@@ -146,17 +150,17 @@
   void serve_peer_request(const http_request& request, const http_server::responder& send) const;
   void register_self(instant now);
   void unregister_expired(instant now);
-  void write_lease(const coordinator_row& row, std::uint64_t expected);
+  void write_lease(const coordinator_row& row, const store_version& expected);
   // Writes the record together with the lease. It waits while another write of the lease is in
   // flight, and is not written if the lease is lost meanwhile.
   void write_group_record(const group_record& record,
-                          std::function<void(bool written, std::uint64_t revision)> done);
+                          std::function<void(bool written, const store_version& version)> done);
   void start_record_write(record_write_queue::entry entry);
   void write_next_record();
   void report_unwritten(record_write_queue::entry entry);
   void drop_waiting_records();
   coordinator_lease::write_outcome lease_outcome(const api_reply& reply,
-                                                 std::uint64_t& revision) const;
+                                                 store_version& version) const;
   void promote(const std::string& group,
                const member_id& member,
                std::function<void(promote_outcome)> done);
@@ -214,6 +218,7 @@
   std::string coordinator_client_address_;
   instant next_fetch_at_{};
   std::unique_ptr<http_server> peer_server_;
+  store_era store_era_;
   bool registered_in_view_ = true;
   carrier_plan plan_;
   bool plan_write_in_flight_ = false;
--- a/Source/ProxyNode/fleet_participant_coordinator.cxx
+++ b/Source/ProxyNode/fleet_participant_coordinator.cxx
@@ -22,15 +22,15 @@
 }
 
 coordinator_lease::write_outcome
-fleet_participant::lease_outcome(const api_reply& reply, std::uint64_t& revision) const
+fleet_participant::lease_outcome(const api_reply& reply, store_version& version) const
 {
   using write_outcome = coordinator_lease::write_outcome;
   if (reply.status == platform::status_ok) {
-    const auto page = platform::parse_page(reply.body);
+    const auto page = platform::parse_page(reply.body, reply.era);
     if (!page) {
       return write_outcome::unknown;
     }
-    revision = page.value().store_revision;
+    version = page.value().newest;
     return write_outcome::written;
   }
   if (reply.status == platform::status_condition_failed) {
@@ -40,20 +40,20 @@
 }
 
 void
-fleet_participant::write_lease(const coordinator_row& row, std::uint64_t expected)
+fleet_participant::write_lease(const coordinator_row& row, const store_version& expected)
 {
   platform::store_write write;
   write.table = fleet_table;
   write.key = coordinator_key;
-  write.expected_revision = expected;
+  write.expected = expected;
   write.value = encode_coordinator(row);
   store_.post(platform::write_target,
               platform::encode_write({ write }),
               write_timeout,
               [this](const api_reply& reply) {
-                std::uint64_t revision = 0;
-                const auto outcome = lease_outcome(reply, revision);
-                lease_.write_done(outcome, revision, boot_now());
+                store_version version;
+                const auto outcome = lease_outcome(reply, version);
+                lease_.write_done(outcome, version, boot_now());
                 if (outcome != coordinator_lease::write_outcome::written) {
                   fleet_watcher_.poll_now();
                 }
@@ -65,7 +65,7 @@
 fleet_participant::report_unwritten(record_write_queue::entry entry)
 {
   log_.write("record_not_written", { { "group", entry.record.group } });
-  boost::asio::post(context_, [done = std::move(entry.done)] { done(false, 0); });
+  boost::asio::post(context_, [done = std::move(entry.done)] { done(false, {}); });
 }
 
 void
@@ -91,7 +91,7 @@
 void
 fleet_participant::write_group_record(
   const group_record& record,
-  std::function<void(bool written, std::uint64_t revision)> done)
+  std::function<void(bool written, const store_version& version)> done)
 {
   record_write_queue::entry entry{ record, std::move(done) };
   if (!lease_.holds(boot_now())) {
@@ -108,7 +108,7 @@
 fleet_participant::start_record_write(record_write_queue::entry entry)
 {
   const auto now = boot_now();
-  const auto expected = lease_.revision();
+  const auto expected = lease_.version();
   const auto row = lease_.holds(now) ? lease_.begin_renewal(now) : std::nullopt;
   if (!row) {
     report_unwritten(std::move(entry));
@@ -117,7 +117,7 @@
   platform::store_write lease;
   lease.table = fleet_table;
   lease.key = coordinator_key;
-  lease.expected_revision = expected;
+  lease.expected = expected;
   lease.value = encode_coordinator(*row);
   platform::store_write group;
   group.table = fleet_table;
@@ -128,15 +128,15 @@
               platform::encode_write({ lease, group }),
               write_timeout,
               [this, now, entry = std::move(entry)](const api_reply& reply) {
-                std::uint64_t revision = 0;
-                const auto outcome = lease_outcome(reply, revision);
-                lease_.write_done(outcome, revision, boot_now());
+                store_version version;
+                const auto outcome = lease_outcome(reply, version);
+                lease_.write_done(outcome, version, boot_now());
                 const bool written = outcome == coordinator_lease::write_outcome::written;
                 if (written) {
-                  fleet_state_.update_groups({ entry.record }, revision, now);
+                  fleet_state_.update_groups({ entry.record }, version, now);
                   hooks_.changed();
                 }
-                entry.done(written, revision);
+                entry.done(written, version);
                 write_next_record();
                 if (written && coordinator_) {
                   coordinator_->send_views();
@@ -150,7 +150,7 @@
 fleet_participant::record_plan(const carrier_plan& plan)
 {
   const auto now = boot_now();
-  const auto expected = lease_.revision();
+  const auto expected = lease_.version();
   const auto row =
     lease_.holds(now) && !plan_write_in_flight_ ? lease_.begin_renewal(now) : std::nullopt;
   if (!row) {
@@ -160,7 +160,7 @@
   platform::store_write lease;
   lease.table = fleet_table;
   lease.key = coordinator_key;
-  lease.expected_revision = expected;
+  lease.expected = expected;
   lease.value = encode_coordinator(*row);
   platform::store_write record;
   record.table = fleet_table;
@@ -172,9 +172,9 @@
               write_timeout,
               [this, plan](const api_reply& reply) {
                 plan_write_in_flight_ = false;
-                std::uint64_t revision = 0;
-                const auto outcome = lease_outcome(reply, revision);
-                lease_.write_done(outcome, revision, boot_now());
+                store_version version;
+                const auto outcome = lease_outcome(reply, version);
+                lease_.write_done(outcome, version, boot_now());
                 if (outcome == coordinator_lease::write_outcome::written) {
                   update_plan(plan, "decided by this instance");
                 }
@@ -244,7 +244,7 @@
                                        observation_outcome outcome) {
     hooks_.position_observed("report", reporter, group, observed, outcome);
   };
-  callbacks.lease_revision = [this] { return lease_.revision(); };
+  callbacks.lease_version = [this] { return lease_.version(); };
   callbacks.holds_lease = [this] { return lease_.holds(boot_now()); };
   callbacks.send = [this](const std::string& address, const fleet_view& view) {
     if (address == address_) {
--- a/Source/ProxyNode/fleet_participant_evacuation.cxx
+++ b/Source/ProxyNode/fleet_participant_evacuation.cxx
@@ -30,10 +30,10 @@
 // out; those and zones without members are logged once.
 void
 fleet_participant::update_evacuations(const std::map<std::string, platform::store_row>& rows,
-                                      std::uint64_t revision,
+                                      const store_version& version,
                                       instant confirmed_at)
 {
-  evacuation_evidence evidence{ {}, revision, confirmed_at };
+  evacuation_evidence evidence{ {}, version, confirmed_at };
   std::set<std::string> problems;
   for (const auto& [key, row] : rows) {
     const auto zone = platform::parse_evacuation(row);
@@ -79,7 +79,7 @@
     boot_now() - fleet_state_.evacuations().evidence().confirmed_at);
   log_.write("evacuation",
              { { "zones", text_of(evidence.zones) },
-               { "revision", std::to_string(evidence.revision) },
+               { "revision", std::to_string(evidence.version.revision()) },
                { "evidence_age_ms", std::to_string(age.count()) },
                { "source", source } });
   hooks_.changed();
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -53,7 +53,7 @@
   report.view = follower_.newest_complete_view(now);
   report.configuration_version = fleet_state_.configuration().configuration().version;
   report.members_digest = members_digest_;
-  report.groups_revision = fleet_state_.groups_revision();
+  report.groups_version = fleet_state_.groups_version();
   report.shares = limiter_.shares();
   report.shares_view = follower_.shares_view();
   report.demands = limiter_.demands(now);
--- a/Source/ProxyNode/fleet_participant_store.cxx
+++ b/Source/ProxyNode/fleet_participant_store.cxx
@@ -28,11 +28,12 @@
 
 void
 fleet_participant::update_configuration(const std::map<std::string, platform::store_row>& rows,
-                                        std::uint64_t revision,
+                                        const store_version& version,
                                         instant confirmed_at)
 {
+  note_era(version);
   // Before the configuration, so that no session begins without the set.
-  update_evacuations(rows, revision, confirmed_at);
+  update_evacuations(rows, version, confirmed_at);
   const auto row = rows.find(std::string(platform::configuration_key));
   if (row == rows.end()) {
     return;
@@ -167,14 +168,15 @@
 
 void
 fleet_participant::update_fleet(const std::map<std::string, platform::store_row>& rows,
-                                std::uint64_t revision,
+                                const store_version& version,
                                 instant confirmed_at)
 {
   const auto now = boot_now();
+  note_era(version);
   store_contact_.record_contact(now);
   fleet_table_read_at_ = now;
   std::optional<coordinator_row> holder;
-  std::uint64_t holder_revision = 0;
+  store_version holder_version(version.era(), 0);
   std::vector<group_record> groups;
   std::map<instance_id, incarnation_id> registered;
   for (const auto& [key, row] : rows) {
@@ -184,7 +186,7 @@
       } else {
         log_.write("row_unreadable", { { "key", key }, { "reason", parsed.error().message } });
       }
-      holder_revision = row.revision;
+      holder_version = row.version;
     } else if (key.starts_with(group_key_prefix)) {
       if (auto parsed = decode_group(row.value)) {
         groups.push_back(std::move(parsed.value()));
@@ -213,7 +215,7 @@
   // new coordinator knows all of them.
   const auto previous_groups = fleet_state_.groups();
   fleet_state_.update_groups(
-    groups, revision, uses_evidence ? std::optional(confirmed_at) : std::nullopt);
+    groups, version, uses_evidence ? std::optional(confirmed_at) : std::nullopt);
   if (previous_groups != fleet_state_.groups()) {
     hooks_.changed();
     if (uses_evidence) {
@@ -223,7 +225,7 @@
   if (!uses_evidence && is_carrier()) {
     register_self(now);
   }
-  lease_.observe(holder, holder_revision, confirmed_at, now);
+  lease_.observe(holder, holder_version, confirmed_at, now);
   if (holder && holder->token > follower_.min_token()) {
     follower_.raise_min_token(holder->token);
     if (coordinator_ && holder->holder != settings_.name) {
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -44,15 +44,15 @@
     last_view_at_ = now;
     store_contact_.record_contact(now);
   }
-  lease_.observe_revision(view.lease_revision, now);
+  lease_.observe_version(view.lease_version, now);
   live_instances_ = view.instances;
   const auto confirmed_at = [&](const std::optional<duration>& age) {
     return view.echo_clock - *age;
   };
   // Before the configuration, so that no session begins without the set.
-  if (view.evacuations_revision > 0) {
+  if (view.evacuations_version.exists()) {
     apply_evacuations({ view.evacuated_zones,
-                        view.evacuations_revision,
+                        view.evacuations_version,
                         confirmed_at(std::optional(view.evacuations_age)) },
                       "coordinator");
   }
@@ -66,7 +66,7 @@
   const auto groups_before = fleet_state_.groups();
   registered_in_view_ = view.registered;
   if (view.groups_age && view.registered) {
-    fleet_state_.update_groups(view.groups, view.groups_revision, confirmed_at(view.groups_age));
+    fleet_state_.update_groups(view.groups, view.groups_version, confirmed_at(view.groups_age));
   }
   if (view.members_age && view.members &&
       fleet_state_.update_members(*view.members, confirmed_at(view.members_age))) {
@@ -92,7 +92,7 @@
                  { { "group", group },
                    { "primary", record.primary.get() },
                    { "changing", record.changing ? "yes" : "no" },
-                   { "revision", std::to_string(view.groups_revision) } });
+                   { "revision", std::to_string(view.groups_version.revision()) } });
     }
     hooks_.changed();
     // The coordinator waits for this confirmation.
@@ -120,7 +120,7 @@
 fleet_participant::apply_plan_view(const fleet_view& view, instant now)
 {
   last_view_at_ = now;
-  lease_.observe_revision(view.lease_revision, now);
+  lease_.observe_version(view.lease_version, now);
   live_instances_ = view.instances;
   coordinator_address_ = view.address;
   select_data_sources(now);
--- a/Source/ProxyNode/node_metrics.cxx
+++ b/Source/ProxyNode/node_metrics.cxx
@@ -220,6 +220,7 @@
   state_->set_gauge("unusable_member_rows", now.unusable_member_rows);
   state_->set_gauge("evacuated_zones", now.evacuated_zones);
   state_->set_gauge("links_in_evacuated_zones", now.evacuated_connections);
+  state_->set_gauge("store_era", now.store_era);
   state_->set_gauge("store_calls", now.store_calls);
   state_->set_gauge("log_lines_dropped", now.log_lines_dropped);
   state_->set_waiting(now.waiting_by_class);
--- a/Source/ProxyNode/node_metrics.h
+++ b/Source/ProxyNode/node_metrics.h
@@ -40,6 +40,8 @@
     // Zones that are out of use, and connections to members in them.
     double evacuated_zones = 0;
     double evacuated_connections = 0;
+    // Newest era of the store that was read; zero if it states none.
+    double store_era = 0;
     double store_calls = 0;
     double log_lines_dropped = 0;
     // Requests that wait for a member connection, by class.
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -220,6 +220,7 @@
   for (const auto& zone : evacuated) {
     current.evacuated_connections += static_cast<double>(pool.connections_to(zone));
   }
+  current.store_era = static_cast<double>(fleet.known_era().get());
   current.store_calls = static_cast<double>(fleet.store_calls());
   current.log_lines_dropped = static_cast<double>(log.dropped());
   for (const auto& [priority, count] : pool.waiting_by_class()) {
--- a/Source/ProxyNode/proxy_node_sessions.cxx
+++ b/Source/ProxyNode/proxy_node_sessions.cxx
@@ -190,7 +190,7 @@
         { "reads", std::to_string(entry.reads) },
         { "without_position", std::to_string(entry.without_position) },
         { "primary", primary ? primary->member.get() : "" },
-        { "revision", std::to_string(known_state.groups_revision()) } });
+        { "revision", std::to_string(known_state.groups_version().revision()) } });
   }
 }
 
--- a/Source/ProxyNode/table_watcher.cxx
+++ b/Source/ProxyNode/table_watcher.cxx
@@ -97,7 +97,7 @@
   // After a failure the store answers at once instead of holding the call, so that its recovery
   // shows immediately.
   const auto poll_wait = reachable_ ? poll_wait_ : duration::zero();
-  store_.get(platform::feed_target(table_, revision_, milliseconds_of(poll_wait)),
+  store_.get(platform::feed_target(table_, version_, milliseconds_of(poll_wait)),
              poll_wait + call_timeout,
              [this](const api_reply& reply) { handle_changes(reply); });
 }
@@ -128,7 +128,7 @@
   if (check_failure(reply)) {
     return;
   }
-  auto page = platform::parse_page(reply.body);
+  auto page = platform::parse_page(reply.body, reply.era);
   if (!page) {
     in_flight_ = false;
     handlers_.reachability_changed(false, page.error().message);
@@ -137,7 +137,11 @@
   }
   if (from_key_.empty()) {
     pending_read_at_ = reply.sent;
-    pending_revision_ = page.value().store_revision;
+    pending_version_ = page.value().newest;
+  } else if (reply.era != pending_version_.era()) {
+    // The first pages are of another history than this one.
+    read_again();
+    return;
   }
   for (auto& row : page.value().rows) {
     from_key_ = row.key;
@@ -149,7 +153,7 @@
     return;
   }
   rows_ = std::move(pending_rows_);
-  revision_ = pending_revision_;
+  version_ = pending_version_;
   confirmed_at_ = pending_read_at_;
   has_snapshot_ = true;
   in_flight_ = false;
@@ -161,15 +165,18 @@
 table_watcher::handle_changes(const api_reply& reply)
 {
   if (reply.status == platform::status_gone) {
-    has_snapshot_ = false;
-    in_flight_ = false;
-    schedule_poll(duration::zero());
+    read_again();
     return;
   }
   if (check_failure(reply)) {
     return;
   }
-  auto page = platform::parse_page(reply.body);
+  if (reply.era != version_.era()) {
+    // The store may have passed the revision in its new history, with other changes before it.
+    read_again();
+    return;
+  }
+  auto page = platform::parse_page(reply.body, reply.era);
   in_flight_ = false;
   if (!page) {
     handlers_.reachability_changed(false, page.error().message);
@@ -184,16 +191,25 @@
       rows_[row.key] = std::move(row);
     }
   }
-  revision_ = std::max(revision_, page.value().store_revision);
+  version_ = std::max(version_, page.value().newest);
   confirmed_at_ = reply.sent;
   notify();
   schedule_poll(duration::zero());
 }
 
+// Reads the whole table instead of its changes.
+void
+table_watcher::read_again()
+{
+  has_snapshot_ = false;
+  in_flight_ = false;
+  schedule_poll(duration::zero());
+}
+
 void
 table_watcher::notify()
 {
-  const auto failure = guarded_call([this] { handlers_.updated(rows_, revision_, confirmed_at_); });
+  const auto failure = guarded_call([this] { handlers_.updated(rows_, version_, confirmed_at_); });
   if (failure) {
     handlers_.reachability_changed(false, "the rows cannot be used: " + *failure);
   }
--- a/Source/ProxyNode/table_watcher.h
+++ b/Source/ProxyNode/table_watcher.h
@@ -16,16 +16,17 @@
 namespace persimmonshelf {
 
 // Keeps a copy of one table of the store. Reads the whole table, then follows its changes by long
-// polls, and reads the whole table again when the store no longer has the history.
+// polls, and reads the whole table again when the store no longer has the history or has returned
+// from an older copy. All rows of the copy are of one era of the store.
 class table_watcher
 {
 public:
   struct handlers
   {
-    // All rows by key, the revision at which they were read and the time at which they were
-    // current.
+    // All rows by key, the version of the store at which they were read and the time at which they
+    // were current.
     std::function<void(const std::map<std::string, platform::store_row>& rows,
-                       std::uint64_t revision,
+                       const store_version& version,
                        instant confirmed_at)>
       updated;
     // Called when the store stops answering and when it answers again.
@@ -57,6 +58,7 @@
   void handle_page(const api_reply& reply);
   void handle_changes(const api_reply& reply);
   bool check_failure(const api_reply& reply);
+  void read_again();
   void notify();
 
   api_client& store_;
@@ -69,8 +71,8 @@
   std::map<std::string, platform::store_row> pending_rows_;
   std::string from_key_;
   instant pending_read_at_{};
-  std::uint64_t pending_revision_ = 0;
-  std::uint64_t revision_ = 0;
+  store_version pending_version_;
+  store_version version_;
   instant confirmed_at_{};
   bool has_snapshot_ = false;
   bool active_ = false;
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -118,9 +118,10 @@
       static_cast<void>(parse_member_message(line));
       static_cast<void>(parse_member_status(line));
     }
-    static_cast<void>(parse_page(bytes));
+    static_cast<void>(parse_page(bytes, store_era(0)));
     static_cast<void>(parse_configuration(bytes));
-    static_cast<void>(parse_member_row({ "servers", "i", bytes, 1, false }));
+    static_cast<void>(
+      parse_member_row({ "servers", "i", bytes, store_version(store_era(0), 1), false }));
     static_cast<void>(decode_coordinator(bytes));
     static_cast<void>(decode_group(bytes));
     static_cast<void>(parse_node_settings(bytes));
@@ -139,7 +140,8 @@
   const std::string good =
     R"({"service":"g","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"ready",)"
     R"("warmup_left_ms":0,"db_role":"replica","seq":4,"born":1700000000000})";
-  const auto member = parse_member_row({ "servers", "i-1", good, 1, false });
+  const auto member =
+    parse_member_row({ "servers", "i-1", good, store_version(store_era(0), 1), false });
   REQUIRE(member);
   CHECK(member.value().slots == 3);
   CHECK(member.value().started_at_ms == 1700000000000);
@@ -150,7 +152,7 @@
       R"({"service":"g","address":"a","zone":"z","state":"odd","db_role":"replica","seq":1})",
       R"({"service":"g","address":"a","zone":"z","state":"ready","db_role":"king","seq":1})",
       R"({"service":7,"address":"a","zone":"z","state":"ready","db_role":"replica","seq":1})" }) {
-    CHECK_FALSE(parse_member_row({ "servers", "i-1", bad, 1, false }));
+    CHECK_FALSE(parse_member_row({ "servers", "i-1", bad, store_version(store_era(0), 1), false }));
   }
 }
 
@@ -158,7 +160,7 @@
 TEST_CASE("only rows with a valid zone evacuate one")
 {
   const auto zone_of = [](const std::string& key, const std::string& value = "{}") {
-    return parse_evacuation({ "op", key, value, 1, false });
+    return parse_evacuation({ "op", key, value, store_version(store_era(0), 1), false });
   };
   CHECK(zone_of("evacuate/z1").value() == zone_id("z1"));
   CHECK(zone_of("evacuate/z1", "").value() == zone_id("z1"));
@@ -189,7 +191,7 @@
                            { "seq", 4 },
                            { "born", 1700000000000 } };
   const auto parse = [](const std::string& key, const std::string& value) {
-    return parse_member_row({ "servers", key, value, 1, false });
+    return parse_member_row({ "servers", key, value, store_version(store_era(0), 1), false });
   };
   REQUIRE(parse("i-1", json::serialize(good)));
   const std::string long_text(member_text_limit_bytes + 1, 'z');
@@ -286,7 +288,7 @@
     R"("warmup_left_ms":0,"db_role":"replica","seq":4,"born":1700000000000})";
   std::map<std::string, store_row> rows;
   const auto put = [&](const std::string& key, const std::string& value) {
-    rows[key] = { "servers", key, value, 1, false };
+    rows[key] = { "servers", key, value, store_version(store_era(0), 1), false };
   };
   put("i-1", good);
   put("odd", "{}");
@@ -319,8 +321,8 @@
     RC_ASSERT(query_value(target, "table") == table);
     RC_ASSERT(query_value(target, "from") == key);
     RC_ASSERT(query_value(target, "limit") == "1");
-    RC_ASSERT(query_value(feed_target(table, 7, 8), "table") == table);
-    RC_ASSERT(query_value(feed_target(table, 7, 8), "after") == "7");
+    RC_ASSERT(query_value(feed_target(table, store_version(store_era(1), 7), 8), "table") == table);
+    RC_ASSERT(query_value(feed_target(table, store_version(store_era(1), 7), 8), "after") == "7");
   }));
   CHECK(query_value(read_target("servers", "a&limit=1"), "from") == "a&limit=1");
   CHECK(query_value(read_target("servers", "a b\r\nX: 1"), "from") == "a b\r\nX: 1");
@@ -335,12 +337,33 @@
     parse_page(R"({"ver":9,"rows":[{"table":"op","part":"","key":"config","ver":7},)"
                R"({"table":"op","part":"old","key":"config","ver":8},)"
                R"({"table":"op","part":"old","key":"config","ver":9,"deleted":true},)"
-               R"({"table":"op","key":"evacuate/z","ver":5}]})");
+               R"({"table":"op","key":"evacuate/z","ver":5}]})",
+               store_era(4));
   REQUIRE(page);
   REQUIRE(page.value().rows.size() == 2);
-  CHECK(page.value().rows[0].revision == 7);
+  CHECK(page.value().rows[0].version == store_version(store_era(4), 7));
   CHECK(page.value().rows[1].key == "evacuate/z");
-  CHECK(page.value().store_revision == 9);
+  CHECK(page.value().newest == store_version(store_era(4), 9));
+}
+
+// Guards against an answer whose era is unknown and that would pass for one of another era.
+TEST_CASE("only a whole number is an era of the store")
+{
+  REQUIRE(parse_era(""));
+  CHECK(parse_era("").value() == store_era(0));
+  CHECK(parse_era("17").value() == store_era(17));
+  CHECK(parse_era("2147483647").value() == store_era(max_store_era));
+  for (const auto* text : { "2147483648", "99999999999999999999999", "-1", "1.0", " 1", "one" }) {
+    CHECK_FALSE(parse_era(text));
+  }
+}
+
+// Guards against a choice between two versions by their revisions, which are given out again.
+TEST_CASE("versions are ordered by their era first")
+{
+  CHECK(store_version(store_era(1), 900) < store_version(store_era(2), 7));
+  CHECK(store_version(store_era(2), 7) < store_version(store_era(2), 8));
+  CHECK(store_version() < store_version(store_era(0), 1));
 }
 
 TEST_CASE("a configuration is decoded")
@@ -540,14 +563,18 @@
                           std::chrono::milliseconds(30),
                           { member_id("m"), instance_id("b") } };
   view.evacuated_zones = { zone_id("z1"), zone_id("z2") };
-  view.evacuations_revision = 12;
+  view.evacuations_version = store_version(store_era(2), 12);
   view.evacuations_age = std::chrono::milliseconds(40);
+  view.groups_version = store_version(store_era(3), 8);
+  view.lease_version = store_version(store_era(4), 7);
   const auto seen = decode_datagram(encode_view(view)).view;
   REQUIRE(seen);
   CHECK(seen->evacuated_zones == view.evacuated_zones);
-  CHECK(seen->evacuations_revision == view.evacuations_revision);
+  CHECK(seen->evacuations_version == view.evacuations_version);
   CHECK(seen->evacuations_age == view.evacuations_age);
-  CHECK(decode_datagram(encode_view({})).view->evacuations_revision == 0);
+  CHECK(seen->groups_version == view.groups_version);
+  CHECK(seen->lease_version == view.lease_version);
+  CHECK(decode_datagram(encode_view({})).view->evacuations_version == store_version());
   CHECK(seen->token == view.token);
   CHECK(seen->groups == view.groups);
   CHECK_FALSE(seen->shares);
@@ -579,7 +606,9 @@
     plan.version = 2;
     plan.carriers.push_back({ instance_id(name), zone_id(name), name, 0.5, flag, !flag });
     RC_ASSERT(decode_plan(encode_plan(plan)).value() == plan);
-    const auto body = boost::json::parse(encode_write({ { name, name, 7, other } })).as_object();
+    const auto body =
+      boost::json::parse(encode_write({ { name, name, store_version(store_era(1), 7), other } }))
+        .as_object();
     const auto& put = body.at("puts").at(0);
     RC_ASSERT(put.at("table").as_string() == std::string_view(name));
     RC_ASSERT(put.at("key").as_string() == std::string_view(name));
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -30,7 +30,7 @@
     coordinator::hooks callbacks;
     callbacks.now = [this] { return now; };
     callbacks.holds_lease = [this] { return lease_held; };
-    callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
+    callbacks.lease_version = [] { return revision_of(7); };
     callbacks.position_reported =
       [](const instance_id&, const std::string&, const timed_position&, auto) {};
     callbacks.plan = [this]() -> const carrier_plan& { return plan; };
@@ -49,7 +49,7 @@
     fleet.update_configuration(make_configuration(), at(ms_now));
     fleet.update_members({ make_member("m1", "z", true), make_member("m2", "z", false) },
                          at(ms_now));
-    fleet.update_groups({}, 1, at(ms_now));
+    fleet.update_groups({}, revision_of(1), at(ms_now));
   }
 
   instance_report report(std::int64_t clock) const
@@ -95,7 +95,7 @@
     coordinator::hooks callbacks;
     callbacks.now = [this] { return now; };
     callbacks.holds_lease = [] { return true; };
-    callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
+    callbacks.lease_version = [] { return revision_of(7); };
     callbacks.position_reported =
       [](const instance_id&, const std::string&, const timed_position&, auto) {};
     callbacks.plan = [this]() -> const carrier_plan& { return plan; };
@@ -106,7 +106,8 @@
     failovers.log = [](const std::string&, const std::string&, const std::string&) {};
     failovers.may_promote = [] { return true; };
     failovers.write_record = [this](const group_record& record, auto done) {
-      fleet.update_groups({ record }, ++revision, now);
+      revision = revision_of(revision.revision() + 1);
+      fleet.update_groups({ record }, revision, now);
       done(true, revision);
     };
     failovers.send_command = [this](const member_id& id, const member_command& command, auto done) {
@@ -155,7 +156,7 @@
       report.instance = instance_id("a");
       report.incarnation = incarnation_id(1);
       report.clock = now;
-      report.groups_revision = revision;
+      report.groups_version = revision;
       for (const auto& [name, status] : members) {
         report.reachability.push_back(
           { member_id(name), unreachable.contains(name) ? ms(800) : ms(0) });
@@ -169,7 +170,7 @@
   fleet_state fleet;
   position_history positions;
   carrier_plan plan;
-  std::uint64_t revision = 4;
+  store_version revision = revision_of(4);
   std::map<std::string, member_status> members;
   std::set<std::string> unreachable{ "m2" };
   std::vector<std::string> promoted;
@@ -327,7 +328,8 @@
   };
   outdated.positions["g"] = observed(point(3, 40), at(50'005));
   bench.now = at(1100);
-  bench.fleet.update_groups({ { "g", member_id("m2"), false, false, term(4) } }, 2, at(1000));
+  bench.fleet.update_groups(
+    { { "g", member_id("m2"), false, false, term(4) } }, revision_of(2), at(1000));
   bench.subject->handle_report(outdated);
   CHECK_FALSE(bench.views.back().positions.contains("g"));
 }
@@ -366,7 +368,7 @@
   bench.subject->handle_report(bench.report(1));
   REQUIRE(bench.views.size() == 1);
   CHECK_FALSE(bench.views.back().groups_age);
-  bench.fleet.update_groups({}, 1, at(10));
+  bench.fleet.update_groups({}, revision_of(1), at(10));
   bench.subject->handle_report(bench.report(2));
   CHECK(bench.views.back().groups_age);
 }
@@ -489,7 +491,7 @@
     bench.unreachable.clear();
     bench.members["m1"].primary = false;
     list_members();
-    bench.fleet.update_evacuations({ {}, 1, bench.now });
+    bench.fleet.update_evacuations({ {}, revision_of(1), bench.now });
     bench.take_over();
     bench.run(500);
   }
@@ -506,7 +508,7 @@
 
   void evacuate(const std::set<zone_id>& zones)
   {
-    bench.fleet.update_evacuations({ zones, ++revision, bench.now });
+    bench.fleet.update_evacuations({ zones, revision_of(++revision), bench.now });
   }
 
   void run(std::int64_t for_ms)
@@ -657,7 +659,7 @@
     list(true);
     list(false);
     bench.fleet.update_evacuations(
-      { { zone_id("z1"), zone_id("z2"), zone_id("z3") }, 2, bench.now });
+      { { zone_id("z1"), zone_id("z2"), zone_id("z3") }, revision_of(2), bench.now });
     bench.run(8000);
     CHECK(records() == 0);
   }
@@ -669,12 +671,12 @@
 {
   coordinator_bench bench;
   bench.subject->handle_report(bench.report(100));
-  CHECK(bench.views.back().evacuations_revision == 0);
-  bench.fleet.update_evacuations({ { zone_id("z") }, 7, at(0) });
+  CHECK(bench.views.back().evacuations_version == store_version());
+  bench.fleet.update_evacuations({ { zone_id("z") }, revision_of(7), at(0) });
   bench.now = at(300);
   bench.subject->send_views();
   CHECK(bench.views.back().evacuated_zones == std::set{ zone_id("z") });
-  CHECK(bench.views.back().evacuations_revision == 7);
+  CHECK(bench.views.back().evacuations_version == revision_of(7));
   CHECK(bench.views.back().evacuations_age == ms(300));
 }
 
--- a/Tests/Proxy/evacuation_test.cxx
+++ b/Tests/Proxy/evacuation_test.cxx
@@ -34,7 +34,7 @@
   evacuation_evidence read() const
   {
     const auto zones = row ? std::set{ zone } : std::set<zone_id>();
-    return { zones, revision, instance.now };
+    return { zones, revision_of(revision), instance.now };
   }
 
   void read_store(evacuated_zones& reader)
@@ -229,16 +229,16 @@
 {
   evacuated_zones zones(ms(1000));
   const std::set evacuated{ zone_id("z1") };
-  CHECK(zones.update({ {}, 5, at(100) }) == false);
-  CHECK(zones.update({ evacuated, 6, at(400) }));
+  CHECK(zones.update({ {}, revision_of(5), at(100) }) == false);
+  CHECK(zones.update({ evacuated, revision_of(6), at(400) }));
   CHECK(zones.deadlines(zone_id("z1"))->transactions_end == at(800));
   CHECK(zones.deadlines(zone_id("z1"))->use_ends == at(1000));
-  CHECK_FALSE(zones.update({ {}, 5, at(900) }));
-  CHECK_FALSE(zones.update({ {}, 0, at(900) }));
-  CHECK_FALSE(zones.update({ evacuated, 8, at(950) }));
+  CHECK_FALSE(zones.update({ {}, revision_of(5), at(900) }));
+  CHECK_FALSE(zones.update({ {}, revision_of(0), at(900) }));
+  CHECK_FALSE(zones.update({ evacuated, revision_of(8), at(950) }));
   CHECK(zones.evidence().confirmed_at == at(950));
   CHECK(zones.use_ended(zone_id("z1"), at(1000)));
-  CHECK(zones.update({ {}, 9, at(1100) }));
+  CHECK(zones.update({ {}, revision_of(9), at(1100) }));
   CHECK_FALSE(zones.deadlines(zone_id("z1")));
 }
 
@@ -251,11 +251,11 @@
   configuration.routes.front().statement_timeout = ms(5000);
   bench.configuration = configuration_index(configuration);
   const auto begin = bench.now;
-  bench.evacuations.update({ {}, 1, begin });
+  bench.evacuations.update({ {}, revision_of(1), begin });
   bench.submit(statement_kind::begin, "BEGIN");
   bench.submit(statement_kind::write, "WRITE a x");
   bench.reply(std::nullopt, transaction_state::open);
-  bench.evacuations.update({ { zone_id("z1") }, 2, begin + ms(100) });
+  bench.evacuations.update({ { zone_id("z1") }, revision_of(2), begin + ms(100) });
   bench.pool.set_evacuated_zones(bench.evacuations.zones(), bench.now);
   bench.now = begin + ms(890);
   bench.session->tick(bench.now);
--- a/Tests/Proxy/failover_test.cxx
+++ b/Tests/Proxy/failover_test.cxx
@@ -28,11 +28,11 @@
     callbacks.now = [this] { return now; };
     callbacks.write_record = [this](const group_record& record, auto done) {
       if (!store_answers) {
-        done(false, 0);
+        done(false, {});
         return;
       }
       records.push_back(record);
-      done(true, 10 + records.size());
+      done(true, revision_of(10 + records.size()));
     };
     callbacks.send_command = [this](const member_id& id, const member_command& command, auto done) {
       commands.emplace_back(id, command.kind);
@@ -57,7 +57,7 @@
       done(outcome);
     };
     callbacks.may_promote = [this] { return lease; };
-    callbacks.fence_complete = [this](std::uint64_t, instant) { return fenced; };
+    callbacks.fence_complete = [this](const store_version&, instant) { return fenced; };
     callbacks.log = [this](const std::string&, const std::string& event, const std::string&) {
       logged.insert(event);
     };
@@ -158,7 +158,8 @@
       bench.set_members({ "m1", "m2", "m3" }, sync_replicas);
       bench.promote_answers = { promote_outcome::refused };
       if (way == "resumed") {
-        bench.group_failover->resume({ "g", member_id("m1"), true, true, term(3) }, 12);
+        bench.group_failover->resume({ "g", member_id("m1"), true, true, term(3) },
+                                     revision_of(12));
       } else {
         bench.start(way == "unreachable" ? replacement_reason::unreachable
                                          : replacement_reason::leaving);
@@ -166,7 +167,7 @@
       bench.run(1000);
       if (way == "taken over") {
         bench.group_failover->duty_lost();
-        bench.group_failover->resume(bench.records.back(), 12);
+        bench.group_failover->resume(bench.records.back(), revision_of(12));
       }
       bench.run(2000);
       CHECK_FALSE(bench.members["m1"].primary);
@@ -366,7 +367,7 @@
   bench.set_members({ "m1", "m2", "m3" }, 1);
   bench.unreachable = { "m1", "m3" };
   bench.fenced = true;
-  bench.group_failover->resume({ "g", member_id("m1"), true, true, term(3) }, 12);
+  bench.group_failover->resume({ "g", member_id("m1"), true, true, term(3) }, revision_of(12));
   bench.run(3000);
   CHECK(bench.promoted.empty());
   bench.unreachable = { "m1" };
@@ -503,7 +504,7 @@
     if (!record.changing) {
       continue;
     }
-    bench.group_failover->resume(record, 12);
+    bench.group_failover->resume(record, revision_of(12));
     bench.run(600);
     CHECK_FALSE(bench.records.back().changing);
     CHECK(bench.members[bench.records.back().primary.get()].primary);
@@ -559,21 +560,22 @@
   instance_report report;
   report.instance = instance_id("a");
   report.incarnation = incarnation_id(1);
-  report.groups_revision = 20;
+  report.groups_version = revision_of(20);
   commit_fence.record_report(report);
   const auto recorded = at(10'000);
-  CHECK_FALSE(commit_fence.is_complete(20, recorded, recorded + ms(100)));
+  CHECK_FALSE(commit_fence.is_complete(revision_of(20), recorded, recorded + ms(100)));
   report.instance = instance_id("b");
   report.incarnation = incarnation_id(2);
-  report.groups_revision = 19;
+  report.groups_version = revision_of(19);
   commit_fence.record_report(report);
-  CHECK_FALSE(commit_fence.is_complete(20, recorded, recorded + ms(100)));
-  report.groups_revision = 20;
+  CHECK_FALSE(commit_fence.is_complete(revision_of(20), recorded, recorded + ms(100)));
+  report.groups_version = revision_of(20);
   commit_fence.record_report(report);
-  CHECK(commit_fence.is_complete(20, recorded, recorded + ms(100)));
+  CHECK(commit_fence.is_complete(revision_of(20), recorded, recorded + ms(100)));
   // Without confirmations the fence is complete when the evidence expires.
-  CHECK_FALSE(commit_fence.is_complete(21, recorded, recorded + commit_answer_limit));
-  CHECK(commit_fence.is_complete(21, recorded, recorded + commit_answer_limit + ms(200)));
+  CHECK_FALSE(commit_fence.is_complete(revision_of(21), recorded, recorded + commit_answer_limit));
+  CHECK(
+    commit_fence.is_complete(revision_of(21), recorded, recorded + commit_answer_limit + ms(200)));
 }
 
 // Guards against early promotions by a new coordinator, which does not know the instances that the
@@ -582,7 +584,7 @@
 {
   fence commit_fence(at(10'000));
   commit_fence.set_registered_instances({}, at(10'000));
-  CHECK_FALSE(commit_fence.is_complete(5, at(10'100), at(10'200)));
+  CHECK_FALSE(commit_fence.is_complete(revision_of(5), at(10'100), at(10'200)));
 }
 
 // Guards against replacements at the end of a zone's partition: instances that regained contact
--- a/Tests/Proxy/fleet_state_test.cxx
+++ b/Tests/Proxy/fleet_state_test.cxx
@@ -62,23 +62,24 @@
   fleet.update_members({ make_member("m1", "z", true), make_member("m2", "z", false) }, at(0));
   REQUIRE(fleet.primary_of("g", at(10)));
   CHECK_FALSE(fleet.primary_of("g", at(10))->usable);
-  fleet.update_groups({}, 5, at(100));
+  fleet.update_groups({}, revision_of(5), at(100));
   CHECK(fleet.primary_of("g", at(100))->usable);
   CHECK(fleet.commit_is_valid("g", member_id("m1"), at(100)));
   CHECK_FALSE(fleet.primary_of("g", at(101) + primary_use_limit)->usable);
   CHECK_FALSE(fleet.commit_is_valid("g", member_id("m1"), at(101) + commit_answer_limit));
 
-  fleet.update_groups({ { "g", member_id("m1"), true, false, term(3) } }, 6, at(200));
+  fleet.update_groups({ { "g", member_id("m1"), true, false, term(3) } }, revision_of(6), at(200));
   CHECK_FALSE(fleet.primary_of("g", at(200))->usable);
   CHECK_FALSE(fleet.commit_is_valid("g", member_id("m1"), at(200)));
   // An older revision, from an outdated peer, changes nothing.
-  CHECK_FALSE(fleet.update_groups({ { "g", member_id("m1"), false, false, term(3) } }, 5, at(300)));
+  CHECK_FALSE(fleet.update_groups(
+    { { "g", member_id("m1"), false, false, term(3) } }, revision_of(5), at(300)));
   CHECK_FALSE(fleet.primary_of("g", at(300))->usable);
 
   // Answers of a primary from before it stepped down are valid.
-  fleet.update_groups({ { "g", member_id("m1"), true, true, term(3) } }, 7, at(300));
+  fleet.update_groups({ { "g", member_id("m1"), true, true, term(3) } }, revision_of(7), at(300));
   CHECK(fleet.commit_is_valid("g", member_id("m1"), at(300)));
-  fleet.update_groups({ { "g", member_id("m2"), false, true, term(4) } }, 8, at(400));
+  fleet.update_groups({ { "g", member_id("m2"), false, true, term(4) } }, revision_of(8), at(400));
   CHECK(fleet.primary_of("g", at(400))->member == member_id("m2"));
 }
 
@@ -87,11 +88,11 @@
 TEST_CASE("after a planned replacement only the new primary's commits are valid")
 {
   fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
-  fleet.update_groups({ { "g", member_id("m2"), true, true, term(4) } }, 5, at(100));
+  fleet.update_groups({ { "g", member_id("m2"), true, true, term(4) } }, revision_of(5), at(100));
   CHECK(fleet.commit_is_valid("g", member_id("m2"), at(100)));
   // m1 led before m2 and was cut off when it was replaced.
   CHECK_FALSE(fleet.commit_is_valid("g", member_id("m1"), at(100)));
-  fleet.update_groups({ { "g", member_id("m3"), false, true, term(5) } }, 6, at(200));
+  fleet.update_groups({ { "g", member_id("m3"), false, true, term(5) } }, revision_of(6), at(200));
   CHECK(fleet.commit_is_valid("g", member_id("m3"), at(200)));
   CHECK_FALSE(fleet.commit_is_valid("g", member_id("m1"), at(200)));
 }
@@ -102,7 +103,8 @@
 {
   fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
   fleet.update_members({ make_member("m1", "z", true), make_member("m2", "z", true) }, at(0));
-  fleet.update_groups({ { "g", member_id("m2"), false, false, term(4) } }, 5, std::nullopt);
+  fleet.update_groups(
+    { { "g", member_id("m2"), false, false, term(4) } }, revision_of(5), std::nullopt);
   REQUIRE(fleet.primary_of("g", at(100)));
   CHECK(fleet.primary_of("g", at(100))->member == member_id("m2"));
   CHECK_FALSE(fleet.primary_of("g", at(100))->usable);
--- a/Tests/Proxy/lease_test.cxx
+++ b/Tests/Proxy/lease_test.cxx
@@ -18,15 +18,15 @@
 struct lease_row
 {
   std::optional<coordinator_row> row;
-  std::uint64_t revision = 0;
+  store_version version = revision_of(0);
 
-  bool write(const coordinator_row& next, std::uint64_t expected)
+  bool write(const coordinator_row& next, const store_version& expected)
   {
-    if (expected != revision) {
+    if (expected != version) {
       return false;
     }
     row = next;
-    ++revision;
+    version = revision_of(version.revision() + 1);
     return true;
   }
 };
@@ -35,24 +35,25 @@
 {
   instant due;
   coordinator_row row;
-  std::uint64_t expected = 0;
+  store_version expected;
 };
 
 struct lease_holder
 {
   lease_holder(const std::string& name, std::uint64_t incarnation, lease_row& shared)
     : store(shared)
-    , lease(
-        instance_id(name),
-        incarnation_id(incarnation),
-        name,
-        ms(static_cast<std::int64_t>(incarnation) * 30),
-        { [this](const coordinator_row& row, std::uint64_t expected) { on_write(row, expected); },
-          [](bool, const std::string&) {} })
+    , lease(instance_id(name),
+            incarnation_id(incarnation),
+            name,
+            ms(static_cast<std::int64_t>(incarnation) * 30),
+            { [this](const coordinator_row& row, const store_version& expected) {
+               on_write(row, expected);
+             },
+              [](bool, const std::string&) {} })
   {
   }
 
-  void on_write(const coordinator_row& row, std::uint64_t expected)
+  void on_write(const coordinator_row& row, const store_version& expected)
   {
     pending = late_call{ instant{}, row, expected };
   }
@@ -100,19 +101,19 @@
           if (fate < 6) {
             const bool written = store.write(call->row, call->expected);
             holder.lease.write_done(
-              written ? write_outcome::written : write_outcome::conflict, store.revision, now);
+              written ? write_outcome::written : write_outcome::conflict, store.version, now);
           } else if (fate == 6) {
             store.write(call->row, call->expected);
-            holder.lease.write_done(write_outcome::unknown, 0, now);
+            holder.lease.write_done(write_outcome::unknown, {}, now);
           } else if (fate == 7) {
             late.push_back({ now + ms(3000), call->row, call->expected });
-            holder.lease.write_done(write_outcome::unknown, 0, now);
+            holder.lease.write_done(write_outcome::unknown, {}, now);
           } else {
-            holder.lease.write_done(write_outcome::refused, 0, now);
+            holder.lease.write_done(write_outcome::refused, {}, now);
           }
         }
         if (random() % 4 == 0) {
-          holder.lease.observe(store.row, store.revision, now, now);
+          holder.lease.observe(store.row, store.version, now, now);
         }
         holder.lease.tick(now);
       }
@@ -156,16 +157,17 @@
   lease_row store;
   lease_holder other("a", 1, store);
   store.write(
-    { instance_id("h"), incarnation_id(9), fencing_token(4), "h", short_lease_duration, 1 }, 0);
-  other.lease.observe_revision(1, at(1000));
-  other.lease.observe(store.row, store.revision, at(1700), at(1710));
+    { instance_id("h"), incarnation_id(9), fencing_token(4), "h", short_lease_duration, 1 },
+    revision_of(0));
+  other.lease.observe_version(revision_of(1), at(1000));
+  other.lease.observe(store.row, store.version, at(1700), at(1710));
   other.lease.tick(at(1710));
   CHECK_FALSE(other.pending);
   const auto wait =
     std::chrono::duration_cast<std::chrono::milliseconds>(short_lease_duration + takeover_margin)
       .count();
   const auto due = 1000 + wait + 40;
-  other.lease.observe(store.row, store.revision, at(due), at(due));
+  other.lease.observe(store.row, store.version, at(due), at(due));
   other.lease.tick(at(due));
   REQUIRE(other.pending);
   CHECK(other.pending->row.token == fencing_token(5));
@@ -178,8 +180,8 @@
   lease_row store;
   lease_holder holder("a", 1, store);
   lease_holder other("b", 2, store);
-  holder.lease.observe(std::nullopt, 0, at(0), at(0));
-  holder.lease.observe(std::nullopt, 0, at(100), at(100));
+  holder.lease.observe(std::nullopt, revision_of(0), at(0), at(0));
+  holder.lease.observe(std::nullopt, revision_of(0), at(100), at(100));
   holder.lease.tick(at(100));
   std::int64_t time = 100;
   bool held_throughout = true;
@@ -189,7 +191,7 @@
     time += 800;
     const bool written = store.write(call->row, call->expected);
     REQUIRE(written);
-    holder.lease.write_done(coordinator_lease::write_outcome::written, store.revision, at(time));
+    holder.lease.write_done(coordinator_lease::write_outcome::written, store.version, at(time));
     held_throughout = held_throughout && (i < 2 || holder.lease.holds(at(time)));
     for (int n = 0; n < 40 && !holder.pending; ++n) {
       time += 20;
@@ -199,11 +201,11 @@
   }
   CHECK(held_throughout);
   CHECK(store.row->validity == long_lease_duration);
-  other.lease.observe(store.row, store.revision, at(time), at(time));
-  other.lease.observe(store.row, store.revision, at(time + 2000), at(time + 2000));
+  other.lease.observe(store.row, store.version, at(time), at(time));
+  other.lease.observe(store.row, store.version, at(time + 2000), at(time + 2000));
   other.lease.tick(at(time + 2000));
   CHECK_FALSE(other.pending);
-  other.lease.observe(store.row, store.revision, at(time + 3400), at(time + 3400));
+  other.lease.observe(store.row, store.version, at(time + 3400), at(time + 3400));
   other.lease.tick(at(time + 3400));
   CHECK(other.pending);
 }
@@ -213,12 +215,12 @@
 {
   lease_row store;
   lease_holder holder("a", 1, store);
-  holder.lease.observe(std::nullopt, 0, at(0), at(0));
-  holder.lease.observe(std::nullopt, 0, at(100), at(100));
+  holder.lease.observe(std::nullopt, revision_of(0), at(0), at(0));
+  holder.lease.observe(std::nullopt, revision_of(0), at(100), at(100));
   holder.lease.tick(at(100));
   REQUIRE(holder.pending);
   store.write(holder.pending->row, holder.pending->expected);
-  holder.lease.write_done(coordinator_lease::write_outcome::written, 1, at(4000));
+  holder.lease.write_done(coordinator_lease::write_outcome::written, revision_of(1), at(4000));
   CHECK_FALSE(holder.lease.holds(at(4000)));
 }
 
@@ -228,10 +230,11 @@
   lease_row store;
   lease_holder other("a", 1, store);
   store.write(
-    { instance_id("h"), incarnation_id(9), fencing_token(4), "h", short_lease_duration, 1 }, 0);
-  other.lease.observe(store.row, store.revision, at(0), at(0));
+    { instance_id("h"), incarnation_id(9), fencing_token(4), "h", short_lease_duration, 1 },
+    revision_of(0));
+  other.lease.observe(store.row, store.version, at(0), at(0));
   other.lease.mark_vacant(fencing_token(4));
-  other.lease.observe(store.row, store.revision, at(60), at(60));
+  other.lease.observe(store.row, store.version, at(60), at(60));
   other.lease.tick(at(60));
   CHECK(other.pending);
 }
--- a/Tests/Proxy/position_exchange_test.cxx
+++ b/Tests/Proxy/position_exchange_test.cxx
@@ -135,7 +135,7 @@
       instance->fleet.update_configuration(make_configuration(), clock(*instance));
       instance->fleet.update_members(
         { make_member("m1", "z", true), make_member("m2", "z", false) }, clock(*instance));
-      instance->fleet.update_groups({}, 1, clock(*instance));
+      instance->fleet.update_groups({}, revision_of(1), clock(*instance));
     }
   }
 
@@ -159,7 +159,7 @@
     coordinator::hooks callbacks;
     callbacks.now = [this, &next] { return clock(next); };
     callbacks.holds_lease = [] { return true; };
-    callbacks.lease_revision = [] { return std::uint64_t{ 7 }; };
+    callbacks.lease_version = [] { return revision_of(7); };
     callbacks.plan = [this]() -> const carrier_plan& { return plan_; };
     callbacks.record_plan = [](const carrier_plan&) {};
     callbacks.position_reported =
@@ -325,7 +325,8 @@
   const auto ignore = [](const std::string&, const timed_position&, observation_outcome) {};
   fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
   fleet.update_configuration(make_configuration(), at(1000));
-  fleet.update_groups({ { "g", member_id("m2"), false, false, term(2) } }, 2, at(1000));
+  fleet.update_groups(
+    { { "g", member_id("m2"), false, false, term(2) } }, revision_of(2), at(1000));
   position_history positions;
   fleet_view view;
   view.echo_clock = at(990);
--- a/Tests/Proxy/proxy_support.h
+++ b/Tests/Proxy/proxy_support.h
@@ -21,6 +21,13 @@
   return std::chrono::milliseconds(count);
 }
 
+// A version of a store that states no era.
+inline store_version
+revision_of(std::uint64_t number)
+{
+  return { store_era(0), number };
+}
+
 inline log_point
 point(std::uint64_t in_term, std::uint64_t number)
 {
