Proxy: A record restored by a drill replaces no later one

Writes got READONLY.

Cause: fleet_state took any record that came with a revision at or above the last one, and the drill gives revisions out again. Nothing compared the terms. An instance that starts right after the drill knows only the restored record.

Change: each record states the era in which it was written. Records of an earlier era are ordered by their term and state, not by the store. Such a record, or no record at all in a store with eras, lets a primary be used only as long as the evidence from before the drill allows. The holder of the duty asks all members of the group for their terms and records the one that leads in the newest; it waits up to 3 s for silent members and replaces the primary if none leads. Instances send records that the store lost with their reports, and acknowledge no version that they do not act on.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -32,6 +32,9 @@
 // Substitutes stay this long after the last carrier was unavailable, because restarts often come in
 // series.
 constexpr duration substitute_retention = std::chrono::seconds(4);
+// Groups whose members are asked at the same time who leads. Each takes a connection to each of its
+// members for some milliseconds.
+constexpr std::ptrdiff_t max_concurrent_confirmations = 16;
 
 }
 
@@ -119,6 +122,9 @@
     hooks_.send(peer.address, make_plan_view(peer));
     return;
   }
+  if (!report.records_ahead.empty()) {
+    hooks_.records_reported(report.instance, report.records_ahead);
+  }
   update_positions(report, now);
   failure_detector_.record_report(report, now);
   fence_.record_report(report);
@@ -438,6 +444,35 @@
   return now - since > role_mismatch_timeout ? former : std::nullopt;
 }
 
+void
+coordinator::confirm_primary(const std::string& group,
+                             const std::vector<listed_member>& members,
+                             failover& group_failover)
+{
+  auto& confirmation = confirmations_[group];
+  if (!confirmation) {
+    const auto& calls = hooks_.failover_hooks;
+    confirmation = std::make_unique<record_confirmation>(
+      group,
+      record_confirmation::hooks{ calls.write_record, calls.send_command, calls.now, calls.log });
+  }
+  const auto asking = std::count_if(confirmations_.begin(),
+                                    confirmations_.end(),
+                                    [](const auto& entry) { return entry.second->in_progress(); });
+  if (asking >= max_concurrent_confirmations) {
+    return;
+  }
+  const auto found = fleet_state_.groups().find(group);
+  const auto* known = found == fleet_state_.groups().end() ? nullptr : &found->second;
+  confirmation->tick(known, members);
+  const auto former = known != nullptr ? std::optional<member_id>(known->primary)
+                                       : fleet_state_.last_listed_primary(group);
+  const bool all_evacuated = evacuation_of(members, hooks_.now()).leaving.size() == members.size();
+  if (confirmation->primary_is_lost() && former && !all_evacuated) {
+    group_failover.start(fleet_state_.record_of(group, *former), replacement_reason::unreachable);
+  }
+}
+
 void
 coordinator::check_groups(bool list_is_reliable)
 {
@@ -467,6 +502,15 @@
       members, group.sync_replicas, fleet_state_.possible_commit_holders(group.name, now));
     const auto evacuation = evacuation_of(members, now);
     group_failover->set_evacuation(evacuation);
+    const auto confirmation = confirmations_.find(group.name);
+    const bool confirming =
+      confirmation != confirmations_.end() && confirmation->second->in_progress();
+    if (confirming || (!fleet_state_.is_confirmed(group.name) && !group_failover->in_progress())) {
+      last_consistent_at_[group.name] = now;
+      confirm_primary(group.name, members, *group_failover);
+      continue;
+    }
+    confirmations_.erase(group.name);
     const auto record = fleet_state_.groups().find(group.name);
     if (!group_failover->in_progress() && record != fleet_state_.groups().end() &&
         record->second.changing) {
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -6,6 +6,7 @@
 #include "Proxy/position_history.h"
 #include "Proxy/primary_failure_detector.h"
 #include "Proxy/rate_share_allocator.h"
+#include "Proxy/record_confirmation.h"
 #include "Proxy/token_pool.h"
 
 #include <functional>
@@ -37,6 +38,9 @@
                        const timed_position&,
                        observation_outcome)>
       position_reported;
+    // Reports records that `reporter` knows and that are later than those in the store.
+    std::function<void(const instance_id& reporter, const std::vector<group_record>&)>
+      records_reported;
     // The carrier plan in the store, and the request to replace it.
     std::function<const carrier_plan&()> plan;
     std::function<void(const carrier_plan&)> record_plan;
@@ -104,6 +108,10 @@
   std::optional<member_id> lost_unrecorded_primary(const std::string& group,
                                                    bool has_members,
                                                    bool list_is_reliable);
+  // Lets the group's primary be confirmed, or its replacement start if nobody can be confirmed.
+  void confirm_primary(const std::string& group,
+                       const std::vector<listed_member>& members,
+                       failover& group_failover);
   observation_outcome record_position(const std::string& group, const timed_position& position);
 
   instance_id own_;
@@ -121,6 +129,8 @@
   std::map<instance_id, peer_state> peers_;
   std::map<instance_id, incarnation_id> registered_;
   std::map<std::string, std::unique_ptr<failover>> failovers_;
+  // Groups whose primary is not confirmed in the present era of the store.
+  std::map<std::string, std::unique_ptr<record_confirmation>> confirmations_;
   // Time when a group was last in the middle of a replacement, or its recorded primary was last
   // listed as primary.
   std::map<std::string, instant> last_consistent_at_;
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -91,8 +91,10 @@
   std::optional<applied_view> view;
   config_version configuration_version;
   std::uint64_t members_digest = 0;
-  // Version of the group records that the sender applied.
+  // Version of the group records that the sender applied, and the records that it knows from an
+  // earlier era of the store and that are later than those in the store.
   store_version groups_version;
+  std::vector<group_record> records_ahead;
   rate_share_table shares;
   // The view that granted the shares.
   applied_shares shares_view;
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -1,6 +1,7 @@
 #include "Proxy/fleet_state.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace persimmonshelf {
@@ -28,9 +29,19 @@
 
 }
 
-fleet_state::fleet_state(evidence_age_limits limits, duration evacuation_limit)
+bool
+is_later(const group_record& next, const group_record& record)
+{
+  return std::tie(next.primary_term, next.changing, next.stepped_down) >
+         std::tie(record.primary_term, record.changing, record.stepped_down);
+}
+
+fleet_state::fleet_state(evidence_age_limits limits,
+                         duration evacuation_limit,
+                         bool records_primaries)
   : limits_(limits)
   , evacuations_(evacuation_limit)
+  , records_primaries_(records_primaries)
 {
 }
 
@@ -103,12 +114,18 @@
                            const store_version& version,
                            std::optional<instant> confirmed_at)
 {
-  if (version.revision() < groups_version_.revision()) {
+  if (version < groups_version_) {
     return false;
   }
+  if (version.era() > groups_version_.era()) {
+    begin_era();
+  }
   groups_version_ = version;
   for (const auto& record : records) {
-    groups_[record.group] = record;
+    apply_record(record);
+  }
+  if (ahead_of_store_.empty()) {
+    applied_groups_version_ = version;
   }
   if (confirmed_at) {
     groups_confirmed_at_ = std::max(groups_confirmed_at_.value_or(*confirmed_at), *confirmed_at);
@@ -116,6 +133,90 @@
   return true;
 }
 
+// Keeps the time at which each primary was last confirmed, because the present one is from then on
+// that of records which were written in the new era.
+void
+fleet_state::begin_era()
+{
+  for (const auto& [group, record] : groups_) {
+    if (groups_confirmed_at_ && is_confirmed(group)) {
+      earlier_confirmations_[group] = *groups_confirmed_at_;
+    }
+  }
+}
+
+void
+fleet_state::apply_record(const group_record& record)
+{
+  const auto [found, is_new] = groups_.try_emplace(record.group, record);
+  auto& known = found->second;
+  // Within an era, the order of the records is that of the store.
+  if (!is_new && known.recorded_in != groups_version_.era()) {
+    if (is_later(known, record)) {
+      ahead_of_store_.insert(record.group);
+      return;
+    }
+    if (is_later(record, known)) {
+      // This instance had missed the change, so what it knew is no evidence.
+      earlier_confirmations_.erase(record.group);
+    }
+  }
+  known = record;
+  ahead_of_store_.erase(record.group);
+  if (is_confirmed(record.group)) {
+    earlier_confirmations_.erase(record.group);
+  }
+}
+
+std::vector<std::string>
+fleet_state::adopt_records(const std::vector<group_record>& records)
+{
+  std::vector<std::string> changed;
+  for (const auto& record : records) {
+    const auto [found, is_new] = groups_.try_emplace(record.group, record);
+    if (!is_new && !is_later(record, found->second)) {
+      continue;
+    }
+    found->second = record;
+    earlier_confirmations_.erase(record.group);
+    ahead_of_store_.insert(record.group);
+    changed.push_back(record.group);
+  }
+  return changed;
+}
+
+std::vector<group_record>
+fleet_state::records_ahead() const
+{
+  std::vector<group_record> records;
+  for (const auto& group : ahead_of_store_) {
+    records.push_back(groups_.at(group));
+  }
+  return records;
+}
+
+bool
+fleet_state::is_confirmed(const std::string& group) const
+{
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) {
+    return !records_primaries_ || groups_version_.era() == store_era();
+  }
+  return found->second.recorded_in == groups_version_.era();
+}
+
+// When the store last confirmed the group's primary, directly or through the coordinator.
+std::optional<instant>
+fleet_state::primary_confirmed_at(const std::string& group) const
+{
+  if (is_confirmed(group)) {
+    return groups_confirmed_at_;
+  }
+  const auto found = earlier_confirmations_.find(group);
+  return found == earlier_confirmations_.end() ? std::nullopt
+                                               : std::optional<instant>(found->second);
+}
+
 std::optional<std::string>
 fleet_state::key_evidence_missing(instant now) const
 {
@@ -173,8 +274,8 @@
   current.member = *primary;
   const auto record = groups_.find(group);
   const bool changing = record != groups_.end() && record->second.changing;
-  current.usable =
-    !changing && groups_confirmed_at_ && now - *groups_confirmed_at_ <= limits_.primary_use;
+  const auto confirmed_at = primary_confirmed_at(group);
+  current.usable = !changing && confirmed_at && now - *confirmed_at <= limits_.primary_use;
   if (changing) {
     current.replacement_expected_at = now + expected_replacement_time / 3;
   }
@@ -184,7 +285,8 @@
 bool
 fleet_state::commit_is_valid(const std::string& group, const member_id& member, instant now) const
 {
-  if (!groups_confirmed_at_ || now - *groups_confirmed_at_ > limits_.commit_answer) {
+  const auto confirmed_at = primary_confirmed_at(group);
+  if (!confirmed_at || now - *confirmed_at > limits_.commit_answer) {
     return false;
   }
   const auto record = groups_.find(group);
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,10 +27,19 @@
   bool stepped_down = false;
   // Term in which the primary leads, or zero if it is unknown.
   term primary_term;
+  // Era of the store in which a coordinator wrote the record. A record of an earlier era than the
+  // store's was restored with an older copy and may have been replaced meanwhile.
+  store_era recorded_in{};
 
   friend bool operator==(const group_record&, const group_record&) = default;
 };
 
+// True if `next` describes a later state of the group than `record`, whatever the store says.
+// Within a term a record changes only from the primary to its replacement, and then to its
+// step-down.
+bool
+is_later(const group_record& next, const group_record& record);
+
 // Age limits of evidence, that is, of data read from the store.
 struct evidence_age_limits
 {
@@ -55,9 +65,11 @@
 {
 public:
   // `evacuation_limit` is the time from the acknowledgement of a zone's evacuation until nothing
-  // may be sent to its members.
+  // may be sent to its members. `records_primaries` is false where the fleet does not replace
+  // primaries and so records none.
   explicit fleet_state(evidence_age_limits limits,
-                       duration evacuation_limit = default_evacuation_limit);
+                       duration evacuation_limit = default_evacuation_limit,
+                       bool records_primaries = true);
 
   // Applies a configuration that was current at `confirmed_at`. Returns false for a version older
   // than the current one, which is ignored.
@@ -70,10 +82,23 @@
   // Applies group records up to a version of the store. Returns false if a newer version was
   // applied already. Without a confirmation time they are known, but no evidence for using a
   // primary: a replacement does not wait for an instance that is not registered.
+  //
+  // In a new era of the store, a record of an earlier era replaces no later one. Its primary may be
+  // used only for as long as the evidence from before allows, until the coordinator confirms it by
+  // a record of the new era.
   bool update_groups(const std::vector<group_record>& records,
                      const store_version& version,
                      std::optional<instant> confirmed_at);
 
+  // Applies records that other instances know from an earlier era of the store, if they are later
+  // than the known ones. Returns the groups whose records changed.
+  std::vector<std::string> adopt_records(const std::vector<group_record>& records);
+  // The known records that are later than those in the store, which lost them.
+  std::vector<group_record> records_ahead() const;
+  // True if the coordinator has confirmed in the store's present era who leads the group. A store
+  // without eras loses nothing, so a group without a record counts as confirmed there.
+  bool is_confirmed(const std::string& group) const;
+
   // Applies a set of evacuated zones unless a newer one is known. Returns true if the set changed.
   bool update_evacuations(const evacuation_evidence& evidence)
   {
@@ -96,6 +121,9 @@
   // Empty if this instance has not read a list with one.
   std::optional<member_id> last_listed_primary(const std::string& group) const;
   const store_version& groups_version() const { return groups_version_; }
+  // Newest version whose records were applied without exception. While records are known that are
+  // later than the store's, this instance does not act on the store's newest version.
+  const store_version& applied_groups_version() const { return applied_groups_version_; }
   std::optional<instant> configuration_confirmed_at() const { return configuration_confirmed_at_; }
   std::optional<instant> groups_confirmed_at() const { return groups_confirmed_at_; }
   std::optional<instant> members_confirmed_at() const { return members_confirmed_at_; }
@@ -112,9 +140,13 @@
 
 private:
   std::optional<member_id> recorded_or_listed_primary(const std::string& group) const;
+  void begin_era();
+  void apply_record(const group_record& record);
+  std::optional<instant> primary_confirmed_at(const std::string& group) const;
 
   evidence_age_limits limits_;
   evacuated_zones evacuations_;
+  bool records_primaries_;
   configuration_index configuration_;
   std::vector<listed_member> members_;
   struct removed_member
@@ -126,7 +158,12 @@
   std::map<member_id, removed_member> removed_members_;
   std::map<std::string, member_id> last_listed_primaries_;
   std::map<std::string, group_record> groups_;
+  // Groups whose known record is later than the one in the store.
+  std::set<std::string> ahead_of_store_;
+  // When the primaries that are not confirmed in the present era were last confirmed before it.
+  std::map<std::string, instant> earlier_confirmations_;
   store_version groups_version_;
+  store_version applied_groups_version_;
   std::optional<instant> configuration_confirmed_at_;
   std::optional<instant> members_confirmed_at_;
   std::optional<instant> groups_confirmed_at_;
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -109,6 +109,24 @@
   return member;
 }
 
+void
+write_group(const group_record& record, fleet_wire::group_entry& to)
+{
+  to.set_group(record.group);
+  to.set_primary(record.primary.get());
+  to.set_changing(record.changing);
+  to.set_stepped_down(record.stepped_down);
+  to.set_term(record.primary_term.get());
+  to.set_recorded_in(record.recorded_in.get());
+}
+
+group_record
+read_group(const fleet_wire::group_entry& from)
+{
+  return { from.group(),        member_id(from.primary()), from.changing(),
+           from.stepped_down(), term(from.term()),         store_era(from.recorded_in()) };
+}
+
 position_source
 read_source(const fleet_wire::group_position& from)
 {
@@ -150,6 +168,9 @@
   report.configuration_version = config_version(from.configuration_version());
   report.members_digest = from.members_digest();
   report.groups_version = store_version(store_era(from.groups_era()), from.groups_revision());
+  for (const auto& entry : from.records_ahead()) {
+    report.records_ahead.push_back(read_group(entry));
+  }
   report.shares = read_shares(from);
   report.shares_view = { fencing_token(from.shares_token()), from.shares_view() };
   for (const auto& entry : from.demands()) {
@@ -215,11 +236,7 @@
   view.groups_version = store_version(store_era(from.groups_era()), from.groups_revision());
   view.groups_age = age_from_us(from.groups_age_us());
   for (const auto& entry : from.groups()) {
-    view.groups.push_back({ entry.group(),
-                            member_id(entry.primary()),
-                            entry.changing(),
-                            entry.stepped_down(),
-                            term(entry.term()) });
+    view.groups.push_back(read_group(entry));
   }
   view.members_digest = from.members_digest();
   view.members_age = age_from_us(from.members_age_us());
@@ -308,6 +325,9 @@
   to.set_members_digest(report.members_digest);
   to.set_groups_revision(report.groups_version.revision());
   to.set_groups_era(report.groups_version.era().get());
+  for (const auto& record : report.records_ahead) {
+    write_group(record, *to.add_records_ahead());
+  }
   add_shares(report.shares, to);
   to.set_shares_token(report.shares_view.token.get());
   to.set_shares_view(report.shares_view.number);
@@ -382,12 +402,7 @@
   to.set_groups_era(view.groups_version.era().get());
   to.set_groups_age_us(age_to_us(view.groups_age));
   for (const auto& record : view.groups) {
-    auto* entry = to.add_groups();
-    entry->set_group(record.group);
-    entry->set_primary(record.primary.get());
-    entry->set_changing(record.changing);
-    entry->set_stepped_down(record.stepped_down);
-    entry->set_term(record.primary_term.get());
+    write_group(record, *to.add_groups());
   }
   to.set_members_digest(view.members_digest);
   to.set_members_age_us(age_to_us(view.members_age));
--- a/Source/ProxyNode/fleet_participant_coordinator.cxx
+++ b/Source/ProxyNode/fleet_participant_coordinator.cxx
@@ -114,6 +114,7 @@
     report_unwritten(std::move(entry));
     return;
   }
+  entry.record.recorded_in = expected.era();
   platform::store_write lease;
   lease.table = fleet_table;
   lease.key = coordinator_key;
@@ -253,6 +254,13 @@
     }
     send(address, encode_view(view));
   };
+  callbacks.records_reported = [this](const instance_id& reporter,
+                                      const std::vector<group_record>& records) {
+    for (const auto& group : fleet_state_.adopt_records(records)) {
+      log_.write("record_adopted", { { "group", group }, { "instance", reporter.get() } });
+      hooks_.changed();
+    }
+  };
   callbacks.plan = [this]() -> const carrier_plan& { return plan_; };
   callbacks.record_plan = [this](const carrier_plan& plan) { record_plan(plan); };
   auto& failovers = callbacks.failover_hooks;
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -53,7 +53,8 @@
   report.view = follower_.newest_complete_view(now);
   report.configuration_version = fleet_state_.configuration().configuration().version;
   report.members_digest = members_digest_;
-  report.groups_version = fleet_state_.groups_version();
+  report.groups_version = fleet_state_.applied_groups_version();
+  report.records_ahead = fleet_state_.records_ahead();
   report.shares = limiter_.shares();
   report.shares_view = follower_.shares_view();
   report.demands = limiter_.demands(now);
--- a/Source/ProxyNode/fleet_rows.cxx
+++ b/Source/ProxyNode/fleet_rows.cxx
@@ -84,7 +84,8 @@
                                                      { "primary", record.primary.get() },
                                                      { "changing", record.changing },
                                                      { "stepped_down", record.stepped_down },
-                                                     { "term", record.primary_term.get() } });
+                                                     { "term", record.primary_term.get() },
+                                                     { "era", record.recorded_in.get() } });
 }
 
 result<group_record>
@@ -101,6 +102,10 @@
   BOOST_OUTCOME_TRY(const auto number,
                     fields.integer("term", 0, std::numeric_limits<std::int64_t>::max()));
   record.primary_term = term(static_cast<std::uint64_t>(number));
+  BOOST_OUTCOME_TRY(
+    const auto era,
+    fields.integer_or("era", 0, 0, static_cast<std::int64_t>(platform::max_store_era)));
+  record.recorded_in = store_era(static_cast<std::uint64_t>(era));
   return record;
 }
 
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -63,7 +63,8 @@
   , known_state({ initial_settings.key_revocation_limit - key_evidence_margin,
                   primary_use_limit,
                   commit_answer_limit },
-                initial_settings.evacuation_limit)
+                initial_settings.evacuation_limit,
+                initial_settings.replaces_primaries)
   , limiter(initial_settings.tolerance)
   , operations(
       limiter,
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -566,6 +566,7 @@
   view.evacuations_version = store_version(store_era(2), 12);
   view.evacuations_age = std::chrono::milliseconds(40);
   view.groups_version = store_version(store_era(3), 8);
+  view.groups = { { "g", member_id("m"), true, false, term(4), store_era(3) } };
   view.lease_version = store_version(store_era(4), 7);
   const auto seen = decode_datagram(encode_view(view)).view;
   REQUIRE(seen);
@@ -573,6 +574,11 @@
   CHECK(seen->evacuations_version == view.evacuations_version);
   CHECK(seen->evacuations_age == view.evacuations_age);
   CHECK(seen->groups_version == view.groups_version);
+  CHECK(seen->groups == view.groups);
+  instance_report with_records;
+  with_records.records_ahead = view.groups;
+  REQUIRE(decode_datagram(encode_report(with_records)).report);
+  CHECK(decode_datagram(encode_report(with_records)).report->records_ahead == view.groups);
   CHECK(seen->lease_version == view.lease_version);
   CHECK(decode_datagram(encode_view({})).view->evacuations_version == store_version());
   CHECK(seen->token == view.token);
@@ -593,7 +599,9 @@
 {
   CHECK(rc::check("rows", [](const std::string& bytes, const std::string& other, bool flag) {
     const auto name = replace_invalid_utf8(bytes, "?");
-    const group_record record{ name, member_id(other.empty() ? name : "m"), flag, !flag, term(3) };
+    const group_record record{ name,    member_id(other.empty() ? name : "m"),
+                               flag,    !flag,
+                               term(3), store_era(2) };
     RC_ASSERT(decode_group(encode_group(record)).value() == record);
     coordinator_row row;
     row.holder = instance_id(name);
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -79,16 +79,21 @@
   replacement_bench()
     : fleet({ ms(4750), primary_use_limit, commit_answer_limit })
   {
-    fleet.update_configuration(make_configuration(), now);
-    fleet.update_members(
-      { make_member("m1", "z", true), make_member("m2", "z", true), make_member("m3", "z", false) },
-      now);
+    read_fleet();
     members["m1"] = { true, term(3), point(3, 50), term(0) };
     members["m2"] = { true, term(4), point(4, 60), term(0) };
     members["m3"] = { false, term(4), point(4, 60), term(0) };
     fleet.update_groups({ { "g", member_id("m2"), false, false, term(4) } }, revision, now);
   }
 
+  void read_fleet()
+  {
+    fleet.update_configuration(make_configuration(), now);
+    fleet.update_members(
+      { make_member("m1", "z", true), make_member("m2", "z", true), make_member("m3", "z", false) },
+      now);
+  }
+
   // Starts the coordinator of an instance that has just acquired the lease.
   void take_over()
   {
@@ -100,14 +105,19 @@
       [](const instance_id&, const std::string&, const timed_position&, auto) {};
     callbacks.plan = [this]() -> const carrier_plan& { return plan; };
     callbacks.record_plan = [](const carrier_plan&) {};
+    callbacks.records_reported = [this](const instance_id&, const auto& records) {
+      records_reported(records);
+    };
     callbacks.send = [](const std::string&, const fleet_view&) {};
     auto& failovers = callbacks.failover_hooks;
     failovers.now = callbacks.now;
     failovers.log = [](const std::string&, const std::string&, const std::string&) {};
     failovers.may_promote = [] { return true; };
     failovers.write_record = [this](const group_record& record, auto done) {
-      revision = revision_of(revision.revision() + 1);
-      fleet.update_groups({ record }, revision, now);
+      revision = { revision.era(), revision.revision() + 1 };
+      auto written = record;
+      written.recorded_in = revision.era();
+      fleet.update_groups({ written }, revision, now);
       done(true, revision);
     };
     failovers.send_command = [this](const member_id& id, const member_command& command, auto done) {
@@ -146,6 +156,16 @@
     return status;
   }
 
+  // The store returns from a copy with this record, in the era after `revision`, and all processes
+  // start anew.
+  void restore(const group_record& record)
+  {
+    fleet = fleet_state({ ms(4750), primary_use_limit, commit_answer_limit });
+    read_fleet();
+    revision = { store_era(revision.era().get() + 1), revision.revision() + 1 };
+    fleet.update_groups({ record }, revision, now);
+  }
+
   // Lets time pass while the instances report which members they cannot reach.
   void run(std::int64_t for_ms)
   {
@@ -177,6 +197,7 @@
   // Members that were sent a command.
   std::set<std::string> commanded;
   bool replaces = true;
+  std::function<void(const std::vector<group_record>&)> records_reported;
   std::unique_ptr<coordinator> subject;
 };
 
@@ -721,3 +742,101 @@
   CHECK(tokens_after(2250, true) > 80);
   CHECK(tokens_after(4250, false) < 50);
 }
+
+// Guards against a new primary that the fleet forgets after a drill and a start of all processes:
+// only the members still know that it was promoted (review/9).
+TEST_CASE("after a drill the member that leads in the newest term is recorded")
+{
+  replacement_bench bench;
+  bench.unreachable.clear();
+  // m3 was promoted in the lost seconds; m2, which the record names, goes on as a replica.
+  bench.members["m1"].primary = false;
+  bench.members["m2"] = { false, term(5), point(5, 70), term(0) };
+  bench.members["m3"] = { true, term(5), point(5, 70), term(0) };
+  bench.restore({ "g", member_id("m2"), false, false, term(4) });
+  CHECK_FALSE(bench.fleet.primary_of("g", bench.now)->usable);
+  bench.take_over();
+  bench.run(1000);
+  CHECK(bench.promoted.empty());
+  REQUIRE(bench.fleet.is_confirmed("g"));
+  CHECK(bench.fleet.primary_of("g", bench.now)->member == member_id("m3"));
+  CHECK(bench.fleet.primary_of("g", bench.now)->usable);
+  CHECK(bench.fleet.groups().at("g").primary_term == term(5));
+}
+
+// Guards against a former primary that is confirmed because the one that replaced it does not
+// answer at once, and against a group that waits for ever for a member that ended.
+TEST_CASE("after a drill a primary is confirmed once all members answered or had time to")
+{
+  replacement_bench bench;
+  bench.unreachable = { "m3" };
+  bench.members["m1"].primary = false;
+  bench.restore({ "g", member_id("m2"), false, false, term(4) });
+  bench.take_over();
+  bench.run(2000);
+  CHECK_FALSE(bench.fleet.is_confirmed("g"));
+  SUBCASE("the silent member leads in a newer term")
+  {
+    bench.members["m3"] = { true, term(5), point(5, 70), term(0) };
+    bench.unreachable.clear();
+    bench.run(1000);
+    CHECK(bench.fleet.primary_of("g", bench.now)->member == member_id("m3"));
+  }
+  SUBCASE("the silent member ended")
+  {
+    bench.run(2500);
+    REQUIRE(bench.fleet.is_confirmed("g"));
+    CHECK(bench.fleet.primary_of("g", bench.now)->member == member_id("m2"));
+  }
+  CHECK(bench.promoted.empty());
+}
+
+// Guards against a group without a primary after a drill at the same time as a crash of the
+// primary.
+TEST_CASE("a primary that cannot be confirmed after a drill is replaced")
+{
+  replacement_bench bench;
+  bench.members["m1"].primary = false;
+  bench.restore({ "g", member_id("m2"), false, false, term(4) });
+  bench.take_over();
+  for (int i = 0; i < 80 && bench.promoted.empty(); ++i) {
+    bench.run(100);
+  }
+  bench.run(1000);
+  REQUIRE(bench.promoted.size() == 1);
+  REQUIRE(bench.fleet.is_confirmed("g"));
+  CHECK(bench.fleet.primary_of("g", bench.now)->member == member_id(bench.promoted.front()));
+}
+
+// Guards against a replacement that a drill leaves unfinished: the restored record does not show
+// it, but the coordinator or another instance knows it.
+TEST_CASE("a replacement that a drill took back is recorded again and continued")
+{
+  replacement_bench bench;
+  bench.members["m1"].primary = false;
+  bench.restore({ "g", member_id("m2"), false, false, term(4) });
+  bench.fleet.adopt_records({ { "g", member_id("m2"), true, false, term(4) } });
+  bench.take_over();
+  for (int i = 0; i < 40 && bench.promoted.empty(); ++i) {
+    bench.run(100);
+  }
+  bench.run(1000);
+  REQUIRE(bench.promoted.size() == 1);
+  CHECK(bench.fleet.primary_of("g", bench.now)->member == member_id(bench.promoted.front()));
+}
+
+// Guards against knowledge of a replacement that stays with one instance after a drill.
+TEST_CASE("the coordinator hears of records that are later than the store's")
+{
+  replacement_bench bench;
+  std::vector<group_record> heard;
+  bench.take_over();
+  bench.records_reported = [&](const std::vector<group_record>& records) { heard = records; };
+  instance_report report;
+  report.instance = instance_id("b");
+  report.incarnation = incarnation_id(1);
+  report.clock = bench.now;
+  report.records_ahead = { { "g", member_id("m3"), false, false, term(5), store_era(1) } };
+  bench.subject->handle_report(report);
+  CHECK(heard == report.records_ahead);
+}
--- a/Tests/Proxy/fleet_state_test.cxx
+++ b/Tests/Proxy/fleet_state_test.cxx
@@ -126,3 +126,104 @@
   fleet.update_members({ make_member("m1", "z", true), make_member("m2", "z", false) }, at(7000));
   CHECK(fleet.possible_commit_holders("g", at(60'000)).size() == 2);
 }
+
+namespace {
+
+group_record
+record_in(std::uint64_t era,
+          const std::string& primary,
+          std::uint64_t in_term,
+          bool changing = false)
+{
+  return { "g", member_id(primary), changing, false, term(in_term), store_era(era) };
+}
+
+}
+
+// Guards against reads of a primary route at a replica, and writes at a former primary, after a
+// drill: the copy that the store returned from names the primary of before a replacement, and its
+// revisions pass those of the lost history (review/9).
+TEST_CASE("a restored record replaces no record of a newer term")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_groups({ record_in(1, "m2", 4) }, { store_era(1), 50 }, at(1000));
+  REQUIRE(fleet.primary_of("g", at(1000))->usable);
+
+  CHECK(fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(2), 60 }, at(2000)));
+  CHECK(fleet.primary_of("g", at(2000))->member == member_id("m2"));
+  CHECK_FALSE(fleet.commit_is_valid("g", member_id("m1"), at(2000)));
+  // The evidence of before the drill still counts; the restored record is none.
+  CHECK(fleet.primary_of("g", at(1000) + primary_use_limit)->usable);
+  CHECK_FALSE(fleet.primary_of("g", at(1001) + primary_use_limit)->usable);
+  CHECK_FALSE(fleet.commit_is_valid("g", member_id("m2"), at(1001) + commit_answer_limit));
+  CHECK_FALSE(fleet.is_confirmed("g"));
+  CHECK(fleet.records_ahead() == std::vector{ record_in(1, "m2", 4) });
+  // The instance does not act on what it was told, so it must not acknowledge it.
+  CHECK(fleet.applied_groups_version() == store_version(store_era(1), 50));
+
+  fleet.update_groups({ record_in(2, "m2", 4) }, { store_era(2), 61 }, at(5000));
+  CHECK(fleet.is_confirmed("g"));
+  CHECK(fleet.primary_of("g", at(5000))->usable);
+  CHECK(fleet.records_ahead().empty());
+  CHECK(fleet.applied_groups_version() == store_version(store_era(2), 61));
+}
+
+// Guards against an instance that starts after a drill, knows only the restored record and uses its
+// primary, which may have been replaced in the lost seconds.
+TEST_CASE("a record of an earlier era is no evidence for an instance that knows nothing else")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_members({ make_member("m1", "z", true), make_member("m2", "z", true) }, at(0));
+  fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(2), 60 }, at(100));
+  REQUIRE(fleet.primary_of("g", at(100)));
+  CHECK_FALSE(fleet.primary_of("g", at(100))->usable);
+  CHECK_FALSE(fleet.commit_is_valid("g", member_id("m1"), at(100)));
+  // Neither is the members' own view of their roles, if the store may have lost a record.
+  fleet_state without_record({ ms(4750), primary_use_limit, commit_answer_limit });
+  without_record.update_members({ make_member("m1", "z", true) }, at(0));
+  without_record.update_groups({}, { store_era(2), 60 }, at(100));
+  CHECK_FALSE(without_record.primary_of("g", at(100))->usable);
+  // Where the fleet records no primaries, none can be lost.
+  fleet_state unrecorded({ ms(4750), primary_use_limit, commit_answer_limit }, ms(5000), false);
+  unrecorded.update_members({ make_member("m1", "z", true) }, at(0));
+  unrecorded.update_groups({}, { store_era(2), 60 }, at(100));
+  CHECK(unrecorded.primary_of("g", at(100))->usable);
+}
+
+// Guards against an instance that missed a replacement before the drill and goes on at the former
+// primary because its evidence was recent.
+TEST_CASE("a later record that was restored ends the evidence for an earlier one")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(1), 40 }, at(1000));
+  fleet.update_groups({ record_in(1, "m2", 4) }, { store_era(2), 30 }, at(1100));
+  CHECK(fleet.primary_of("g", at(1100))->member == member_id("m2"));
+  CHECK_FALSE(fleet.primary_of("g", at(1100))->usable);
+  CHECK(fleet.records_ahead().empty());
+}
+
+// Guards against evidence that several drills in a row renew without any confirmation.
+TEST_CASE("a series of drills does not renew the evidence for a primary")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(1), 40 }, at(1000));
+  fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(2), 30 }, at(2000));
+  fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(3), 30 }, at(2900));
+  CHECK(fleet.primary_of("g", at(2400))->usable);
+  CHECK_FALSE(fleet.primary_of("g", at(2900))->usable);
+}
+
+// Guards against a coordinator that acts on the restored record although another instance knows the
+// replacement.
+TEST_CASE("a later record of another instance is adopted")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(2), 30 }, at(1000));
+  CHECK(fleet.adopt_records({ record_in(1, "m1", 2) }).empty());
+  CHECK(fleet.adopt_records({ record_in(1, "m2", 4) }) == std::vector<std::string>{ "g" });
+  CHECK(fleet.primary_of("g", at(1000))->member == member_id("m2"));
+  CHECK_FALSE(fleet.is_confirmed("g"));
+  // The store still has the restored record.
+  fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(2), 31 }, at(1100));
+  CHECK(fleet.primary_of("g", at(1100))->member == member_id("m2"));
+}
