Proxy: The duty can be taken after the store returned from an older copy

Cause: coordinator_lease::observe dropped each row with a lower revision than the last one. If the duty had changed hands in the lost seconds, every instance had seen a higher revision than the restored row's, and claims are conditional on the revision last seen, so nobody could ever claim.

Change: a row of a newer era is always taken. What it says about holders proves nothing, since the store may have lost the row of a holder that goes on until its lease ends: whether it names another instance, nobody, or an earlier run of this one, a claim waits for the longest lease and its margin, 3.25 s. Only the holder itself claims at once while its own lease lasts. So a fleet is without a holder for 4 s after a drill at most; a drain that is acknowledged while the store is stable (4 s after it) finds one.

--- a/Source/Proxy/coordinator_lease.cxx
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -55,9 +55,14 @@
                            instant confirmed_at,
                            instant now)
 {
-  if (observed_ && version.revision() < version_.revision()) {
+  if (observed_ && version < version_) {
     return;
   }
+  const bool era_changed = observed_ && version.era() != version_.era();
+  if (era_changed) {
+    begin_era();
+  }
+  restored_ = era_changed || (restored_ && version == version_);
   if (!observed_ || version != version_) {
     unchanged_since_ = version == announced_version_ ? announced_at_ : now;
     unchanged_until_ = confirmed_at;
@@ -79,6 +84,15 @@
   }
 }
 
+// Other instances wait for the end of this lease, but their waits begin now, and no write can renew
+// it any more.
+void
+coordinator_lease::begin_era()
+{
+  held_until_ = holding_ ? renewed_at_ + validity_ : instant{};
+  end_holding("the store returned from an older copy");
+}
+
 void
 coordinator_lease::observe_version(const store_version& version, instant now)
 {
@@ -183,18 +197,31 @@
     }
     return;
   }
-  const auto next = row_ ? fencing_token(row_->token.get() + 1) : first_fencing_token;
-  const bool restarted = row_ && row_->holder == own_;
-  const bool vacant = !row_ || row_->holder.get().empty() || vacated_token_ == row_->token;
-  duration wait = claim_delay_;
-  if (!restarted && !vacant) {
-    wait += row_->validity + takeover_margin;
+  if (may_claim(now)) {
+    const auto next = row_ ? fencing_token(row_->token.get() + 1) : first_fencing_token;
+    begin_write(own_row(next), now);
   }
+}
+
+// True if no other instance can rely on the lease any more.
+bool
+coordinator_lease::may_claim(instant now) const
+{
   // Only a row that the store confirmed counts as unchanged.
-  if (unchanged_until_ - unchanged_since_ >= wait || (vacant && now - unchanged_since_ >= wait) ||
-      restarted) {
-    begin_write(own_row(next), now);
+  const auto unchanged_for = unchanged_until_ - unchanged_since_;
+  if (restored_) {
+    return now < held_until_ ||
+           unchanged_for >= claim_delay_ + long_lease_duration + takeover_margin;
+  }
+  const bool restarted = row_ && row_->holder == own_;
+  if (restarted) {
+    return true;
+  }
+  const bool vacant = !row_ || row_->holder.get().empty() || vacated_token_ == row_->token;
+  if (vacant) {
+    return now - unchanged_since_ >= claim_delay_;
   }
+  return unchanged_for >= claim_delay_ + row_->validity + takeover_margin;
 }
 
 void
--- a/Source/Proxy/coordinator_lease.h
+++ b/Source/Proxy/coordinator_lease.h
@@ -37,6 +37,10 @@
 
 // Decides when this instance acquires, renews and releases the coordinator lease. Every write of
 // the row is conditional on its version, so two instances never hold the same token.
+//
+// When the store enters a new era, it may have lost the row of a holder that still relies on it.
+// What the restored row says about holders then proves nothing: a claim waits for the end of the
+// longest lease. Only the holder itself, while its lease lasts, claims the row again at once.
 class coordinator_lease
 {
 public:
@@ -113,6 +117,8 @@
   };
 
   coordinator_row own_row(fencing_token token);
+  void begin_era();
+  bool may_claim(instant now) const;
   void begin_write(const coordinator_row& row, instant now);
   void end_holding(const std::string& reason);
   void apply_written_row(const pending_write& write, instant now, const std::string& reason);
@@ -125,6 +131,10 @@
   std::optional<coordinator_row> row_;
   store_version version_;
   bool observed_ = false;
+  // True if the row was restored by the store and not written since.
+  bool restored_ = false;
+  // End of the lease that this instance held when the store entered its present era.
+  instant held_until_{};
   store_version announced_version_;
   instant announced_at_{};
   // Time when the current version was first seen, and latest time at which it was confirmed
