Proxy: A number of the duty that a drill took back is not given out again

Cause: the number was the one in the store's row plus one. The drill restored a row of before the last change of holders, and after all processes had been killed nobody knew the number that was lost.

Change: the upper part of the number is the store's era, which the platform itself raises. The lower 40 bits count within the era and never exceed the store's revision at the claim; a claim on a row of an earlier era starts above the revision. Numbers of before this change are smaller than all of an era, and fit: 2^63 is not reached, and up to era 8192 they are exact as a double. The number also shows a process that has just started whether a row, or the lack of one, may be restored; only the first start of a fleet doesn't wait. A write that is answered in a later era than the row it was made from grants nothing, since the revision may match by chance. For the same reason a record of an earlier era that is written late replaces no later one.

--- a/Source/Proxy/coordinator_lease.cxx
+++ b/Source/Proxy/coordinator_lease.cxx
@@ -20,12 +20,14 @@
                                      incarnation_id incarnation,
                                      std::string address,
                                      duration claim_delay,
+                                     bool first_start,
                                      hooks callbacks)
   : own_(std::move(own))
   , incarnation_(incarnation)
   , address_(std::move(address))
   , claim_delay_(claim_delay)
   , hooks_(std::move(callbacks))
+  , first_era_(first_start)
 {
 }
 
@@ -58,11 +60,9 @@
   if (observed_ && version < version_) {
     return;
   }
-  const bool era_changed = observed_ && version.era() != version_.era();
-  if (era_changed) {
+  if (observed_ && version.era() != version_.era()) {
     begin_era();
   }
-  restored_ = era_changed || (restored_ && version == version_);
   if (!observed_ || version != version_) {
     unchanged_since_ = version == announced_version_ ? announced_at_ : now;
     unchanged_until_ = confirmed_at;
@@ -77,7 +77,7 @@
   }
   // A write by this instance whose answer was lost: the lease counts from when it was sent.
   for (auto* write : { &pending_, &unanswered_ }) {
-    if (*write && (*write)->row == *row) {
+    if (*write && (*write)->row == *row && (*write)->era == version.era()) {
       apply_written_row(**write, now, "found in the store");
       return;
     }
@@ -89,6 +89,7 @@
 void
 coordinator_lease::begin_era()
 {
+  first_era_ = false;
   held_until_ = holding_ ? renewed_at_ + validity_ : instant{};
   end_holding("the store returned from an older copy");
 }
@@ -127,7 +128,7 @@
     return std::nullopt;
   }
   const auto row = own_row(token_);
-  pending_ = pending_write{ row, now };
+  pending_ = pending_write{ row, now, version_.era() };
   return row;
 }
 
@@ -149,7 +150,7 @@
 void
 coordinator_lease::begin_write(const coordinator_row& row, instant now)
 {
-  pending_ = pending_write{ row, now };
+  pending_ = pending_write{ row, now, version_.era() };
   hooks_.write(row, version_);
 }
 
@@ -173,6 +174,7 @@
       return;
     case write_outcome::conflict:
       // The next observation shows who holds the row; without one the lease expires.
+    case write_outcome::other_era:
     case write_outcome::refused:
       next_write_at_ = now + retry_pause;
       return;
@@ -198,18 +200,31 @@
     return;
   }
   if (may_claim(now)) {
-    const auto next = row_ ? fencing_token(row_->token.get() + 1) : first_fencing_token;
+    // A write of an earlier era that took effect late may have replaced the row of this era's last
+    // holder, so such a row shows nothing about the tokens of this era.
+    const auto next =
+      row_ && !row_may_be_restored() ? fencing_token(row_->token.get() + 1) : token_above(version_);
     begin_write(own_row(next), now);
   }
 }
 
+// True if the row, or that there is none, may come from an older copy of the store.
+bool
+coordinator_lease::row_may_be_restored() const
+{
+  if (row_) {
+    return era_of(row_->token) < version_.era();
+  }
+  return version_.era() > store_era() && !first_era_;
+}
+
 // True if no other instance can rely on the lease any more.
 bool
 coordinator_lease::may_claim(instant now) const
 {
   // Only a row that the store confirmed counts as unchanged.
   const auto unchanged_for = unchanged_until_ - unchanged_since_;
-  if (restored_) {
+  if (row_may_be_restored()) {
     return now < held_until_ ||
            unchanged_for >= claim_delay_ + long_lease_duration + takeover_margin;
   }
--- a/Source/Proxy/coordinator_lease.h
+++ b/Source/Proxy/coordinator_lease.h
@@ -40,7 +40,8 @@
 //
 // When the store enters a new era, it may have lost the row of a holder that still relies on it.
 // What the restored row says about holders then proves nothing: a claim waits for the end of the
-// longest lease. Only the holder itself, while its lease lasts, claims the row again at once.
+// longest lease. Only the holder itself, while its lease lasts, claims the row again at once. The
+// token shows in which era the row was written, also to an instance that has just started.
 class coordinator_lease
 {
 public:
@@ -60,12 +61,17 @@
     refused,
     // No answer; the write may have been done.
     unknown,
+    // The write was done in a later era than that of the version on which it was conditional, so it
+    // may have met another row with the same revision.
+    other_era,
   };
 
+  // `first_start` is true at the first start of the whole fleet: the store then lost no holder.
   coordinator_lease(instance_id own,
                     incarnation_id incarnation,
                     std::string address,
                     duration claim_delay,
+                    bool first_start,
                     hooks callbacks);
 
   // Reports the row that the store confirmed at `confirmed_at`; empty if it does not exist.
@@ -114,11 +120,14 @@
   {
     coordinator_row row;
     instant sent{};
+    // Era of the version on which the write is conditional.
+    store_era era;
   };
 
   coordinator_row own_row(fencing_token token);
   void begin_era();
   bool may_claim(instant now) const;
+  bool row_may_be_restored() const;
   void begin_write(const coordinator_row& row, instant now);
   void end_holding(const std::string& reason);
   void apply_written_row(const pending_write& write, instant now, const std::string& reason);
@@ -131,8 +140,8 @@
   std::optional<coordinator_row> row_;
   store_version version_;
   bool observed_ = false;
-  // True if the row was restored by the store and not written since.
-  bool restored_ = false;
+  // True if the store lost no holder as far as is known.
+  bool first_era_;
   // End of the lease that this instance held when the store entered its present era.
   instant held_until_{};
   store_version announced_version_;
--- a/Source/Proxy/coordinator_messages.cxx
+++ b/Source/Proxy/coordinator_messages.cxx
@@ -4,6 +4,24 @@
 
 namespace persimmonshelf {
 
+namespace {
+
+constexpr unsigned token_count_bits = 40;
+
+}
+
+fencing_token
+token_above(const store_version& version)
+{
+  return fencing_token((version.era().get() << token_count_bits) + version.revision() + 1);
+}
+
+store_era
+era_of(fencing_token token)
+{
+  return store_era(token.get() >> token_count_bits);
+}
+
 std::uint64_t
 digest_of(const std::vector<listed_member>& members)
 {
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -18,11 +18,21 @@
 inline constexpr rate_share_ppm full_rate_share = 1'000'000;
 using rate_share_table = std::map<workspace_id, rate_share_ppm>;
 
-// Identifies one holder of the coordinator lease; increases with each new holder.
+// Identifies one holder of the coordinator lease; increases with each new holder. The upper part is
+// the era of the store in which the holder was recorded, the lower 40 bits are a count that never
+// exceeds the store's revision at that time. So a token that the store loses is not given out
+// again. Tokens up to era 2^13 are exact in a double-precision number.
 using fencing_token = strong<struct fencing_token_tag, std::uint64_t>;
-// Token of the first coordinator that a fleet ever had.
+// Token of the first coordinator that a fleet ever had, with a store that states no era.
 inline const fencing_token first_fencing_token(1);
 
+// A token above those of all holders that were recorded up to this version of the store.
+fencing_token
+token_above(const store_version& version);
+// Era in which the holder was recorded.
+store_era
+era_of(fencing_token token);
+
 // An observed position with its age instead of its time, for a receiver with another clock.
 struct aged_position
 {
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -145,15 +145,30 @@
   }
 }
 
+// Notes that the known record is later than the one in the store.
+void
+fleet_state::keep_record(const std::string& group)
+{
+  if (groups_confirmed_at_ && is_confirmed(group)) {
+    earlier_confirmations_[group] = *groups_confirmed_at_;
+  }
+  ahead_of_store_.insert(group);
+}
+
 void
 fleet_state::apply_record(const group_record& record)
 {
   const auto [found, is_new] = groups_.try_emplace(record.group, record);
   auto& known = found->second;
+  if (!is_new && record.recorded_in < known.recorded_in) {
+    // A write of an earlier era that took effect late.
+    keep_record(record.group);
+    return;
+  }
   // Within an era, the order of the records is that of the store.
   if (!is_new && known.recorded_in != groups_version_.era()) {
     if (is_later(known, record)) {
-      ahead_of_store_.insert(record.group);
+      keep_record(record.group);
       return;
     }
     if (is_later(record, known)) {
@@ -202,7 +217,7 @@
   if (found == groups_.end()) {
     return !records_primaries_ || groups_version_.era() == store_era();
   }
-  return found->second.recorded_in == groups_version_.era();
+  return found->second.recorded_in == groups_version_.era() && !ahead_of_store_.contains(group);
 }
 
 // When the store last confirmed the group's primary, directly or through the coordinator.
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -142,6 +142,7 @@
   std::optional<member_id> recorded_or_listed_primary(const std::string& group) const;
   void begin_era();
   void apply_record(const group_record& record);
+  void keep_record(const std::string& group);
   std::optional<instant> primary_confirmed_at(const std::string& group) const;
 
   evidence_age_limits limits_;
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -135,6 +135,7 @@
       incarnation_,
       address_,
       claim_delay(settings.name),
+      settings.first_start,
       { [this](const coordinator_row& row, const store_version& expected) {
          write_lease(row, expected);
        },
--- a/Source/ProxyNode/fleet_participant.h
+++ b/Source/ProxyNode/fleet_participant.h
@@ -159,7 +159,9 @@
   void write_next_record();
   void report_unwritten(record_write_queue::entry entry);
   void drop_waiting_records();
+  // The outcome of a write that is conditional on `expected`, and the version that it has.
   coordinator_lease::write_outcome lease_outcome(const api_reply& reply,
+                                                 const store_version& expected,
                                                  store_version& version) const;
   void promote(const std::string& group,
                const member_id& member,
--- a/Source/ProxyNode/fleet_participant_coordinator.cxx
+++ b/Source/ProxyNode/fleet_participant_coordinator.cxx
@@ -22,7 +22,9 @@
 }
 
 coordinator_lease::write_outcome
-fleet_participant::lease_outcome(const api_reply& reply, store_version& version) const
+fleet_participant::lease_outcome(const api_reply& reply,
+                                 const store_version& expected,
+                                 store_version& version) const
 {
   using write_outcome = coordinator_lease::write_outcome;
   if (reply.status == platform::status_ok) {
@@ -31,6 +33,12 @@
       return write_outcome::unknown;
     }
     version = page.value().newest;
+    if (version.era() != expected.era()) {
+      log_.write("lease_write_in_other_era",
+                 { { "era", std::to_string(version.era().get()) },
+                   { "expected", std::to_string(expected.era().get()) } });
+      return write_outcome::other_era;
+    }
     return write_outcome::written;
   }
   if (reply.status == platform::status_condition_failed) {
@@ -50,9 +58,9 @@
   store_.post(platform::write_target,
               platform::encode_write({ write }),
               write_timeout,
-              [this](const api_reply& reply) {
+              [this, expected](const api_reply& reply) {
                 store_version version;
-                const auto outcome = lease_outcome(reply, version);
+                const auto outcome = lease_outcome(reply, expected, version);
                 lease_.write_done(outcome, version, boot_now());
                 if (outcome != coordinator_lease::write_outcome::written) {
                   fleet_watcher_.poll_now();
@@ -128,9 +136,9 @@
   store_.post(platform::write_target,
               platform::encode_write({ lease, group }),
               write_timeout,
-              [this, now, entry = std::move(entry)](const api_reply& reply) {
+              [this, now, expected, entry = std::move(entry)](const api_reply& reply) {
                 store_version version;
-                const auto outcome = lease_outcome(reply, version);
+                const auto outcome = lease_outcome(reply, expected, version);
                 lease_.write_done(outcome, version, boot_now());
                 const bool written = outcome == coordinator_lease::write_outcome::written;
                 if (written) {
@@ -171,10 +179,10 @@
   store_.post(platform::write_target,
               platform::encode_write({ lease, record }),
               write_timeout,
-              [this, plan](const api_reply& reply) {
+              [this, expected, plan](const api_reply& reply) {
                 plan_write_in_flight_ = false;
                 store_version version;
-                const auto outcome = lease_outcome(reply, version);
+                const auto outcome = lease_outcome(reply, expected, version);
                 lease_.write_done(outcome, version, boot_now());
                 if (outcome == coordinator_lease::write_outcome::written) {
                   update_plan(plan, "decided by this instance");
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -352,8 +352,8 @@
   REQUIRE(parse_era(""));
   CHECK(parse_era("").value() == store_era(0));
   CHECK(parse_era("17").value() == store_era(17));
-  CHECK(parse_era("2147483647").value() == store_era(max_store_era));
-  for (const auto* text : { "2147483648", "99999999999999999999999", "-1", "1.0", " 1", "one" }) {
+  CHECK(parse_era("8388607").value() == store_era(max_store_era));
+  for (const auto* text : { "8388608", "99999999999999999999999", "-1", "1.0", " 1", "one" }) {
     CHECK_FALSE(parse_era(text));
   }
 }
--- a/Tests/Proxy/fleet_state_test.cxx
+++ b/Tests/Proxy/fleet_state_test.cxx
@@ -227,3 +227,18 @@
   fleet.update_groups({ record_in(1, "m1", 3) }, { store_era(2), 31 }, at(1100));
   CHECK(fleet.primary_of("g", at(1100))->member == member_id("m2"));
 }
+
+// Guards against a record of a former holder of the duty whose write takes effect seconds later, in
+// the next era of the store, because its condition holds there by chance.
+TEST_CASE("a record of an earlier era that is written late replaces no newer one")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.update_groups({ record_in(2, "m2", 4) }, { store_era(2), 60 }, at(1000));
+  fleet.update_groups({ record_in(1, "m1", 3, true) }, { store_era(2), 61 }, at(1100));
+  CHECK(fleet.primary_of("g", at(1100))->member == member_id("m2"));
+  CHECK(fleet.primary_of("g", at(1000) + primary_use_limit)->usable);
+  // The coordinator has to write the newer one again.
+  CHECK_FALSE(fleet.is_confirmed("g"));
+  fleet.update_groups({ record_in(2, "m2", 4) }, { store_era(2), 62 }, at(1200));
+  CHECK(fleet.is_confirmed("g"));
+}
--- a/Tests/Proxy/lease_test.cxx
+++ b/Tests/Proxy/lease_test.cxx
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "Proxy/coordinator_lease.h"
-#include "proxy_support.h"
+#include "lease_support.h"
 
 #include <rapidcheck.h>
 
@@ -12,59 +12,6 @@
 using namespace persimmonshelf;
 using namespace persimmonshelf::testing;
 
-namespace {
-
-// The row in a store whose answers and calls may be lost or late.
-struct lease_row
-{
-  std::optional<coordinator_row> row;
-  store_version version = revision_of(0);
-
-  bool write(const coordinator_row& next, const store_version& expected)
-  {
-    if (expected != version) {
-      return false;
-    }
-    row = next;
-    version = revision_of(version.revision() + 1);
-    return true;
-  }
-};
-
-struct late_call
-{
-  instant due;
-  coordinator_row row;
-  store_version expected;
-};
-
-struct lease_holder
-{
-  lease_holder(const std::string& name, std::uint64_t incarnation, lease_row& shared)
-    : store(shared)
-    , lease(instance_id(name),
-            incarnation_id(incarnation),
-            name,
-            ms(static_cast<std::int64_t>(incarnation) * 30),
-            { [this](const coordinator_row& row, const store_version& expected) {
-               on_write(row, expected);
-             },
-              [](bool, const std::string&) {} })
-  {
-  }
-
-  void on_write(const coordinator_row& row, const store_version& expected)
-  {
-    pending = late_call{ instant{}, row, expected };
-  }
-
-  lease_row& store;
-  std::optional<late_call> pending;
-  coordinator_lease lease;
-};
-
-}
-
 // Guards against two holders at one time, and so against two coordinators that promote. Covers lost
 // answers, calls that take effect seconds later, suspended instances, and leases that are given up.
 TEST_CASE("at most one instance holds the lease, whatever calls and answers are lost")
@@ -238,90 +185,3 @@
   other.lease.tick(at(60));
   CHECK(other.pending);
 }
-
-namespace {
-
-// A row that names another instance.
-coordinator_row
-row_of(const std::string& holder, std::uint64_t token)
-{
-  return { instance_id(holder),  incarnation_id(9),
-           fencing_token(token), holder,
-           short_lease_duration, 1 };
-}
-
-std::int64_t
-in_ms(duration time)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
-}
-
-// Guards against a fleet in which nobody ever takes the duty again: the store returned from a copy
-// in which the row has a lower revision than every instance has seen (review/10).
-TEST_CASE("a row that the store restored is claimed once the longest lease has ended")
-{
-  lease_row store;
-  lease_holder other("a", 1, store);
-  other.lease.observe(row_of("h", 5), { store_era(1), 90 }, at(1000), at(1000));
-  const auto longest = in_ms(long_lease_duration + takeover_margin) + 30;
-  std::optional<coordinator_row> restored;
-  SUBCASE("it names another holder")
-  {
-    restored = row_of("h", 4);
-  }
-  SUBCASE("it names nobody")
-  {
-    restored = row_of("", 4);
-  }
-  SUBCASE("it names an earlier run of this instance")
-  {
-    restored = row_of("a", 4);
-  }
-  SUBCASE("it does not exist") {}
-  SUBCASE("its holder gave it up before the drill")
-  {
-    restored = row_of("h", 4);
-    other.lease.mark_vacant(fencing_token(4));
-  }
-  const store_version version(store_era(2), restored ? 40 : 0);
-  for (std::int64_t time = 2000; time < 2000 + longest; time += 50) {
-    other.lease.observe(restored, version, at(time), at(time));
-    other.lease.tick(at(time));
-    REQUIRE_FALSE(other.pending);
-  }
-  other.lease.observe(restored, version, at(2000 + longest), at(2000 + longest));
-  other.lease.tick(at(2000 + longest));
-  CHECK(other.pending);
-}
-
-// Guards against a fleet without a coordinator after each drill, and against a holder that goes on
-// under a row which the store has lost.
-TEST_CASE("a holder claims the restored row at once while its lease lasts")
-{
-  lease_row store;
-  lease_holder holder("a", 1, store);
-  holder.lease.observe(std::nullopt, { store_era(0), 0 }, at(0), at(0));
-  holder.lease.observe(std::nullopt, { store_era(0), 0 }, at(100), at(100));
-  holder.lease.tick(at(100));
-  REQUIRE(holder.pending);
-  holder.pending.reset();
-  holder.lease.write_done(coordinator_lease::write_outcome::written, { store_era(0), 50 }, at(110));
-  REQUIRE(holder.lease.holds(at(200)));
-  const auto restored = row_of("h", 4);
-  SUBCASE("while it lasts")
-  {
-    holder.lease.observe(restored, { store_era(1), 30 }, at(200), at(200));
-    CHECK_FALSE(holder.lease.holds(at(200)));
-    holder.lease.tick(at(200));
-    CHECK(holder.pending);
-  }
-  SUBCASE("not after it has ended")
-  {
-    holder.lease.resign();
-    holder.lease.observe(restored, { store_era(1), 30 }, at(200), at(200));
-    holder.lease.tick(at(200));
-    CHECK_FALSE(holder.pending);
-  }
-}
