Proxy: A holder of the duty that started anew knows the members that left

A replica that was partitioned from the store, but ran and received, had dropped out of the list; the holder was killed, started again and promoted the other replica.

Cause: only the memory of the holder's own process knew which members had left the list, and a member counts as possibly running for 30 s. The new process took the members that it had read for all that may hold commits.

Change: a holder that has not followed the list for 30 s promotes nobody by comparing members. The other instances send what they know of removals and for how long they have followed the list, and one that answers a view of the holder completes the holder's knowledge, so the wait lasts about half a second as a rule. A gap of over 5 s ends the knowledge, since a member can be added and removed in it. The first start of a fleet counts as complete. Without `sync_replicas` nothing waits and nothing is sent.

The record in the store was weighed and left out: the holder may be killed before it is written, a drill may lose it, and the instances hold the same facts. If all processes are killed together, a group whose primary does not come back waits up to 30 s.

Tests: five new cases of test_Proxy.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -125,6 +125,7 @@
   if (!report.records_ahead.empty()) {
     hooks_.records_reported(report.instance, report.records_ahead);
   }
+  update_removals(report, now);
   update_positions(report, now);
   failure_detector_.record_report(report, now);
   fence_.record_report(report);
@@ -153,6 +154,27 @@
   }
 }
 
+// A report that answers a view of this coordinator was made after this instance had read the list,
+// so the two together have followed it without a gap. Its times count from its arrival, which keeps
+// a member longer than necessary at most.
+void
+coordinator::update_removals(const instance_report& report, instant now)
+{
+  const bool answers_own_view = report.view && report.view->token == token_;
+  if (!answers_own_view || !fleet_state_.members_confirmed_at() ||
+      (report.removals.members.empty() && !report.removals.complete_since)) {
+    return;
+  }
+  auto removals = report.removals;
+  for (auto& removed : removals.members) {
+    removed.removed_at = now - (report.clock - removed.removed_at);
+  }
+  if (removals.complete_since) {
+    removals.complete_since = now - (report.clock - *removals.complete_since);
+  }
+  hooks_.removals_reported(removals);
+}
+
 // Token requests come in bursts when many operations find no token, so the answer omits everything
 // else.
 void
@@ -498,8 +520,10 @@
         members.push_back(member);
       }
     }
-    group_failover->set_members(
-      members, group.sync_replicas, fleet_state_.possible_commit_holders(group.name, now));
+    group_failover->set_members(members,
+                                group.sync_replicas,
+                                { fleet_state_.possible_commit_holders(group.name, now),
+                                  fleet_state_.knows_all_removals(now) });
     const auto evacuation = evacuation_of(members, now);
     group_failover->set_evacuation(evacuation);
     const auto confirmation = confirmations_.find(group.name);
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -41,6 +41,8 @@
     // Reports records that `reporter` knows and that are later than those in the store.
     std::function<void(const instance_id& reporter, const std::vector<group_record>&)>
       records_reported;
+    // Reports what another instance knows of removed members, on this instance's clock.
+    std::function<void(const removal_history&)> removals_reported;
     // The carrier plan in the store, and the request to replace it.
     std::function<const carrier_plan&()> plan;
     std::function<void(const carrier_plan&)> record_plan;
@@ -98,6 +100,7 @@
   std::uint64_t members_digest();
   void update_plan();
   void update_positions(const instance_report& report, instant now);
+  void update_removals(const instance_report& report, instant now);
   void answer_token_request(const instance_report& report, const peer_state& from);
   void allocate_tokens(const instance_report& report, fleet_view& view);
   void grant_tokens(const instance_report& report, fleet_view& view);
--- a/Source/Proxy/coordinator_messages.h
+++ b/Source/Proxy/coordinator_messages.h
@@ -105,6 +105,9 @@
   // earlier era of the store and that are later than those in the store.
   store_version groups_version;
   std::vector<group_record> records_ahead;
+  // What the sender knows of members that were removed from the list; times are on its clock. Only
+  // stated if some group acknowledges commits that replicas received.
+  removal_history removals;
   rate_share_table shares;
   // The view that granted the shares.
   applied_shares shares_view;
--- a/Source/Proxy/failover.cxx
+++ b/Source/Proxy/failover.cxx
@@ -77,9 +77,9 @@
 void
 failover::set_members(std::vector<listed_member> members,
                       std::uint32_t sync_replicas,
-                      std::map<member_id, std::string> possible_commit_holders)
+                      commit_holders holders)
 {
-  possible_commit_holders_ = std::move(possible_commit_holders);
+  holders_ = std::move(holders);
   members_ = std::move(members);
   sync_replicas_ = sync_replicas;
 }
--- a/Source/Proxy/failover.h
+++ b/Source/Proxy/failover.h
@@ -35,6 +35,15 @@
   std::set<member_id> left;
 };
 
+// Members of a group that may hold acknowledged commits, with their addresses.
+struct commit_holders
+{
+  std::map<member_id, std::string> members;
+  // False if there may be others: the coordinator has not followed the members' list for as long as
+  // a member that was removed from it may run.
+  bool complete = false;
+};
+
 // Replaces the primary of one group, on behalf of the coordinator. failover.chart.json defines the
 // order of the steps: wait until the old primary stepped down or no instance passes on its commits,
 // compare the positions that the other members received, wait until no instance reads at the old
@@ -72,7 +81,7 @@
   // members that may hold commits.
   void set_members(std::vector<listed_member> members,
                    std::uint32_t sync_replicas,
-                   std::map<member_id, std::string> possible_commit_holders);
+                   commit_holders holders);
 
   void set_evacuation(member_evacuation evacuation) { evacuation_ = std::move(evacuation); }
 
@@ -138,7 +147,7 @@
   std::optional<state_chart> chart_;
   std::vector<listed_member> members_;
   std::uint32_t sync_replicas_ = 0;
-  std::map<member_id, std::string> possible_commit_holders_;
+  commit_holders holders_;
   member_evacuation evacuation_;
   // The record of the primary that is replaced. Its term is the one in which that primary leads, or
   // zero if it is unknown.
--- a/Source/Proxy/failover_selection.cxx
+++ b/Source/Proxy/failover_selection.cxx
@@ -151,7 +151,8 @@
   }
   std::string reason = "no member that may lead answers";
   if (!required) {
-    reason = "a member that may hold commits does not answer";
+    reason = holders_.complete ? "a member that may hold commits does not answer"
+                               : "members that left the list lately may be unknown";
   } else if (best != nullptr) {
     reason = best->id.get() + " lacks commits that another member received";
   }
@@ -165,7 +166,7 @@
 }
 
 // The position that the new primary must have. Empty if it is not known, because a member that may
-// hold acknowledged commits did not answer.
+// hold acknowledged commits did not answer or may be unknown.
 std::optional<log_point>
 failover::required_position(const std::map<member_id, member_status>& answers) const
 {
@@ -181,8 +182,8 @@
     return final_position_;
   }
   // Entries that only the old primary received were not acknowledged.
-  const bool all_answered = std::all_of(
-    possible_commit_holders_.begin(), possible_commit_holders_.end(), [&](const auto& holder) {
+  const bool all_answered =
+    std::all_of(holders_.members.begin(), holders_.members.end(), [&](const auto& holder) {
       const auto& id = holder.first;
       const auto& address = holder.second;
       const bool successor_answered =
@@ -191,7 +192,7 @@
         });
       return id == record_.primary || answers.contains(id) || successor_answered;
     });
-  return all_answered ? std::optional<log_point>(newest) : std::nullopt;
+  return all_answered && holders_.complete ? std::optional<log_point>(newest) : std::nullopt;
 }
 
 bool
--- a/Source/Proxy/fleet_state.cxx
+++ b/Source/Proxy/fleet_state.cxx
@@ -16,6 +16,10 @@
 // longer than the partitions of the known deployments.
 constexpr duration removed_member_retention = std::chrono::seconds(30);
 
+// A longer time between two reads of the list may hide a member that was added and removed again. A
+// member is removed after three intervals of its reports, and serves for some time before.
+constexpr duration max_list_gap = std::chrono::seconds(5);
+
 std::string
 age_text(const std::optional<instant>& confirmed_at, instant now)
 {
@@ -75,8 +79,9 @@
   if (members_confirmed_at_ && confirmed_at < *members_confirmed_at_) {
     return false;
   }
+  confirm_members(confirmed_at);
   for (const auto& member : members_) {
-    removed_members_[member.id] = { member.group, member.address, confirmed_at };
+    removed_members_[member.id] = { member.id, member.group, member.address, confirmed_at };
   }
   for (const auto& member : members) {
     removed_members_.erase(member.id);
@@ -92,6 +97,52 @@
   return true;
 }
 
+void
+fleet_state::confirm_members(instant confirmed_at)
+{
+  if (!removals_known_since_) {
+    removals_known_since_ =
+      no_earlier_removals_ ? confirmed_at - removed_member_retention : confirmed_at;
+  } else if (confirmed_at - members_followed_at_ > max_list_gap) {
+    removals_known_since_ = confirmed_at;
+  }
+  members_followed_at_ = std::max(members_followed_at_, confirmed_at);
+}
+
+void
+fleet_state::merge_removals(const removal_history& removals)
+{
+  for (const auto& removed : removals.members) {
+    const bool listed = std::any_of(members_.begin(), members_.end(), [&](const auto& member) {
+      return member.id == removed.id;
+    });
+    if (!listed) {
+      auto& known = removed_members_.try_emplace(removed.id, removed).first->second;
+      known.removed_at = std::max(known.removed_at, removed.removed_at);
+    }
+  }
+  if (removals_known_since_ && removals.complete_since) {
+    removals_known_since_ = std::min(*removals_known_since_, *removals.complete_since);
+  }
+}
+
+removal_history
+fleet_state::removals() const
+{
+  removal_history history;
+  for (const auto& [id, removed] : removed_members_) {
+    history.members.push_back(removed);
+  }
+  history.complete_since = removals_known_since_;
+  return history;
+}
+
+bool
+fleet_state::knows_all_removals(instant now) const
+{
+  return removals_known_since_ && now - *removals_known_since_ >= removed_member_retention;
+}
+
 std::map<member_id, std::string>
 fleet_state::possible_commit_holders(const std::string& group, instant now) const
 {
--- a/Source/Proxy/fleet_state.h
+++ b/Source/Proxy/fleet_state.h
@@ -40,6 +40,29 @@
 bool
 is_later(const group_record& next, const group_record& record);
 
+// A member that was removed from the members' list, but may still run: one that loses contact with
+// the store is removed.
+struct removed_member
+{
+  member_id id;
+  std::string group;
+  std::string address;
+  instant removed_at{};
+
+  friend bool operator==(const removed_member&, const removed_member&) = default;
+};
+
+// The members that were removed lately, as one instance knows them.
+struct removal_history
+{
+  std::vector<removed_member> members;
+  // Since when the instance has followed the list, so that it knows of all removals since then.
+  // Empty if it has not read the list.
+  std::optional<instant> complete_since;
+
+  friend bool operator==(const removal_history&, const removal_history&) = default;
+};
+
 // Age limits of evidence, that is, of data read from the store.
 struct evidence_age_limits
 {
@@ -79,6 +102,17 @@
   // Applies the members' list that was current at `confirmed_at`. Returns false for a list older
   // than the current one, which is ignored.
   bool update_members(std::vector<listed_member> members, instant confirmed_at);
+  // Confirms that the present members' list was still current at `confirmed_at`.
+  void confirm_members(instant confirmed_at);
+  // Takes the first list that is read as complete: at the first start of the whole fleet no commit
+  // was acknowledged before it.
+  void assume_no_removals() { no_earlier_removals_ = true; }
+  // Adds what another instance, which follows the list at present, knows of removals.
+  void merge_removals(const removal_history& removals);
+  removal_history removals() const;
+  // True if this instance knows of all members that were removed so lately that they may still run.
+  bool knows_all_removals(instant now) const;
+
   // Applies group records up to a version of the store. Returns false if a newer version was
   // applied already. Without a confirmation time they are known, but no evidence for using a
   // primary: a replacement does not wait for an instance that is not registered.
@@ -150,13 +184,10 @@
   bool records_primaries_;
   configuration_index configuration_;
   std::vector<listed_member> members_;
-  struct removed_member
-  {
-    std::string group;
-    std::string address;
-    instant removed_at{};
-  };
   std::map<member_id, removed_member> removed_members_;
+  std::optional<instant> removals_known_since_;
+  instant members_followed_at_{};
+  bool no_earlier_removals_ = false;
   std::map<std::string, member_id> last_listed_primaries_;
   std::map<std::string, group_record> groups_;
   // Groups whose known record is later than the one in the store.
--- a/Source/ProxyNode/fleet_messages.cxx
+++ b/Source/ProxyNode/fleet_messages.cxx
@@ -171,6 +171,15 @@
   for (const auto& entry : from.records_ahead()) {
     report.records_ahead.push_back(read_group(entry));
   }
+  for (const auto& entry : from.removed_members()) {
+    report.removals.members.push_back({ member_id(entry.id()),
+                                        entry.group(),
+                                        entry.address(),
+                                        report.clock - from_us(entry.age_us()) });
+  }
+  if (from.list_followed_us() > 0) {
+    report.removals.complete_since = report.clock - from_us(from.list_followed_us());
+  }
   report.shares = read_shares(from);
   report.shares_view = { fencing_token(from.shares_token()), from.shares_view() };
   for (const auto& entry : from.demands()) {
@@ -328,6 +337,16 @@
   for (const auto& record : report.records_ahead) {
     write_group(record, *to.add_records_ahead());
   }
+  for (const auto& removed : report.removals.members) {
+    auto* entry = to.add_removed_members();
+    entry->set_id(removed.id.get());
+    entry->set_group(removed.group);
+    entry->set_address(removed.address);
+    entry->set_age_us(to_us(report.clock - removed.removed_at));
+  }
+  if (report.removals.complete_since) {
+    to.set_list_followed_us(to_us(report.clock - *report.removals.complete_since));
+  }
   add_shares(report.shares, to);
   to.set_shares_token(report.shares_view.token.get());
   to.set_shares_view(report.shares_view.number);
--- a/Source/ProxyNode/fleet_participant.cxx
+++ b/Source/ProxyNode/fleet_participant.cxx
@@ -142,6 +142,9 @@
         [this](bool holding, const std::string& reason) { handle_lease_change(holding, reason); } })
   , follower_(incarnation_)
 {
+  if (settings.first_start) {
+    state.assume_no_removals();
+  }
 }
 
 result<void>
--- a/Source/ProxyNode/fleet_participant_coordinator.cxx
+++ b/Source/ProxyNode/fleet_participant_coordinator.cxx
@@ -269,6 +269,9 @@
       hooks_.changed();
     }
   };
+  callbacks.removals_reported = [this](const removal_history& removals) {
+    fleet_state_.merge_removals(removals);
+  };
   callbacks.plan = [this]() -> const carrier_plan& { return plan_; };
   callbacks.record_plan = [this](const carrier_plan& plan) { record_plan(plan); };
   auto& failovers = callbacks.failover_hooks;
--- a/Source/ProxyNode/fleet_participant_reports.cxx
+++ b/Source/ProxyNode/fleet_participant_reports.cxx
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace persimmonshelf {
@@ -55,6 +56,11 @@
   report.members_digest = members_digest_;
   report.groups_version = fleet_state_.applied_groups_version();
   report.records_ahead = fleet_state_.records_ahead();
+  const auto& groups = fleet_state_.configuration().configuration().groups;
+  if (std::any_of(
+        groups.begin(), groups.end(), [](const auto& group) { return group.sync_replicas > 0; })) {
+    report.removals = fleet_state_.removals();
+  }
   report.shares = limiter_.shares();
   report.shares_view = follower_.shares_view();
   report.demands = limiter_.demands(now);
--- a/Source/ProxyNode/fleet_participant_views.cxx
+++ b/Source/ProxyNode/fleet_participant_views.cxx
@@ -72,6 +72,8 @@
       fleet_state_.update_members(*view.members, confirmed_at(view.members_age))) {
     members_digest_ = view.members_digest;
     hooks_.changed();
+  } else if (view.members_age && view.members_digest == members_digest_) {
+    fleet_state_.confirm_members(confirmed_at(view.members_age));
   }
   if (view.shares) {
     limiter_.set_shares(*view.shares, view.echo_clock + share_lifetime, now);
--- a/Tests/Platform/platform_test.cxx
+++ b/Tests/Platform/platform_test.cxx
@@ -577,8 +577,16 @@
   CHECK(seen->groups == view.groups);
   instance_report with_records;
   with_records.records_ahead = view.groups;
+  with_records.clock = instant(std::chrono::seconds(40));
+  with_records.removals.members = {
+    { member_id("m"), "g", "10.0.0.1:3", instant(std::chrono::seconds(38)) }
+  };
+  with_records.removals.complete_since = instant(std::chrono::seconds(5));
   REQUIRE(decode_datagram(encode_report(with_records)).report);
-  CHECK(decode_datagram(encode_report(with_records)).report->records_ahead == view.groups);
+  const auto decoded = *decode_datagram(encode_report(with_records)).report;
+  CHECK(decoded.records_ahead == view.groups);
+  CHECK(decoded.removals == with_records.removals);
+  CHECK_FALSE(decode_datagram(encode_report({})).report->removals.complete_since);
   CHECK(seen->lease_version == view.lease_version);
   CHECK(decode_datagram(encode_view({})).view->evacuations_version == store_version());
   CHECK(seen->token == view.token);
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -33,6 +33,9 @@
     callbacks.lease_version = [] { return revision_of(7); };
     callbacks.position_reported =
       [](const instance_id&, const std::string&, const timed_position&, auto) {};
+    callbacks.removals_reported = [this](const removal_history& removals) {
+      fleet.merge_removals(removals);
+    };
     callbacks.plan = [this]() -> const carrier_plan& { return plan; };
     callbacks.record_plan = [this](const carrier_plan& next) { plan = next; };
     callbacks.send = [this](const std::string&, const fleet_view& view) { views.push_back(view); };
@@ -79,6 +82,7 @@
   replacement_bench()
     : fleet({ ms(4750), primary_use_limit, commit_answer_limit })
   {
+    fleet.assume_no_removals();
     read_fleet();
     members["m1"] = { true, term(3), point(3, 50), term(0) };
     members["m2"] = { true, term(4), point(4, 60), term(0) };
@@ -840,3 +844,29 @@
   bench.subject->handle_report(report);
   CHECK(heard == report.records_ahead);
 }
+
+// Guards against lost commits: the coordinator was killed and started again while a replica that
+// had left the list was running. The other instances still know of the replica (review/6).
+TEST_CASE("a coordinator that started anew learns from reports which members left the list")
+{
+  coordinator_bench bench;
+  bench.now = at(60'000);
+  bench.fleet = fleet_state({ ms(4750), primary_use_limit, commit_answer_limit });
+  bench.update_fleet(60'000);
+  bench.start_coordinator(fencing_token(2));
+  REQUIRE_FALSE(bench.fleet.knows_all_removals(bench.now));
+  auto report = bench.report(100'000);
+  report.removals.complete_since = at(65'000);
+  report.removals.members = { { member_id("m3"), "g", "10.0.0.1:3", at(99'300) } };
+  // Made before this coordinator read the list, so a member may have left in between.
+  report.view = applied_view{ fencing_token(1), 7, at(59'000), ms(0) };
+  bench.subject->handle_report(report);
+  CHECK_FALSE(bench.fleet.knows_all_removals(bench.now));
+  report.clock = at(100'250);
+  report.view = applied_view{ fencing_token(2), 1, at(60'000), ms(0) };
+  bench.subject->handle_report(report);
+  CHECK(bench.fleet.knows_all_removals(bench.now));
+  CHECK(bench.fleet.possible_commit_holders("g", bench.now).contains(member_id("m3")));
+  // Forgotten 30 s after it left, as by the other instances.
+  CHECK_FALSE(bench.fleet.possible_commit_holders("g", at(89'500)).contains(member_id("m3")));
+}
--- a/Tests/Proxy/failover_test.cxx
+++ b/Tests/Proxy/failover_test.cxx
@@ -79,7 +79,7 @@
       member.address = "10.0.0.1:" + member.id.get();
       holders.emplace(member.id, member.address);
     }
-    group_failover->set_members(listed, sync_replicas, holders);
+    group_failover->set_members(listed, sync_replicas, { holders, holders_are_complete });
   }
 
   std::optional<member_status> answer(const std::string& name, const member_command& command)
@@ -113,6 +113,7 @@
   std::set<std::string> unreachable;
   std::set<std::string> draining;
   std::map<member_id, std::string> removed;
+  bool holders_are_complete = true;
   std::vector<group_record> records;
   std::vector<std::pair<member_id, command_kind>> commands;
   std::set<std::string> logged;
@@ -292,6 +293,41 @@
   CHECK(bench.promoted[0] == member_id("m3"));
 }
 
+// Guards against lost commits with a synchronous replica: the coordinator had started anew and did
+// not know that a replica had left the list, which alone had received the last commits (review/6).
+TEST_CASE("with synchronous replicas nobody is promoted while removed members may be unknown")
+{
+  for (const std::uint32_t sync_replicas : { 0U, 1U }) {
+    CAPTURE(sync_replicas);
+    failover_bench bench;
+    bench.holders_are_complete = false;
+    bench.set_members({ "m1", "m2" }, sync_replicas);
+    bench.unreachable = { "m1" };
+    bench.fenced = true;
+    bench.start(replacement_reason::unreachable);
+    bench.run(3000);
+    CHECK(bench.promoted.size() == (sync_replicas == 0 ? 1 : 0));
+    bench.holders_are_complete = true;
+    bench.set_members({ "m1", "m2" }, sync_replicas);
+    bench.run(300);
+    CHECK(bench.promoted.size() == 1);
+  }
+}
+
+// Guards against a group that stays without a primary although its former one, which has every
+// commit, stepped down.
+TEST_CASE("a primary that steps down shows which commits there are")
+{
+  failover_bench bench;
+  bench.holders_are_complete = false;
+  bench.members["m2"].received = point(3, 50);
+  bench.set_members({ "m1", "m2", "m3" }, 1);
+  bench.fenced = true;
+  bench.start(replacement_reason::leaving);
+  bench.run(500);
+  CHECK(bench.promoted.size() == 1);
+}
+
 // Guards against a group that stays without a primary because a member left as planned: the next
 // member at its address has its log.
 TEST_CASE("the next member at a removed member's address answers for it")
--- a/Tests/Proxy/fleet_state_test.cxx
+++ b/Tests/Proxy/fleet_state_test.cxx
@@ -242,3 +242,53 @@
   fleet.update_groups({ record_in(2, "m2", 4) }, { store_era(2), 62 }, at(1200));
   CHECK(fleet.is_confirmed("g"));
 }
+
+// Guards against a holder of the duty that takes the members it has read so far for all that may
+// hold commits, after it started anew or lost contact.
+TEST_CASE(
+  "all removals are known once the list was followed for as long as a removed member counts")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  CHECK_FALSE(fleet.knows_all_removals(at(100'000)));
+  const auto read_list = [&](std::int64_t from, std::int64_t until) {
+    for (auto time = from; time <= until; time += 1000) {
+      fleet.update_members({ make_member("m1", "z", true) }, at(time));
+    }
+  };
+  read_list(1000, 30'000);
+  CHECK_FALSE(fleet.knows_all_removals(at(30'000)));
+  read_list(31'000, 32'000);
+  CHECK(fleet.knows_all_removals(at(32'000)));
+  SUBCASE("the list is confirmed without being read")
+  {
+    for (std::int64_t time = 33'000; time < 45'000; time += 1000) {
+      fleet.confirm_members(at(time));
+    }
+    read_list(45'000, 45'000);
+    CHECK(fleet.knows_all_removals(at(45'000)));
+  }
+  SUBCASE("contact was lost")
+  {
+    read_list(40'000, 69'000);
+    CHECK_FALSE(fleet.knows_all_removals(at(69'000)));
+    read_list(70'000, 70'000);
+    CHECK(fleet.knows_all_removals(at(70'000)));
+  }
+}
+
+// Guards against a list of the first start that is taken for incomplete, and against removals of
+// members that are back.
+TEST_CASE("removals are merged with those of other instances")
+{
+  fleet_state fleet({ ms(4750), primary_use_limit, commit_answer_limit });
+  fleet.assume_no_removals();
+  fleet.update_members({ make_member("m1", "z", true), make_member("m2", "z", false) }, at(1000));
+  CHECK(fleet.knows_all_removals(at(1000)));
+  fleet.merge_removals({ { { member_id("m2"), "g", "10.0.0.1:2", at(900) },
+                           { member_id("m3"), "g", "10.0.0.1:3", at(950) } },
+                         std::nullopt });
+  const auto removals = fleet.removals();
+  REQUIRE(removals.members.size() == 1);
+  CHECK(removals.members.front().id == member_id("m3"));
+  CHECK(fleet.possible_commit_holders("g", at(1000)).size() == 3);
+}
