ProxyNode: Hold back signals until their handlers are set

Cause: the default action of SIGHUP and SIGTERM is to end the process, and the handlers are set only after the settings are read and the addresses are bound.

Change: main() blocks both signals first, and the node unblocks them once it waits for them, so one that came early is handled then.

--- a/Source/Programs/persimmonshelf-proxy.cxx
+++ b/Source/Programs/persimmonshelf-proxy.cxx
@@ -1,5 +1,6 @@
 #include "ProxyNode/node_settings.h"
 #include "ProxyNode/proxy_node.h"
+#include "ProxyNode/signal_mask.h"
 #include "platform/environment.h"
 
 #include <docopt/docopt.h>
@@ -52,6 +53,7 @@
 main(int argc, char** argv)
 {
   using namespace persimmonshelf;
+  hold_back_signals();
   const auto arguments =
     docopt::docopt(usage, { argv + 1, argv + argc }, true, "persimmonshelf-proxy 0.2.0");
   const auto given = arguments.at("--settings");
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -13,6 +13,7 @@
 #include "ProxyNode/fleet_participant.h"
 #include "ProxyNode/member_connection.h"
 #include "ProxyNode/node_metrics.h"
+#include "ProxyNode/signal_mask.h"
 #include "platform/line_protocol.h"
 
 #include <boost/asio/io_context.hpp>
@@ -192,6 +193,7 @@
 {
   signals.add(SIGTERM);
   signals.add(SIGHUP);
+  deliver_signals();
   wait_for_signal();
   accept();
   tick();
--- a/Tests/ProxyLimits/child_process.cxx
+++ b/Tests/ProxyLimits/child_process.cxx
@@ -46,6 +46,14 @@
   }
 }
 
+void
+child_process::send_signal(int number)
+{
+  if (is_running()) {
+    ::kill(pid_, number);
+  }
+}
+
 bool
 child_process::is_running()
 {
--- a/Tests/ProxyLimits/child_process.h
+++ b/Tests/ProxyLimits/child_process.h
@@ -20,6 +20,8 @@
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
 
+  void send_signal(int number);
+
   // False once the process has ended for any reason.
   bool is_running();
 
