Proxy: A carrier plan that a drill took back is followed by a newer one

If a drill takes the newest one back and the duty goes to an instance that knows only the one before, its plans are ignored until their versions have passed the lost one, and instances disagree on the carriers.

Change: the coordinator makes a plan with a version above all that instances report as soon as one of them follows a newer plan than its own.

--- a/Source/Proxy/coordinator.cxx
+++ b/Source/Proxy/coordinator.cxx
@@ -116,6 +116,7 @@
   peer.relay_address = report.relay_address;
   peer.capacity = report.capacity;
   peer.plan_version = report.plan_version;
+  newest_plan_version_ = std::max(newest_plan_version_, report.plan_version);
   peer.plan_only = report.plan_only;
   if (report.plan_only) {
     shares_.remove_run(report.instance, report.incarnation);
@@ -353,14 +354,15 @@
   if (carrier_is_unavailable) {
     carrier_unavailable_at_ = now;
   }
-  const auto next =
-    choose_carriers(previous,
-                    std::move(live),
-                    { connections,
-                      fleet_state_.configuration().configuration().workspaces.size(),
-                      groups.size(),
-                      now - carrier_unavailable_at_ > substitute_retention });
-  if (next.version != previous.version) {
+  auto next = choose_carriers(previous,
+                              std::move(live),
+                              { connections,
+                                fleet_state_.configuration().configuration().workspaces.size(),
+                                groups.size(),
+                                now - carrier_unavailable_at_ > substitute_retention });
+  // The store may have lost a plan that instances follow, and they take only newer ones.
+  if (next.version != previous.version || newest_plan_version_ > previous.version) {
+    next.version = std::max(next.version, newest_plan_version_ + 1);
     hooks_.record_plan(next);
   }
 }
--- a/Source/Proxy/coordinator.h
+++ b/Source/Proxy/coordinator.h
@@ -148,6 +148,8 @@
   bool pool_without_lease_ = false;
   std::uint64_t last_view_ = 0;
   std::uint64_t last_grant_ = 0;
+  // Newest version of the carrier plan that an instance has applied.
+  std::uint64_t newest_plan_version_ = 0;
   // Time when an instance last reported for the first time, and time when the plan was last
   // checked.
   instant newest_peer_at_;
--- a/Tests/Proxy/coordinator_test.cxx
+++ b/Tests/Proxy/coordinator_test.cxx
@@ -870,3 +870,25 @@
   // Forgotten 30 s after it left, as by the other instances.
   CHECK_FALSE(bench.fleet.possible_commit_holders("g", at(89'500)).contains(member_id("m3")));
 }
+
+// Guards against carriers on which the instances disagree: a drill took the newest plan back, and
+// the coordinator knows only the one before.
+TEST_CASE("a plan that the store lost is followed by a newer one")
+{
+  coordinator_bench bench;
+  bench.plan.version = 3;
+  bench.plan.carriers = { { instance_id("a"), zone_id("z"), "10.0.0.1:2", 1.0, false, false } };
+  auto report = bench.report(100);
+  report.relay_address = "10.0.0.1:2";
+  report.zone = zone_id("z");
+  report.capacity = 1;
+  report.plan_version = 5;
+  bench.now = at(1000);
+  bench.subject->handle_report(report);
+  bench.subject->tick(true);
+  CHECK(bench.plan.version == 6);
+  CHECK(bench.plan.carries(instance_id("a")));
+  bench.now = at(2000);
+  bench.subject->tick(true);
+  CHECK(bench.plan.version == 6);
+}
