Proxy: A draining primary gets nothing new after the limit for draining

As long as nobody replaced it, whatever the reason, requests went to it until it ended.

Cause: connection_pool gives a draining member no new work unless it is the primary, and left the end of that to the holder of the duty alone.

Change: from `drain_limit_ms` (the platform's bounds.drain_ms; 7,000 by default), less the 2 s in which an instance may learn of the draining, the primary counts as not usable. Requests that would expire within 1 s are refused at once, the others wait for the successor.

--- a/Source/Proxy/connection_pool.cxx
+++ b/Source/Proxy/connection_pool.cxx
@@ -19,6 +19,12 @@
 // How long reads avoid a lagging replica: about the usual replication lag at first, then longer.
 constexpr duration first_lagging_pause = std::chrono::milliseconds(60);
 constexpr duration longest_lagging_pause = std::chrono::milliseconds(500);
+// How much later than the store's acknowledgement an instance may learn that a member is draining:
+// one interval between reads of the members' list, and one between views.
+constexpr duration max_drain_notice_delay = std::chrono::milliseconds(2000);
+// How long the replacement of a primary that has drained may still take. Requests that expire
+// before are refused at once.
+constexpr duration late_replacement_time = std::chrono::milliseconds(1000);
 // Weight of the newest measurement in the smoothed statement duration.
 constexpr double smoothing = 0.2;
 
@@ -52,6 +58,15 @@
     }
   }
   members_ = std::move(next);
+  std::erase_if(draining_since_, [&](const auto& entry) {
+    const auto* member = find_member(entry.first);
+    return member == nullptr || !member->draining;
+  });
+  for (const auto& [id, member] : members_) {
+    if (member.draining) {
+      draining_since_.try_emplace(id, now);
+    }
+  }
   group_members_.clear();
   for (const auto& [id, member] : members_) {
     group_members_[member.group].push_back(&member);
@@ -62,6 +77,25 @@
   tick(now);
 }
 
+void
+connection_pool::set_drain_limit(duration limit)
+{
+  drain_limit_ = limit;
+}
+
+std::optional<group_primary>
+connection_pool::serving_primary(const std::string& group, instant now) const
+{
+  auto primary = hooks_.primary_of(group);
+  const auto found = primary ? draining_since_.find(primary->member) : draining_since_.end();
+  if (found != draining_since_.end() &&
+      now - found->second >= drain_limit_ - max_drain_notice_delay) {
+    primary->usable = false;
+    primary->replacement_expected_at = now + late_replacement_time;
+  }
+  return primary;
+}
+
 void
 connection_pool::set_evacuated_zones(const std::set<zone_id>& zones, instant now)
 {
--- a/Source/Proxy/connection_pool.h
+++ b/Source/Proxy/connection_pool.h
@@ -72,6 +72,10 @@
 bool
 is_usable_primary(const std::optional<group_primary>& primary, const member_id& member);
 
+// Time from the acknowledgement that a member is draining until nothing new may be sent to it,
+// where the settings name none. Shortest of the known platforms.
+inline constexpr duration default_drain_limit = std::chrono::milliseconds(7000);
+
 // Pool of the connections of one instance to all members. Decides which connection a statement
 // gets, which requests wait and which are refused. Opens connections on demand and keeps them.
 class connection_pool
@@ -90,6 +94,10 @@
 
   connection_pool(hooks callbacks, zone_id own_zone);
 
+  // `limit` is the time from the store's acknowledgement that a member is draining until nothing
+  // new may be sent to it, even if it is still the primary.
+  void set_drain_limit(duration limit);
+
   // Closes the idle connections to members that left or are draining. Connections in use are closed
   // when they are released.
   void set_members(const std::vector<listed_member>& members, instant now);
@@ -141,6 +149,8 @@
   bool is_connected_to(const member_id& id) const;
 
 private:
+  // The group's primary; not usable once it has drained for as long as it may be used.
+  std::optional<group_primary> serving_primary(const std::string& group, instant now) const;
   struct waiting_request
   {
     connection_request request;
@@ -213,6 +223,9 @@
   hooks hooks_;
   zone_id own_zone_;
   std::map<member_id, listed_member> members_;
+  duration drain_limit_ = default_drain_limit;
+  // When each draining member was first listed as draining.
+  std::map<member_id, instant> draining_since_;
   std::set<zone_id> evacuated_zones_;
   std::map<member_id, member_health> health_;
   std::map<std::string, std::size_t> connection_limits_;
--- a/Source/Proxy/connection_pool_selection.cxx
+++ b/Source/Proxy/connection_pool_selection.cxx
@@ -61,7 +61,7 @@
                             instant now) const
 {
   std::vector<std::pair<double, const listed_member*>> ranked;
-  const auto primary = hooks_.primary_of(group);
+  const auto primary = serving_primary(group, now);
   for (const auto* listed : members_of(group)) {
     const auto& member = *listed;
     const auto& id = member.id;
@@ -76,8 +76,8 @@
     if (!is_primary && health != health_.end() && now < health->second.lagging_until) {
       continue;
     }
-    // A draining primary keeps its writes until it is replaced. All other draining members get no
-    // new work.
+    // A draining primary keeps its writes until it is replaced or has drained for too long. All
+    // other draining members get no new work.
     if (member.draining && !(requirement.needs_primary && is_primary)) {
       continue;
     }
--- a/Source/Proxy/connection_pool_waiting.cxx
+++ b/Source/Proxy/connection_pool_waiting.cxx
@@ -147,7 +147,7 @@
 void
 connection_pool::refuse_hopeless(const std::string& group, waiting_queue& queue, instant now)
 {
-  const auto primary = hooks_.primary_of(group);
+  const auto primary = serving_primary(group, now);
   std::optional<instant> primary_back_at;
   if (primary && !primary->usable) {
     primary_back_at = primary->replacement_expected_at;
@@ -269,7 +269,7 @@
 std::optional<group_capacity>
 connection_pool::capacity_of(const std::string& group, instant now) const
 {
-  const auto primary = hooks_.primary_of(group);
+  const auto primary = serving_primary(group, now);
   std::vector<member_capacity> capacities;
   duration statement = assumed_statement_time;
   for (const auto* member : members_of(group)) {
--- a/Source/ProxyNode/node_settings.cxx
+++ b/Source/ProxyNode/node_settings.cxx
@@ -1,6 +1,7 @@
 #include "ProxyNode/node_settings.h"
 
 #include "Base/json_fields.h"
+#include "Proxy/connection_pool.h"
 
 #include <boost/json/array.hpp>
 
@@ -27,6 +28,8 @@
 constexpr std::int64_t min_descriptors = 256;
 constexpr std::int64_t max_descriptors = 1 << 20;
 constexpr std::int64_t default_evacuation_limit_ms = 5000;
+constexpr std::int64_t default_drain_limit_ms =
+  std::chrono::duration_cast<std::chrono::milliseconds>(default_drain_limit).count();
 
 result<tcp_address>
 address_field(json_fields& fields, std::string_view name)
@@ -209,6 +212,10 @@
     const auto evacuation_limit,
     fields.integer_or("evacuation_limit_ms", default_evacuation_limit_ms, 1, max_duration_ms));
   settings.evacuation_limit = std::chrono::milliseconds(evacuation_limit);
+  BOOST_OUTCOME_TRY(
+    const auto drain_limit,
+    fields.integer_or("drain_limit_ms", default_drain_limit_ms, 1, max_duration_ms));
+  settings.drain_limit = std::chrono::milliseconds(drain_limit);
   BOOST_OUTCOME_TRY(settings.first_start, fields.boolean_or("first_start", false));
   BOOST_OUTCOME_TRYV(fields.finish());
   return settings;
--- a/Source/ProxyNode/node_settings.h
+++ b/Source/ProxyNode/node_settings.h
@@ -54,6 +54,9 @@
   resource_limits resources;
   // From this long after the operator took a zone out of use, nothing may be sent to its members.
   duration evacuation_limit{};
+  // From this long after the store acknowledged that a member is draining, nothing new may be sent
+  // to it.
+  duration drain_limit{};
   // True at the first start of the whole fleet.
   bool first_start = false;
 
--- a/Source/ProxyNode/proxy_node.cxx
+++ b/Source/ProxyNode/proxy_node.cxx
@@ -194,6 +194,7 @@
   signals.add(SIGTERM);
   signals.add(SIGHUP);
   deliver_signals();
+  pool.set_drain_limit(settings.drain_limit);
   wait_for_signal();
   accept();
   tick();
--- a/Tests/Proxy/connection_pool_test.cxx
+++ b/Tests/Proxy/connection_pool_test.cxx
@@ -207,3 +207,34 @@
   CHECK(member_chosen_after(50) == member_id("m1"));
   CHECK(member_chosen_after(70) != member_id("m1"));
 }
+
+// Guards against requests that reach a primary which has announced that it leaves, later than it
+// may be used, because nobody replaces it (review/10).
+TEST_CASE("a draining primary that is not replaced gets no writes after the limit")
+{
+  pool_bench bench;
+  bench.pool.set_drain_limit(ms(7000));
+  bench.members[0].draining = true;
+  bench.pool.set_members(bench.members, bench.now);
+  bench.acquire("w", true);
+  bench.open_all();
+  REQUIRE(bench.granted.size() == 1);
+  bench.pool.release(bench.granted[0].second->number, ms(10), bench.now);
+  bench.now += ms(4900);
+  bench.acquire("w", true);
+  bench.open_all();
+  REQUIRE(bench.granted.size() == 2);
+  bench.pool.release(bench.granted[1].second->number, ms(10), bench.now);
+  bench.now += ms(200);
+  bench.acquire("w", true);
+  bench.open_all();
+  CHECK(bench.granted.size() == 2);
+  // It cannot be served in time, so it does not wait for its expiry.
+  bench.pool.tick(bench.now);
+  CHECK(bench.refused.size() == 1);
+  // The successor is used at once.
+  bench.current_primary = group_primary{ member_id("m2"), true, std::nullopt };
+  bench.acquire("w", true);
+  bench.open_all();
+  CHECK(bench.granted.size() == 3);
+}
